--- a/src/bin/harerun-wirehost/main.rs
+++ b/src/bin/cedarbridge-simhost/main.rs
@@ -24,7 +24,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("harerun-wirehost: {message}");
+            eprintln!("cedarbridge-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/harerun-wirehost/settings.rs
+++ b/src/bin/cedarbridge-simhost/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of an instance, from the wire's words to the interface's types.
 
 use crate::wire::{flag, micros, number, text, whole};
-use harerun::{
+use cedarbridge::{
     Class, Decay, DedupScope, DestinationId, Effect, EndpointId, Entry, Kind, KindId, Lifecycle, Settings,
     Tenant, WeightSource, ZoneId,
 };
--- a/src/bin/harerun-wirehost/wire.rs
+++ b/src/bin/cedarbridge-simhost/wire.rs
@@ -1,7 +1,7 @@
 //! Batches of events to replies of actions.
 
 use crate::settings::{entry, index, settings, Names};
-use harerun::{
+use cedarbridge::{
     Action, ClassId, Courier, DestinationId, EndpointId, Event, LimitReport, ListNews, MessageId, Micros,
     NewMessage, OrderKey, Outcome, TenantId,
 };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1,8 +1,8 @@
 //! What the mechanism does on the ordinary path, its exceptions, and odd life.
 
 mod common;
+use cedarbridge::*;
 use common::*;
-use harerun::*;
 
 fn one() -> World {
     World::new(settings(), vec![entry(7, 1, 0)])
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Scripted events for the module: one destination, or a few, and a clock set by hand.
 #![allow(dead_code)]
 
-use harerun::*;
+use cedarbridge::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! What holds when hundreds of couriers share the destinations and each sees only its part.
 
 mod common;
+use cedarbridge::*;
 use common::*;
-use harerun::*;
 use std::collections::VecDeque;
 
 const COUNT: usize = 250;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The six rules, one test for each way in which they could break.
 
 mod common;
+use cedarbridge::*;
 use common::*;
-use harerun::*;
 
 fn one(kind: usize) -> World {
     World::new(settings(), vec![entry(7, 1, kind)])
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Stdio};
 
 fn run(lines: &[String]) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_harerun-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cedarbridge-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
