Share the settings reader and let the module know of past attempts and of waits

The forwarder's configuration holds the same settings object as the simulator's wire, so the reader moves from the adapter to the library (words.rs); one copy serves both. Two gaps in the interface, seen while planning the sockets: a message that an earlier process began has used attempts (NewMessage::attempts), and an answer to a shared call may tell a wait while it refuses nothing (Event::Wait).

--- a/src/api.rs
+++ b/src/api.rs
@@ -262,6 +262,8 @@
     pub orphan: bool,
     /// Its client says that it was handed in before; see [`Settings::marks_retry`].
     pub again: bool,
+    /// Attempts made before this courier had it; they count against [`Settings::max_attempts`].
+    pub attempts: u32,
 }
 
 /// What happened since the last batch.
@@ -304,6 +306,13 @@
         /// What the answer tells of the limit.
         report: Option<LimitReport>,
     },
+    /// A wait that an answer told without turning a message away.
+    Wait {
+        /// Which endpoint told it.
+        endpoint: EndpointId,
+        /// How long.
+        wait: Micros,
+    },
     /// Nobody wants this message any more.
     Withdrawn {
         /// Which message.
--- a/src/bin/cedarbridge-simhost/main.rs
+++ b/src/bin/cedarbridge-simhost/main.rs
@@ -1,6 +1,5 @@
 //! Hosts many courier instances on the simulator's wire: one JSON value a line in, one reply a line out.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
--- a/src/bin/cedarbridge-simhost/wire.rs
+++ b/src/bin/cedarbridge-simhost/wire.rs
@@ -1,6 +1,6 @@
 //! Batches of events to replies of actions.
 
-use crate::settings::{entry, index, settings, Names};
+use cedarbridge::words::{entry, flag, index, micros, number, settings, text, whole, Names};
 use cedarbridge::{
     Action, ClassId, Courier, DestinationId, EndpointId, Event, LimitReport, ListNews, MessageId, Micros,
     NewMessage, OrderKey, Outcome, TenantId,
@@ -8,35 +8,6 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
-/// A value as text.
-pub fn text(v: &Value) -> Result<String, String> {
-    v.as_str().map(str::to_owned).ok_or_else(|| format!("expected a text, got {v}"))
-}
-
-/// A value as a number.
-pub fn number(v: &Value) -> Result<f64, String> {
-    v.as_f64().ok_or_else(|| format!("expected a number, got {v}"))
-}
-
-/// A value as a whole number that is not negative.
-pub fn whole(v: &Value) -> Result<u64, String> {
-    v.as_u64().ok_or_else(|| format!("expected a whole number, got {v}"))
-}
-
-/// A value as true or false.
-pub fn flag(v: &Value) -> Result<bool, String> {
-    v.as_bool().ok_or_else(|| format!("expected true or false, got {v}"))
-}
-
-/// A time in milliseconds as microseconds.
-pub fn micros(v: &Value) -> Result<Micros, String> {
-    let ms = number(v)?;
-    if !(0.0..1e15).contains(&ms) {
-        return Err(format!("expected a time, got {v}"));
-    }
-    Ok((ms * 1000.0).round() as Micros)
-}
-
 fn millis(t: Micros) -> f64 {
     t as f64 / 1000.0
 }
@@ -165,6 +136,7 @@
                     destination: DestinationId(whole(field(7, "terminates-at")?)?),
                     orphan: attrs & 16 != 0,
                     again: attrs & 2 != 0,
+                    attempts: 0,
                 })
             }
             "head-received" => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod logic;
 mod settings;
+pub mod words;
 
 pub use api::*;
 pub use logic::Courier;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -421,6 +421,7 @@
                 self.hear(now, *endpoint, *outcome, *report);
                 self.take_result(now, (*id, *attempt), *outcome, *elapsed, *ended);
             }
+            Event::Wait { endpoint, wait } => self.hear(now, *endpoint, Outcome::Full(Some(*wait)), None),
             Event::Withdrawn { id } => self.end(*id),
             Event::Started { .. } | Event::Probed { .. } | Event::Timer { .. } => {}
         }
@@ -506,7 +507,8 @@
         }
         let known =
             Message { class: m.class, worth, key, born, deadline, may_have_run, ..Message::default() };
-        self.messages.insert(m.id, Message { destination: m.destination, ..known });
+        let (destination, attempts) = (m.destination, m.attempts);
+        self.messages.insert(m.id, Message { destination, attempts, ..known });
         self.open += 1;
     }
 
--- a/src/bin/cedarbridge-simhost/settings.rs
+++ b/src/words.rs
@@ -1,18 +1,51 @@
-//! The settings of an instance, from the wire's words to the interface's types.
+//! The settings of an instance, from the wire's words to the interface's types. The simulator's wire and the
+//! forwarder's configuration hold the same object.
 
-use crate::wire::{flag, micros, number, text, whole};
-use cedarbridge::{
-    Class, Decay, DedupScope, DestinationId, Effect, EndpointId, Entry, Kind, KindId, Lifecycle, Settings,
-    Tenant, WeightSource, ZoneId,
+use crate::{
+    Class, Decay, DedupScope, DestinationId, Effect, EndpointId, Entry, Kind, KindId, Lifecycle, Micros,
+    Settings, Tenant, WeightSource, ZoneId,
 };
 use serde_json::Value;
 
+/// A value as text.
+pub fn text(v: &Value) -> Result<String, String> {
+    v.as_str().map(str::to_owned).ok_or_else(|| format!("expected a text, got {v}"))
+}
+
+/// A value as a number.
+pub fn number(v: &Value) -> Result<f64, String> {
+    v.as_f64().ok_or_else(|| format!("expected a number, got {v}"))
+}
+
+/// A value as a whole number that is not negative.
+pub fn whole(v: &Value) -> Result<u64, String> {
+    v.as_u64().ok_or_else(|| format!("expected a whole number, got {v}"))
+}
+
+/// A value as true or false.
+pub fn flag(v: &Value) -> Result<bool, String> {
+    v.as_bool().ok_or_else(|| format!("expected true or false, got {v}"))
+}
+
+/// A time in milliseconds as microseconds.
+pub fn micros(v: &Value) -> Result<Micros, String> {
+    let ms = number(v)?;
+    if !(0.0..1e15).contains(&ms) {
+        return Err(format!("expected a time, got {v}"));
+    }
+    Ok((ms * 1000.0).round() as Micros)
+}
+
 /// Names that the settings list, by which the wire refers to classes, tenants, zones and kinds.
 #[derive(Debug, Default)]
 pub struct Names {
+    /// By [`crate::ClassId`].
     pub classes: Vec<String>,
+    /// By [`crate::TenantId`].
     pub tenants: Vec<String>,
+    /// By [`ZoneId`].
     pub zones: Vec<String>,
+    /// By [`KindId`].
     pub kinds: Vec<String>,
 }
 
@@ -21,16 +54,18 @@
     names.iter().position(|n| n == name).ok_or_else(|| format!("unknown {what} `{name}`"))
 }
 
-fn field<'a>(v: &'a Value, key: &str) -> Result<&'a Value, String> {
+/// A field that must be there.
+pub fn field<'a>(v: &'a Value, key: &str) -> Result<&'a Value, String> {
     v.get(key).filter(|f| !f.is_null()).ok_or_else(|| format!("missing setting `{key}`"))
 }
 
-fn in_field<T>(v: &Value, key: &str, read: fn(&Value) -> Result<T, String>) -> Result<T, String> {
+/// A field that must be there, read.
+pub fn in_field<T>(v: &Value, key: &str, read: fn(&Value) -> Result<T, String>) -> Result<T, String> {
     read(field(v, key)?).map_err(|e| format!("setting `{key}`: {e}"))
 }
 
 /// A setting that may be absent, read as zero or false then.
-fn maybe<T: Default>(v: &Value, key: &str, read: fn(&Value) -> Result<T, String>) -> Result<T, String> {
+pub fn maybe<T: Default>(v: &Value, key: &str, read: fn(&Value) -> Result<T, String>) -> Result<T, String> {
     if v.get(key).is_none_or(Value::is_null) {
         return Ok(T::default());
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,6 +103,7 @@
             destination: DestinationId(destination),
             orphan: false,
             again: false,
+            attempts: 0,
         }
     }
 
