--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod logic;
+pub mod net;
 mod settings;
 pub mod words;
 
--- /dev/null
+++ b/src/net/board.rs
@@ -0,0 +1,94 @@
+//! What every proxy pass looks at just before its first byte: who is in service, who told a wait.
+
+use super::clock::Clock;
+use crate::{DestinationId, EndpointId, Lifecycle, Micros};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What is known of an endpoint now.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whose it is.
+    pub destination: DestinationId,
+    /// Its destination's endpoints are routes apart.
+    pub apart: bool,
+    /// Messages that one call may carry.
+    pub per_call: usize,
+    /// When this program was told that nothing new should go there.
+    pub leaving_since: Option<Micros>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Waiter {
+    Destination(DestinationId),
+    Endpoint(EndpointId),
+}
+
+/// The board: the farm and the answers write on it at once, ahead of the module's next step.
+pub struct Board {
+    clock: Clock,
+    grace: Micros,
+    endpoints: RefCell<BTreeMap<EndpointId, Known>>,
+    waits: RefCell<BTreeMap<Waiter, Micros>>,
+}
+
+impl Board {
+    /// An empty board. Work may still go to an endpoint for most of the grace after it was told to leave.
+    pub fn new(clock: Clock, grace: Micros) -> Self {
+        // The platform's moment of telling lies a little before ours.
+        let (endpoints, waits) = Default::default();
+        Board { clock, grace: grace * 4 / 5, endpoints, waits }
+    }
+
+    /// Writes down an endpoint; the time of an earlier leave stays.
+    pub fn list(&self, endpoint: EndpointId, lifecycle: Lifecycle, mut known: Known) {
+        let mut all = self.endpoints.borrow_mut();
+        let before = all.get(&endpoint).and_then(|k| k.leaving_since);
+        let leaves = lifecycle != Lifecycle::Listed;
+        known.leaving_since = leaves.then(|| before.unwrap_or_else(|| self.clock.now()));
+        all.insert(endpoint, known);
+    }
+
+    /// All that are not among those named have left.
+    pub fn keep_only(&self, named: &[EndpointId]) {
+        for (id, known) in self.endpoints.borrow_mut().iter_mut() {
+            if !named.contains(id) {
+                known.leaving_since.get_or_insert_with(|| self.clock.now());
+            }
+        }
+    }
+
+    /// What is known of an endpoint.
+    pub fn get(&self, endpoint: EndpointId) -> Option<Known> {
+        self.endpoints.borrow().get(&endpoint).cloned()
+    }
+
+    fn waiter(&self, endpoint: EndpointId) -> Option<Waiter> {
+        let known = self.get(endpoint)?;
+        let whole = Waiter::Destination(known.destination);
+        Some(if known.apart { Waiter::Endpoint(endpoint) } else { whole })
+    }
+
+    /// An endpoint has told a wait.
+    pub fn told_wait(&self, endpoint: EndpointId, wait: Micros) {
+        let Some(waiter) = self.waiter(endpoint) else { return };
+        let mut waits = self.waits.borrow_mut();
+        let until = waits.entry(waiter).or_default();
+        *until = (*until).max(self.clock.now().saturating_add(wait));
+    }
+
+    /// Why nothing may go to an endpoint just now, if so. Time passes between the module's step and the first
+    /// byte, above all while a connection is made; what came in meanwhile binds that byte.
+    pub fn bars(&self, endpoint: EndpointId) -> Option<&'static str> {
+        let now = self.clock.now();
+        let Some(known) = self.get(endpoint) else { return Some("unknown-endpoint") };
+        if known.leaving_since.is_some_and(|t| now >= t + self.grace) {
+            return Some("leaving");
+        }
+        let until = self.waiter(endpoint).and_then(|w| self.waits.borrow().get(&w).copied());
+        until.is_some_and(|t| now < t).then_some("told-to-wait")
+    }
+}
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,43 @@
+//! The two clocks: a monotonic one for every decision, and the wall clock for what outlasts the process.
+
+use crate::Micros;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Microseconds since the program started; it never goes back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now. It does not start at zero, so that spans can be taken off early times.
+    pub fn start() -> Self {
+        Clock { start: Instant::now() - Duration::from_secs(60) }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    /// When a point of this clock comes.
+    pub fn at(&self, time: Micros) -> Instant {
+        // A far point is as good as never.
+        self.start + Duration::from_micros(time.min(self.now() + 86_400_000_000))
+    }
+
+    /// A point of this clock on the wall clock.
+    pub fn to_wall(&self, time: Micros) -> Micros {
+        (wall() + time).saturating_sub(self.now())
+    }
+
+    /// A point of the wall clock on this one; past ones are now.
+    pub fn from_wall(&self, time: Micros) -> Micros {
+        self.now() + time.saturating_sub(wall())
+    }
+}
+
+/// The wall clock, in microseconds of Unix time.
+pub fn wall() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,115 @@
+//! What the program is told at its start.
+
+use crate::words::{field, in_field, micros, settings, text, whole, Names};
+use crate::{Kind, Micros, Settings};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The largest body of a message.
+pub const BODY_LIMIT: usize = 64 * 1024;
+
+/// The program's configuration, read and checked.
+pub struct Config {
+    /// This forwarder's name.
+    pub name: String,
+    /// Where user agents connect.
+    pub listen: SocketAddr,
+    /// Where the platform's agent listens.
+    pub discovery: SocketAddr,
+    /// The folder that outlasts the process.
+    pub state: PathBuf,
+    /// For random draws.
+    pub seed: u64,
+    /// Descriptors that may be open.
+    pub sockets: usize,
+    /// Bytes that the folder may hold.
+    pub disk: u64,
+    /// The list as last held, if it is told.
+    pub known: Option<Value>,
+    /// An idle connection is closed by an endpoint after this.
+    pub conn_idle: Micros,
+    /// A connection that is not made by then never comes.
+    pub dial_timeout: Micros,
+    /// Work may go to an endpoint for so long after it was told to leave.
+    pub drain_grace: Micros,
+    /// The shortest time between two steps of the module.
+    pub granularity: Micros,
+    /// Messages held at once.
+    pub max_open: usize,
+    /// Calls out at once.
+    pub slots: usize,
+    /// The kinds of destination.
+    pub kinds: Vec<Kind>,
+    /// Whether each class needs a key, by class.
+    pub keyed: Vec<bool>,
+    /// Whether a message of each class must never run twice, by class.
+    pub unsafe_twice: Vec<bool>,
+    /// The longest time for which a message of each class is held, by class.
+    pub deadlines: Vec<Micros>,
+}
+
+fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what}: `{text}` is not an address with a port"))
+}
+
+impl Config {
+    /// Reads the text of a configuration. Variables, as the platform sets them, go before what it says.
+    pub fn read(
+        json: &str,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<(Self, Settings, Names), String> {
+        let v: Value =
+            serde_json::from_str(json).map_err(|e| format!("the configuration is not JSON: {e}"))?;
+        let told = |name: &str, key: &str| match variable(name) {
+            Some(value) => Ok(value),
+            None => in_field(&v, key, text),
+        };
+        let raw = field(&v, "settings")?;
+        let (settings, names) = settings(raw)?;
+        settings.check().map_err(|e| e.to_string())?;
+        let allow = field(raw, "permissions")?;
+        let limits = field(&v, "limits")?;
+        let seed = match field(&v, "seed")? {
+            Value::String(s) => {
+                u64::from_str_radix(s, 16).map_err(|_| format!("seed: `{s}` is not hexadecimal"))?
+            }
+            other => whole(other).map_err(|e| format!("seed: {e}"))?,
+        };
+        let of = |want: crate::Effect| settings.classes.iter().map(move |c| c.effect == want).collect();
+        let config = Config {
+            name: told("ROUTER_NAME", "name")?,
+            listen: address(&told("ROUTER_LISTEN", "listen")?, "listen")?,
+            discovery: address(&told("ROUTER_DISCOVERY", "discovery")?, "discovery")?,
+            state: told("ROUTER_STATE", "state")?.into(),
+            seed,
+            sockets: in_field(limits, "sockets", whole)? as usize,
+            disk: (in_field(limits, "disk_mb", crate::words::number)? * 1e6) as u64,
+            known: v.get("known").filter(|k| !k.is_null()).cloned(),
+            conn_idle: in_field(allow, "conn-idle", micros)?,
+            dial_timeout: in_field(allow, "dial-timeout", micros)?,
+            drain_grace: in_field(field(raw, "rules")?, "drain-grace", micros)?,
+            granularity: settings.granularity,
+            max_open: settings.max_open,
+            slots: settings.slots,
+            kinds: settings.kinds.clone(),
+            keyed: of(crate::Effect::Keyed),
+            unsafe_twice: of(crate::Effect::Unsafe),
+            deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
+        };
+        if config.sockets < 64 + 2 * config.slots {
+            return Err(format!("limits: {} sockets are too few for {} calls", config.sockets, config.slots));
+        }
+        Ok((config, settings, names))
+    }
+
+    /// Connections of user agents held at once.
+    pub fn user_agents(&self) -> usize {
+        self.sockets / 2
+    }
+
+    /// Idle connections to endpoints kept at once, beside those that carry calls.
+    pub fn idle_peers(&self) -> usize {
+        (self.sockets / 2).saturating_sub(self.slots + 32)
+    }
+}
--- /dev/null
+++ b/src/net/counters.rs
@@ -0,0 +1,100 @@
+//! What the program has taken in, sent and answered.
+
+use crate::Outcome;
+use serde_json::{json, Value};
+use std::cell::Cell;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// Counts since the start of the process.
+        #[derive(Debug, Default)]
+        pub struct Counters { $($(#[$doc])* pub $name: Count,)* }
+
+        impl Counters {
+            /// All of them, by name.
+            pub fn report(&self) -> Value {
+                json!({ $(stringify!($name): self.$name.0.get(),)* })
+            }
+        }
+    };
+}
+
+/// One count.
+#[derive(Debug, Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    /// One more.
+    pub fn add(&self) {
+        self.more(1);
+    }
+
+    /// So many more.
+    pub fn more(&self, by: usize) {
+        self.0.set(self.0.get() + by as u64);
+    }
+}
+
+counters! {
+    /// Messages taken on.
+    taken,
+    /// Messages found in the journal at the start.
+    restored,
+    /// Unavailable answers: too much held, or refused at once.
+    unavailable,
+    /// Requests that could not be read or made no sense.
+    bad_requests,
+    /// Messages whose user agent went before its answer.
+    withdrawn,
+    /// Proxy passes begun: calls, whether of one message or of several.
+    passes,
+    /// Attempts written to an endpoint; a call of several messages holds as many.
+    attempts,
+    /// Attempts answered as delivered.
+    ok,
+    /// Attempts answered with an error.
+    error,
+    /// Attempts turned away.
+    full,
+    /// Attempts given up unanswered.
+    timed_out,
+    /// Attempts that got no connection.
+    connect_failed,
+    /// Attempts whose connection broke.
+    reset,
+    /// Attempts called off.
+    cancelled,
+    /// Attempts not sent after all.
+    moot,
+    /// Messages delivered.
+    delivered,
+    /// Messages ended as failed.
+    failed,
+    /// Messages given back.
+    returned,
+    /// Notices that the platform has confirmed.
+    notices,
+    /// Connections opened to endpoints.
+    opened,
+    /// Calls on a connection used before.
+    reused,
+    /// Connections taken from user agents.
+    accepted,
+}
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn outcome(&self, outcome: Outcome) {
+        match outcome {
+            Outcome::Ok => &self.ok,
+            Outcome::Error => &self.error,
+            Outcome::Full(_) => &self.full,
+            Outcome::TimedOut => &self.timed_out,
+            Outcome::ConnectFailed => &self.connect_failed,
+            Outcome::Reset => &self.reset,
+            Outcome::Cancelled => &self.cancelled,
+            Outcome::Moot => &self.moot,
+        }
+        .add();
+    }
+}
--- /dev/null
+++ b/src/net/decider.rs
@@ -0,0 +1,465 @@
+//! The module's actor: it brings events to the decisions and carries out what they say.
+
+use super::farm::Watch;
+use super::journal::{Kept, Verdict};
+use super::notices::Notice;
+use super::peer::{self, ToPeer};
+use super::proxy_pass::{Ended, Part, Pass};
+use super::transaction::{Request, Transaction};
+use super::Context;
+use crate::words::Names;
+use crate::{Action, ClassId, Courier, DestinationId, EndpointId, Event, Lifecycle, ListNews, MessageId};
+use crate::{Micros, Outcome, TenantId};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use slog::{info, warn};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::rc::Rc;
+
+/// What the module's actor can be told.
+pub enum ToDecider {
+    /// A message is handed in.
+    Take {
+        /// The message.
+        request: Request,
+        /// Where to say what becomes of it.
+        reply: Sender<Reply>,
+    },
+    /// The user agent of a message went before its answer was written.
+    Withdrawn {
+        /// The user agent's name for it.
+        word: String,
+    },
+    /// News of the list.
+    List(ListNews),
+    /// A call has come out.
+    Passed {
+        /// The call.
+        pass: Pass,
+        /// How.
+        ended: Ended,
+    },
+    /// The program is about to end: no more steps, but what is out is still noted.
+    Close,
+}
+
+/// What becomes of a message that is handed in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// Taken on.
+    Taken,
+    /// Unavailable; it may come again after a while.
+    Unavailable(Micros),
+    /// It failed at once.
+    Failed,
+}
+
+/// The advice to come again where the module had no say.
+const LATER: Micros = 1_000_000;
+
+struct Held {
+    transaction: Rc<Transaction>,
+    /// Dropped to call the attempt off that is out.
+    out: Option<(u32, Sender<()>)>,
+    reply: Option<Sender<Reply>>,
+}
+
+/// The actor round the module.
+pub struct Decider {
+    context: Rc<Context>,
+    names: Rc<Names>,
+    courier: Courier,
+    notices: Sender<Notice>,
+    farm: Sender<Watch>,
+    peers: BTreeMap<EndpointId, Sender<ToPeer>>,
+    held: BTreeMap<MessageId, Held>,
+    words: HashMap<String, MessageId>,
+    open: usize,
+    next: u64,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    events: Vec<Event>,
+    last_step: Micros,
+    closed: bool,
+}
+
+impl Decider {
+    /// An actor that holds nothing yet; ids go on after the last one used.
+    pub fn new(
+        context: Rc<Context>,
+        names: Rc<Names>,
+        courier: Courier,
+        notices: Sender<Notice>,
+        farm: Sender<Watch>,
+        last_id: u64,
+    ) -> Self {
+        Decider {
+            context,
+            names,
+            courier,
+            notices,
+            farm,
+            peers: BTreeMap::new(),
+            held: BTreeMap::new(),
+            words: HashMap::new(),
+            open: 0,
+            next: last_id,
+            timers: BinaryHeap::new(),
+            events: Vec::new(),
+            last_step: 0,
+            closed: false,
+        }
+    }
+
+    /// Gives back to the module what an earlier process had taken on and not ended.
+    pub async fn restore(&mut self, kept: Vec<(u64, Kept)>) {
+        for (id, kept) in kept {
+            self.context.counters.restored.add();
+            let may_have_run = kept.ran || kept.out;
+            let class = self.names.classes.iter().position(|c| *c == kept.class);
+            let id = MessageId(id);
+            let unrepeatable = |c: usize| may_have_run && self.context.config.unsafe_twice[c];
+            // The platform may have had the notice of a verdict: the message must not be sent after it. One
+            // that may not run twice fails, as does one of a class that is no more.
+            let verdict = match class {
+                _ if kept.verdict.is_some() => kept.verdict,
+                Some(c) if !unrepeatable(c) => None,
+                None if !may_have_run => Some(Verdict::Returned(None)),
+                _ => Some(Verdict::Failed),
+            };
+            if let Some(verdict) = verdict {
+                self.notify(id, kept.word, verdict).await;
+                continue;
+            }
+            let tenants = &self.names.tenants;
+            let request = Request {
+                word: kept.word,
+                key: kept.key,
+                class: ClassId(class.unwrap_or_default()),
+                tenant: kept.tenant.and_then(|t| tenants.iter().position(|n| *n == t)).map(TenantId),
+                destination: DestinationId(kept.destination),
+                deadline: self.context.clock.from_wall(kept.deadline),
+                body: kept.body.into(),
+                again: !may_have_run,
+                orphan: may_have_run,
+            };
+            self.hold(Transaction::new(id, request, kept.attempts), None);
+        }
+    }
+
+    fn hold(&mut self, transaction: Transaction, reply: Option<Sender<Reply>>) {
+        let message = transaction.message(self.context.clock.now());
+        let id = transaction.id;
+        self.words.insert(transaction.request.word.clone(), id);
+        self.held.insert(id, Held { transaction: Rc::new(transaction), out: None, reply });
+        self.open += 1;
+        self.context.open.set(self.open);
+        self.events.push(Event::Message(message));
+    }
+
+    /// Serves until all who could tell it something are gone.
+    pub async fn run(mut self, mail: Receiver<ToDecider>) {
+        let clock = self.context.clock;
+        loop {
+            if self.events.is_empty() {
+                let timer = self.timers.peek().map(|t| t.0 .0);
+                let due = async {
+                    match timer {
+                        Some(at) => Timer::at(clock.at(at)).await,
+                        None => future::pending().await,
+                    };
+                    None
+                };
+                match future::or(async { Some(mail.recv().await) }, due).await {
+                    Some(Ok(news)) => self.take(news).await,
+                    Some(Err(_)) => return,
+                    None => {}
+                }
+            }
+            let ready = self.last_step + self.context.config.granularity;
+            if clock.now() < ready {
+                Timer::at(clock.at(ready)).await;
+            }
+            while let Ok(news) = mail.try_recv() {
+                self.take(news).await;
+            }
+            if !self.closed {
+                self.step().await;
+            }
+            self.events.clear();
+        }
+    }
+
+    async fn take(&mut self, news: ToDecider) {
+        match news {
+            ToDecider::Take { request, reply } => self.take_on(request, reply),
+            ToDecider::Withdrawn { word } => self.withdraw(&word),
+            ToDecider::List(news) => self.take_list(news),
+            ToDecider::Passed { pass, ended } => self.take_passed(pass, &ended),
+            ToDecider::Close => self.closed = true,
+        }
+    }
+
+    fn take_on(&mut self, request: Request, reply: Sender<Reply>) {
+        let counters = &self.context.counters;
+        let held = self.words.get(&request.word).and_then(|id| self.held.get(id));
+        if let Some(held) = held {
+            // Handed in twice under one id: it is held already, or its last attempt is still out.
+            let over = held.transaction.is_over();
+            let _ = reply.try_send(if over { Reply::Unavailable(LATER) } else { Reply::Taken });
+            return;
+        }
+        let name = |all: &[String], at: usize| all.get(at).cloned().unwrap_or_default();
+        let kept = Kept {
+            word: request.word.clone(),
+            key: request.key.clone(),
+            class: name(&self.names.classes, request.class.0),
+            tenant: request.tenant.map(|t| name(&self.names.tenants, t.0)),
+            destination: request.destination.0,
+            deadline: self.context.clock.to_wall(request.deadline),
+            body: request.body.to_vec(),
+            ran: request.orphan,
+            ..Kept::default()
+        };
+        self.next += 1;
+        let crowded = self.closed || self.open >= self.context.config.max_open;
+        if crowded || self.context.journal.borrow_mut().take(self.next, &kept).is_err() {
+            counters.unavailable.add();
+            let _ = reply.try_send(Reply::Unavailable(LATER));
+            return;
+        }
+        self.hold(Transaction::new(MessageId(self.next), request, 0), Some(reply));
+    }
+
+    fn withdraw(&mut self, word: &str) {
+        let Some(id) = self.words.get(word).copied() else { return };
+        if self.finish(id) {
+            self.context.journal_end(id);
+            self.context.counters.withdrawn.add();
+            self.events.push(Event::Withdrawn { id });
+            self.forget(id);
+        }
+    }
+
+    /// Marks the end of a message; false if it had ended.
+    fn finish(&mut self, id: MessageId) -> bool {
+        let Some(held) = self.held.get_mut(&id).filter(|h| !h.transaction.is_over()) else { return false };
+        held.transaction.finish();
+        self.open -= 1;
+        self.context.open.set(self.open);
+        true
+    }
+
+    /// Forgets a message that is over once none of its attempts is out.
+    fn forget(&mut self, id: MessageId) {
+        if self.held.get(&id).is_some_and(|h| h.transaction.is_over() && h.out.is_none()) {
+            if let Some(held) = self.held.remove(&id) {
+                self.words.remove(&held.transaction.request.word);
+            }
+        }
+    }
+
+    fn take_list(&mut self, news: ListNews) {
+        match &news {
+            ListNews::Patch(entries) | ListNews::Whole(entries) | ListNews::Stale(entries) => {
+                if !matches!(news, ListNews::Patch(_)) {
+                    self.peers.retain(|e, _| entries.iter().any(|n| n.endpoint == *e));
+                }
+                for entry in entries {
+                    if entry.lifecycle == Lifecycle::Gone {
+                        self.peers.remove(&entry.endpoint);
+                    } else if !self.peers.contains_key(&entry.endpoint) {
+                        // All calls at once, all of their connections coming back, and a few words more.
+                        let room = 2 * self.context.config.slots + 16;
+                        let (send, mail) = async_channel::bounded(room);
+                        let actor = peer::run(self.context.clone(), entry.endpoint, mail, send.downgrade());
+                        self.context.executor.spawn(actor).detach();
+                        self.peers.insert(entry.endpoint, send);
+                    }
+                }
+            }
+            ListNews::Broken => {}
+        }
+        self.events.push(Event::List(news));
+    }
+
+    fn take_passed(&mut self, pass: Pass, ended: &Ended) {
+        let elapsed = self.context.clock.now().saturating_sub(pass.sent);
+        let told = ended.ends.iter().any(|e| matches!(e.outcome, Outcome::Full(Some(_))));
+        for (part, end) in pass.parts.iter().zip(&ended.ends) {
+            let id = part.transaction.id;
+            self.context.counters.outcome(end.outcome);
+            if let Some(held) = self.held.get_mut(&id) {
+                held.out = held.out.take().filter(|o| o.0 != part.attempt);
+            }
+            if end.ended {
+                if self.finish(id) && end.outcome == Outcome::Ok {
+                    self.context.counters.delivered.add();
+                }
+                self.context.journal_end(id);
+            } else if matches!(end.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
+                let noted = self.context.journal.borrow_mut().never_ran(id.0, part.attempt);
+                noted.unwrap_or_else(|e| warn!(self.context.log, "journal"; "error" => %e));
+            }
+            self.forget(id);
+            self.events.push(Event::Result {
+                id,
+                attempt: part.attempt,
+                endpoint: pass.endpoint,
+                outcome: end.outcome,
+                elapsed,
+                ended: end.ended,
+                report: ended.report,
+            });
+        }
+        // An answer may tell a wait and yet refuse nothing.
+        if let Some(wait) = ended.wait.filter(|_| !told) {
+            self.events.push(Event::Wait { endpoint: pass.endpoint, wait });
+        }
+    }
+
+    async fn step(&mut self) {
+        let now = self.context.clock.now();
+        self.last_step = now;
+        while let Some(Reverse((_, token))) = self.timers.peek().copied().filter(|t| t.0 .0 <= now) {
+            self.timers.pop();
+            self.events.push(Event::Timer { token });
+        }
+        if self.events.is_empty() {
+            return;
+        }
+        // A message's time runs from its last byte, not from this step.
+        for event in &mut self.events {
+            if let Event::Message(m) = event {
+                let held = self.held.get(&m.id);
+                m.time_left = held.map_or(0, |h| h.transaction.request.deadline.saturating_sub(now));
+            }
+        }
+        let mut actions = Vec::new();
+        self.courier.step(now, &self.events, &mut actions);
+        let mut passes: Vec<(EndpointId, Vec<Part>)> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, cut_at } => self.gather(&mut passes, id, endpoint, cut_at),
+                Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)).await,
+                Action::Fail { id } => self.give_up(id, None).await,
+                Action::Cancel { id, attempt } => {
+                    if let Some((_, call)) =
+                        self.held.get(&id).and_then(|h| h.out.as_ref()).filter(|o| o.0 == attempt)
+                    {
+                        call.close();
+                    }
+                }
+                Action::Timer { delay, token } => self.timers.push(Reverse((now + delay, token))),
+                Action::CloseIdle { endpoint } => {
+                    self.pass_on(now, std::mem::take(&mut passes));
+                    self.peers.get(&endpoint).map(|p| p.try_send(ToPeer::CloseIdle));
+                }
+                Action::Watch => drop(self.farm.try_send(Watch)),
+                Action::Probe { endpoint } => {
+                    warn!(self.context.log, "no probes on this platform"; "endpoint" => endpoint.0)
+                }
+                Action::Log(line) => info!(self.context.log, "decision"; "text" => line),
+            }
+        }
+        self.pass_on(now, passes);
+        let taken = self.events.iter().filter_map(|e| match e {
+            Event::Message(m) => Some(m.id),
+            _ => None,
+        });
+        for id in taken {
+            if let Some(reply) = self.held.get_mut(&id).and_then(|h| h.reply.take()) {
+                self.context.counters.taken.add();
+                let _ = reply.try_send(Reply::Taken);
+            }
+        }
+    }
+
+    /// Sends of one step to one endpoint share a call, up to what its kind allows.
+    fn gather(
+        &self,
+        passes: &mut Vec<(EndpointId, Vec<Part>)>,
+        id: MessageId,
+        to: EndpointId,
+        cut_at: Micros,
+    ) {
+        let Some(held) = self.held.get(&id) else { return };
+        let attempt = held.transaction.next_attempt();
+        let part = Part { transaction: held.transaction.clone(), attempt, cut_at };
+        let most = self.context.board.get(to).map_or(1, |k| k.per_call);
+        match passes.iter_mut().rev().find(|p| p.0 == to) {
+            Some(pass) if pass.1.len() < most => pass.1.push(part),
+            _ => passes.push((to, vec![part])),
+        }
+    }
+
+    fn pass_on(&mut self, now: Micros, passes: Vec<(EndpointId, Vec<Part>)>) {
+        for (endpoint, parts) in passes {
+            let (call, called_off) = async_channel::bounded(1);
+            for part in &parts {
+                if let Some(held) = self.held.get_mut(&part.transaction.id) {
+                    held.out = Some((part.attempt, call.clone()));
+                }
+            }
+            let pass = Pass { endpoint, parts, sent: now, called_off };
+            let Some(peer) = self.peers.get(&endpoint) else {
+                warn!(self.context.log, "no such peer"; "endpoint" => endpoint.0);
+                self.not_sent(pass);
+                continue;
+            };
+            if let Err(e) = peer.try_send(ToPeer::Pass(pass)) {
+                warn!(self.context.log, "mailbox"; "endpoint" => endpoint.0, "error" => %e);
+                if let ToPeer::Pass(pass) = e.into_inner() {
+                    self.not_sent(pass);
+                }
+            }
+        }
+    }
+
+    /// A call that could not even be handed to its peer comes back by the mailbox, as any other.
+    fn not_sent(&self, pass: Pass) {
+        let ended = Ended::alike(pass.parts.len(), super::proxy_pass::End::of(Outcome::Moot));
+        let back = self.context.decider.clone();
+        let telling = async move {
+            let _ = back.send(ToDecider::Passed { pass, ended }).await;
+        };
+        self.context.executor.spawn(telling).detach();
+    }
+
+    /// The module's end of a message: as the answer if that is still to be written, or else by notice.
+    async fn give_up(&mut self, id: MessageId, refused: Option<Option<Micros>>) {
+        if !self.finish(id) {
+            return;
+        }
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let word = held.transaction.request.word.clone();
+        if let Some(reply) = held.reply.take() {
+            self.context.journal_end(id);
+            let answer = match refused {
+                Some(after) => Reply::Unavailable(after.unwrap_or(LATER)),
+                None => Reply::Failed,
+            };
+            match refused {
+                Some(_) => self.context.counters.unavailable.add(),
+                None => self.context.counters.failed.add(),
+            }
+            let _ = reply.try_send(answer);
+        } else {
+            let after = |r: Option<Micros>| Verdict::Returned(r.map(|t| t.div_ceil(1000)));
+            self.notify(id, word, refused.map_or(Verdict::Failed, after)).await;
+        }
+        self.forget(id);
+    }
+
+    async fn notify(&mut self, id: MessageId, word: String, verdict: Verdict) {
+        let noted = self.context.journal.borrow_mut().verdict(id.0, verdict);
+        noted.unwrap_or_else(|e| warn!(self.context.log, "journal"; "error" => %e));
+        match verdict {
+            Verdict::Failed => self.context.counters.failed.add(),
+            Verdict::Returned(_) => self.context.counters.returned.add(),
+        }
+        self.context.notices_owed.set(self.context.notices_owed.get() + 1);
+        let _ = self.notices.send(Notice { id, word, verdict }).await;
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,416 @@
+//! HTTP/1.1 on one connection: heads by httparse, bodies by length or in chunks, within size limits.
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::fmt;
+use std::io;
+use std::net::TcpStream;
+
+/// The largest head that is read.
+pub const HEAD_LIMIT: usize = 16 * 1024;
+const HEADER_COUNT: usize = 64;
+const FIRST_ROOM: usize = 2 * 1024;
+const KEPT_ROOM: usize = 16 * 1024;
+
+/// Why nothing more can be read from a connection.
+#[derive(Debug)]
+pub enum Broken {
+    /// It ended between two heads.
+    Ended,
+    /// It ended in the middle of something.
+    Torn,
+    /// The socket failed.
+    Socket(io::Error),
+    /// What came is not HTTP/1.1 as it should be.
+    Malformed(&'static str),
+    /// Head or body is over its limit.
+    TooLarge,
+}
+
+impl Broken {
+    /// A code for the log.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Broken::Ended => "ended",
+            Broken::Torn => "torn",
+            Broken::Socket(_) => "socket",
+            Broken::Malformed(_) => "malformed",
+            Broken::TooLarge => "too-large",
+        }
+    }
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Broken::Socket(e) => write!(f, "{e}"),
+            Broken::Malformed(what) => f.write_str(what),
+            other => f.write_str(other.code()),
+        }
+    }
+}
+
+/// The one buffer of a connection: it grows as needed and is compacted in place.
+#[derive(Default)]
+pub struct Buffer {
+    data: Vec<u8>,
+    start: usize,
+    end: usize,
+}
+
+impl Buffer {
+    /// What has been read and not yet used.
+    pub fn bytes(&self) -> &[u8] {
+        &self.data[self.start..self.end]
+    }
+
+    /// Marks bytes as used; an empty buffer that had grown gives its room back.
+    pub fn consume(&mut self, count: usize) {
+        self.start += count;
+        if self.start >= self.end {
+            (self.start, self.end) = (0, 0);
+            if self.data.len() > KEPT_ROOM {
+                self.data = Vec::new();
+            }
+        }
+    }
+
+    fn room(&mut self) -> &mut [u8] {
+        if self.end == self.data.len() {
+            if self.start > 0 {
+                self.data.copy_within(self.start..self.end, 0);
+                (self.start, self.end) = (0, self.end - self.start);
+            }
+            // Compacting frees little when nearly all is unused; then it grows as well.
+            if self.data.len() - self.end < self.data.len() / 4 + 1 {
+                self.data.resize((2 * self.data.len()).max(FIRST_ROOM), 0);
+            }
+        }
+        &mut self.data[self.end..]
+    }
+}
+
+/// The header fields of a head.
+#[derive(Debug, Default)]
+pub struct Fields(Vec<(String, String)>);
+
+impl Fields {
+    fn read(headers: &[httparse::Header<'_>]) -> Self {
+        let text = |v: &[u8]| String::from_utf8_lossy(v).trim().to_owned();
+        Fields(headers.iter().map(|h| (h.name.to_owned(), text(h.value))).collect())
+    }
+
+    /// The first field of that name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str())
+    }
+
+    fn has_word(&self, name: &str, word: &str) -> bool {
+        let named = self.0.iter().filter(|f| f.0.eq_ignore_ascii_case(name));
+        named.flat_map(|f| f.1.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+
+    /// The other side will close after this exchange.
+    pub fn closes(&self) -> bool {
+        self.has_word("connection", "close")
+    }
+
+    /// The sender waits for a word before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.has_word("expect", "100-continue")
+    }
+
+    /// How the body is marked off. Two marks that differ are an old trick to smuggle in a request.
+    fn framing(&self) -> Result<Option<Framing>, Broken> {
+        let mut lengths = self.0.iter().filter(|f| f.0.eq_ignore_ascii_case("content-length"));
+        let coded = self.get("transfer-encoding").is_some();
+        match (lengths.next(), lengths.next(), coded) {
+            (_, Some(_), _) | (Some(_), _, true) => Err(Broken::Malformed("two marks of the body's length")),
+            (Some((_, l)), None, false) => {
+                let plain = !l.is_empty() && l.bytes().all(|b| b.is_ascii_digit());
+                let length = l.parse().ok().filter(|_| plain);
+                Ok(Some(Framing::Length(length.ok_or(Broken::Malformed("the body's length is no number"))?)))
+            }
+            (None, _, true) if self.has_word("transfer-encoding", "chunked") => Ok(Some(Framing::Chunked)),
+            (None, _, true) => Err(Broken::Malformed("unknown transfer coding")),
+            (None, _, false) => Ok(None),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length(usize),
+    Chunked,
+    UntilEnd,
+}
+
+/// The head of a request, its body still to be read.
+#[derive(Debug)]
+pub struct Asked {
+    /// Its method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Its header fields.
+    pub fields: Fields,
+    /// The connection may be used again after it.
+    pub keeps: bool,
+    framing: Framing,
+}
+
+/// The head of an answer, its body still to be read.
+#[derive(Debug)]
+pub struct Answered {
+    /// Its status.
+    pub status: u16,
+    /// Its header fields.
+    pub fields: Fields,
+    /// The connection may be used again after it.
+    pub keeps: bool,
+    framing: Framing,
+}
+
+/// A connection with its buffer.
+pub struct Wire {
+    stream: Async<TcpStream>,
+    /// What has come and is not yet used.
+    pub buffer: Buffer,
+}
+
+impl Wire {
+    /// Wraps an open connection.
+    pub fn new(stream: Async<TcpStream>) -> Self {
+        // Small messages must not wait for the answer to earlier ones.
+        let _ = stream.get_ref().set_nodelay(true);
+        Wire { stream, buffer: Buffer::default() }
+    }
+
+    /// Reads some more into the buffer; nothing means that the other side has ended its sending.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        let got = self.stream.read(self.buffer.room()).await?;
+        self.buffer.end += got;
+        Ok(got)
+    }
+
+    async fn more(&mut self) -> Result<(), Broken> {
+        match self.fill().await {
+            Ok(0) if self.buffer.bytes().is_empty() => Err(Broken::Ended),
+            Ok(0) => Err(Broken::Torn),
+            Ok(_) => Ok(()),
+            Err(e) => Err(Broken::Socket(e)),
+        }
+    }
+
+    /// Writes all of it.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Reads the head of a request.
+    pub async fn read_request(&mut self) -> Result<Asked, Broken> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADER_COUNT];
+            let mut head = httparse::Request::new(&mut headers);
+            match head.parse(self.buffer.bytes()) {
+                Ok(httparse::Status::Complete(used)) => {
+                    let fields = Fields::read(head.headers);
+                    let framing = fields.framing()?.unwrap_or(Framing::Length(0));
+                    let keeps = head.version == Some(1) && !fields.closes();
+                    let word = |w: Option<&str>| w.unwrap_or_default().to_owned();
+                    let (method, target) = (word(head.method), word(head.path));
+                    self.buffer.consume(used);
+                    return Ok(Asked { method, target, fields, keeps, framing });
+                }
+                Ok(httparse::Status::Partial) if self.buffer.bytes().len() >= HEAD_LIMIT => {
+                    return Err(Broken::TooLarge)
+                }
+                Ok(httparse::Status::Partial) => self.more().await?,
+                Err(httparse::Error::TooManyHeaders) => return Err(Broken::TooLarge),
+                Err(_) => return Err(Broken::Malformed("the head is malformed")),
+            }
+        }
+    }
+
+    /// Reads the head of an answer; interim ones are passed over.
+    pub async fn read_answer(&mut self) -> Result<Answered, Broken> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADER_COUNT];
+            let mut head = httparse::Response::new(&mut headers);
+            match head.parse(self.buffer.bytes()) {
+                Ok(httparse::Status::Complete(used)) => {
+                    let status = head.code.unwrap_or_default();
+                    let fields = Fields::read(head.headers);
+                    let bare = matches!(status, 100..=199 | 204 | 304);
+                    let marked = if bare { Some(Framing::Length(0)) } else { fields.framing()? };
+                    let keeps = head.version == Some(1) && !fields.closes() && marked.is_some();
+                    self.buffer.consume(used);
+                    if !(100..200).contains(&status) {
+                        let framing = marked.unwrap_or(Framing::UntilEnd);
+                        return Ok(Answered { status, fields, keeps, framing });
+                    }
+                }
+                Ok(httparse::Status::Partial) if self.buffer.bytes().len() >= HEAD_LIMIT => {
+                    return Err(Broken::TooLarge)
+                }
+                Ok(httparse::Status::Partial) => self.more().await?,
+                Err(_) => return Err(Broken::Malformed("the head is malformed")),
+            }
+        }
+    }
+
+    /// Reads the body of a request.
+    pub async fn request_body(&mut self, head: &Asked, limit: usize) -> Result<Vec<u8>, Broken> {
+        self.body(head.framing, limit).await
+    }
+
+    /// Reads the body of an answer.
+    pub async fn answer_body(&mut self, head: &Answered, limit: usize) -> Result<Vec<u8>, Broken> {
+        self.body(head.framing, limit).await
+    }
+
+    async fn body(&mut self, framing: Framing, limit: usize) -> Result<Vec<u8>, Broken> {
+        match framing {
+            Framing::Length(length) if length > limit => Err(Broken::TooLarge),
+            Framing::Length(length) => {
+                while self.buffer.bytes().len() < length {
+                    self.more_of_it().await?;
+                }
+                let body = self.buffer.bytes()[..length].to_vec();
+                self.buffer.consume(length);
+                Ok(body)
+            }
+            Framing::Chunked => {
+                let mut body = Vec::new();
+                while let Some(part) = self.chunk(limit - body.len()).await? {
+                    body.extend_from_slice(&part);
+                }
+                Ok(body)
+            }
+            Framing::UntilEnd => loop {
+                if self.buffer.bytes().len() > limit {
+                    return Err(Broken::TooLarge);
+                }
+                match self.fill().await {
+                    Ok(0) => return Ok(self.buffer.bytes().to_vec()),
+                    Ok(_) => {}
+                    Err(e) => return Err(Broken::Socket(e)),
+                }
+            },
+        }
+    }
+
+    async fn more_of_it(&mut self) -> Result<(), Broken> {
+        // Within a body every end is a torn one, also with nothing left in the buffer.
+        self.more().await.map_err(|e| if matches!(e, Broken::Ended) { Broken::Torn } else { e })
+    }
+
+    /// The next chunk of a chunked body of an answer or request; none after the last.
+    pub async fn chunk(&mut self, limit: usize) -> Result<Option<Vec<u8>>, Broken> {
+        loop {
+            let parsed = httparse::parse_chunk_size(self.buffer.bytes());
+            let (used, size) = match parsed {
+                Ok(httparse::Status::Complete((used, size))) => (used, size),
+                Ok(httparse::Status::Partial) if self.buffer.bytes().len() < HEAD_LIMIT => {
+                    self.more_of_it().await?;
+                    continue;
+                }
+                Ok(httparse::Status::Partial) => return Err(Broken::TooLarge),
+                Err(_) => return Err(Broken::Malformed("a chunk's size is malformed")),
+            };
+            if size > limit as u64 {
+                return Err(Broken::TooLarge);
+            }
+            if size == 0 {
+                self.buffer.consume(used);
+                return self.trailer().await.map(|()| None);
+            }
+            let size = size as usize;
+            while self.buffer.bytes().len() < used + size + 2 {
+                self.more_of_it().await?;
+            }
+            let bytes = &self.buffer.bytes()[used..];
+            if &bytes[size..size + 2] != b"\r\n" {
+                return Err(Broken::Malformed("a chunk does not end where it should"));
+            }
+            let part = bytes[..size].to_vec();
+            self.buffer.consume(used + size + 2);
+            return Ok(Some(part));
+        }
+    }
+
+    /// Passes over what follows the last chunk, up to an empty line.
+    async fn trailer(&mut self) -> Result<(), Broken> {
+        loop {
+            match self.buffer.bytes().windows(2).position(|w| w == b"\r\n") {
+                Some(0) => {
+                    self.buffer.consume(2);
+                    return Ok(());
+                }
+                Some(at) => self.buffer.consume(at + 2),
+                None if self.buffer.bytes().len() >= HEAD_LIMIT => return Err(Broken::TooLarge),
+                None => self.more_of_it().await?,
+            }
+        }
+    }
+
+    /// Whether the other side has ended or sent something while nothing was asked.
+    pub fn poll_disturbed(&mut self, cx: &mut std::task::Context<'_>) -> bool {
+        use futures_lite::AsyncRead;
+        let mut one = [0u8; 1];
+        std::pin::Pin::new(&mut self.stream).poll_read(cx, &mut one).is_ready()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    /// What a request of those bytes, sent in two parts at every place, is read as.
+    fn read(bytes: &[u8], cut: usize) -> Result<(Asked, Vec<u8>), Broken> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut there = TcpStream::connect(listener.local_addr().expect("bound")).expect("connects");
+        let here = listener.accept().expect("accepts").0;
+        let bytes = bytes.to_vec();
+        let sender = std::thread::spawn(move || {
+            for part in [&bytes[..cut], &bytes[cut..]] {
+                let _ = there.write_all(part);
+            }
+        });
+        let got = async_io::block_on(async {
+            let mut wire = Wire::new(Async::new(here).expect("not blocking"));
+            let head = wire.read_request().await?;
+            let body = wire.request_body(&head, 64).await?;
+            Ok((head, body))
+        });
+        sender.join().expect("sent");
+        got
+    }
+
+    #[test]
+    fn a_chunked_body_is_read_wherever_it_is_cut() {
+        let bytes = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n";
+        for cut in 0..bytes.len() {
+            let (head, body) = read(bytes, cut).expect("a request");
+            assert_eq!((head.method.as_str(), body.as_slice()), ("POST", &b"abcde"[..]));
+        }
+    }
+
+    #[test]
+    fn what_is_malformed_or_too_large_is_told_apart() {
+        let code = |b: &[u8]| read(b, b.len() / 2).map(|_| ()).map_err(|e| e.code());
+        assert_eq!(code(b"GET / HTTP/1.1\r\n\r\n"), Ok(()));
+        assert_eq!(code(b"GET /\x01 HTTP/9\r\n\r\n"), Err("malformed"));
+        assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\nhello"), Err("malformed"));
+        assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n"), Err("too-large"));
+        let both = b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        assert_eq!(code(both), Err("malformed"));
+        assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel"), Err("torn"));
+        assert_eq!(
+            code(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n"),
+            Err("too-large")
+        );
+    }
+}
--- /dev/null
+++ b/src/net/peer.rs
@@ -0,0 +1,369 @@
+//! An endpoint's actor: its pool of connections and the calls on them.
+
+use super::http::{Answered, Broken, Wire};
+use super::proxy_pass::{End, Ended, Pass};
+use super::{Context, ToDecider};
+use crate::{EndpointId, LimitReport, Micros, Outcome};
+use async_channel::{Receiver, Sender, WeakSender};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use slog::{info, warn};
+use std::cell::Cell;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What a peer can be told.
+pub enum ToPeer {
+    /// Make this call.
+    Pass(Pass),
+    /// Close the connections that carry nothing now.
+    CloseIdle,
+    /// A call has left its connection fit to be used again.
+    Idle(Wire),
+}
+
+/// A connection is given up so long before the endpoint may close it: a request must not cross that.
+const IDLE_MARGIN: Micros = 250_000;
+const ANSWER_LIMIT: usize = 64 * 1024;
+
+struct Idle {
+    wire: Wire,
+    until: Micros,
+}
+
+/// A peer's connections that carry nothing.
+struct Pool {
+    context: Rc<Context>,
+    endpoint: EndpointId,
+    idle: Vec<Idle>,
+}
+
+impl Pool {
+    fn keep(&mut self, wire: Wire) {
+        let room = &self.context.idle_room;
+        if room.get() == 0 {
+            return self.closed("no-room");
+        }
+        room.set(room.get() - 1);
+        let span = self.context.config.conn_idle;
+        let until = self.context.clock.now() + span.saturating_sub(IDLE_MARGIN.min(span / 4));
+        self.idle.push(Idle { wire, until });
+    }
+
+    fn remove(&mut self, at: usize) -> Wire {
+        self.context.idle_room.set(self.context.idle_room.get() + 1);
+        self.idle.remove(at).wire
+    }
+
+    fn closed(&self, reason: &str) {
+        info!(self.context.log, "connection ended"; "side" => "peer", "endpoint" => self.endpoint.0, "reason" => reason);
+    }
+
+    /// The connection used last: the others may grow old and be given up.
+    fn take(&mut self) -> Option<Wire> {
+        self.tidy();
+        (!self.idle.is_empty()).then(|| self.remove(self.idle.len() - 1))
+    }
+
+    fn close_all(&mut self, reason: &str) {
+        while !self.idle.is_empty() {
+            drop(self.remove(0));
+            self.closed(reason);
+        }
+    }
+
+    /// Gives up what is too old or was ended by the other side. Guards against a call written to a connection
+    /// that is already closed: it would count as one that may have run.
+    fn tidy(&mut self) {
+        let now = self.context.clock.now();
+        let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
+        for at in (0..self.idle.len()).rev() {
+            let old = now >= self.idle[at].until;
+            if old || self.idle[at].wire.poll_disturbed(&mut cx) {
+                drop(self.remove(at));
+                self.closed(if old { "idle" } else { "peer-closed" });
+            }
+        }
+    }
+
+    /// Comes back once an idle connection is disturbed or too old.
+    async fn stir(&mut self) {
+        let Some(first) = self.idle.iter().map(|i| i.until).min() else { return future::pending().await };
+        let clock = self.context.clock;
+        let old = async {
+            Timer::at(clock.at(first)).await;
+        };
+        let idle = &mut self.idle;
+        let disturbed = future::poll_fn(|cx| {
+            let any = idle.iter_mut().any(|i| i.wire.poll_disturbed(cx));
+            if any {
+                std::task::Poll::Ready(())
+            } else {
+                std::task::Poll::Pending
+            }
+        });
+        future::or(old, disturbed).await;
+    }
+}
+
+/// Runs a peer until its mailbox is closed and its calls are done.
+pub async fn run(
+    context: Rc<Context>,
+    endpoint: EndpointId,
+    mail: Receiver<ToPeer>,
+    own: WeakSender<ToPeer>,
+) {
+    let mut pool = Pool { context: context.clone(), endpoint, idle: Vec::new() };
+    loop {
+        let stirred = async {
+            pool.stir().await;
+            None
+        };
+        match future::or(async { Some(mail.recv().await) }, stirred).await {
+            None => pool.tidy(),
+            Some(Ok(ToPeer::Pass(pass))) => {
+                let used = pool.take();
+                // Where the list has let go of this peer, its last connections are not kept.
+                let back = own.upgrade();
+                context.executor.spawn(call(context.clone(), pass, used, back)).detach();
+            }
+            Some(Ok(ToPeer::CloseIdle)) => pool.close_all("close-idle"),
+            Some(Ok(ToPeer::Idle(wire))) => pool.keep(wire),
+            Some(Err(_)) => return pool.close_all("left"),
+        }
+    }
+}
+
+/// Makes a call and reports its end.
+async fn call(context: Rc<Context>, pass: Pass, used: Option<Wire>, back: Option<Sender<ToPeer>>) {
+    context.passes_out.set(context.passes_out.get() + 1);
+    let ended = attend(&context, &pass, used, back).await;
+    if let Some(wait) = ended.wait {
+        context.board.told_wait(pass.endpoint, wait);
+    }
+    // Only now, with the connection dropped or idle, may the module know: its next attempt must not find this
+    // one still out.
+    let _ = context.decider.send(ToDecider::Passed { pass, ended }).await;
+    context.passes_out.set(context.passes_out.get() - 1);
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Dialing,
+    Barred,
+    Writing,
+    Written,
+}
+
+enum Stop {
+    Answer(Answered, Vec<u8>),
+    Broke(Broken),
+    Barred,
+    Cut,
+    CalledOff,
+}
+
+async fn attend(
+    context: &Rc<Context>,
+    pass: &Pass,
+    used: Option<Wire>,
+    back: Option<Sender<ToPeer>>,
+) -> Ended {
+    let stage = Cell::new(Stage::Dialing);
+    let reused = used.is_some();
+    let mut slot = used;
+    let mut head = None;
+    let cut = async {
+        Timer::at(context.clock.at(pass.cut_at())).await;
+        Stop::Cut
+    };
+    let called_off = async {
+        let _ = pass.called_off.recv().await;
+        Stop::CalledOff
+    };
+    let exchange = exchange(context, pass, &mut slot, &stage, &mut head);
+    let stop = future::or(exchange, future::or(cut, called_off)).await;
+    let parts = pass.parts.len();
+    if reused && stage.get() != Stage::Dialing && stage.get() != Stage::Barred {
+        context.counters.reused.add();
+    }
+    let closed = |reason: &str| {
+        info!(context.log, "connection ended"; "side" => "peer", "endpoint" => pass.endpoint.0, "reason" => reason);
+    };
+    // A first line with 200 delivers a single message, whatever becomes of the rest.
+    let delivered = parts == 1 && (head == Some(200) || slot.as_ref().is_some_and(starts_with_ok));
+    let (outcome, reason) = match stop {
+        Stop::Answer(answer, body) => {
+            let ended = read_answer(context, pass, &answer, &body);
+            match (slot.take(), back) {
+                (Some(wire), Some(back)) if answer.keeps && wire.buffer.bytes().is_empty() => {
+                    let _ = back.send(ToPeer::Idle(wire)).await;
+                }
+                _ => closed("answered"),
+            }
+            return ended;
+        }
+        // Not sent after all, so the connection is as good as before.
+        Stop::Barred => {
+            if let (Some(wire), Some(back)) = (slot.take(), back) {
+                let _ = back.send(ToPeer::Idle(wire)).await;
+            }
+            return Ended::alike(parts, End::of(Outcome::Moot));
+        }
+        Stop::Broke(e) if stage.get() == Stage::Written => (Outcome::Reset, e.code()),
+        Stop::Broke(_) => (Outcome::ConnectFailed, "connect-failed"),
+        Stop::Cut if stage.get() == Stage::Written => (Outcome::TimedOut, "cut"),
+        Stop::Cut => (Outcome::ConnectFailed, "cut-before-sent"),
+        Stop::CalledOff if stage.get() == Stage::Written => (Outcome::Cancelled, "called-off"),
+        Stop::CalledOff => (Outcome::Moot, "called-off-before-sent"),
+    };
+    drop(slot);
+    closed(reason);
+    Ended::alike(parts, End::of(if delivered { Outcome::Ok } else { outcome }))
+}
+
+fn starts_with_ok(wire: &Wire) -> bool {
+    let bytes = wire.buffer.bytes();
+    bytes.starts_with(b"HTTP/1.1 200") && bytes.contains(&b'\n')
+}
+
+async fn exchange(
+    context: &Rc<Context>,
+    pass: &Pass,
+    slot: &mut Option<Wire>,
+    stage: &Cell<Stage>,
+    status: &mut Option<u16>,
+) -> Stop {
+    if slot.is_none() {
+        match dial(context, pass.endpoint).await {
+            Ok(wire) => *slot = Some(wire),
+            Err(e) => return Stop::Broke(e),
+        }
+    }
+    let wire = slot.as_mut().expect("just made");
+    let now = context.clock.now();
+    let over = pass.parts.iter().any(|p| p.transaction.is_over());
+    let bar = if over {
+        Some("over")
+    } else if now >= pass.cut_at() {
+        Some("cut")
+    } else {
+        context.board.bars(pass.endpoint)
+    };
+    if let Some(bar) = bar {
+        info!(context.log, "not sent"; "endpoint" => pass.endpoint.0, "reason" => bar);
+        stage.set(Stage::Barred);
+        return Stop::Barred;
+    }
+    for part in &pass.parts {
+        if let Err(e) = context.journal.borrow_mut().attempt(part.transaction.id.0, part.attempt) {
+            warn!(context.log, "not sent"; "reason" => "journal", "error" => %e);
+            stage.set(Stage::Barred);
+            return Stop::Barred;
+        }
+    }
+    stage.set(Stage::Writing);
+    context.counters.passes.add();
+    context.counters.attempts.more(pass.parts.len());
+    if let Err(e) = wire.write(&request(pass, now)).await {
+        return Stop::Broke(Broken::Socket(e));
+    }
+    stage.set(Stage::Written);
+    let answer = match wire.read_answer().await {
+        Ok(answer) => answer,
+        Err(e) => return Stop::Broke(e),
+    };
+    *status = Some(answer.status);
+    match wire.answer_body(&answer, ANSWER_LIMIT).await {
+        Ok(body) => Stop::Answer(answer, body),
+        Err(e) => Stop::Broke(e),
+    }
+}
+
+async fn dial(context: &Rc<Context>, endpoint: EndpointId) -> Result<Wire, Broken> {
+    let Some(known) = context.board.get(endpoint) else { return Err(Broken::Malformed("unknown endpoint")) };
+    context.counters.opened.add();
+    let late = async {
+        Timer::after(Duration::from_micros(context.config.dial_timeout)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let stream =
+        future::or(Async::<TcpStream>::connect(known.address), late).await.map_err(Broken::Socket)?;
+    Ok(Wire::new(stream))
+}
+
+fn request(pass: &Pass, now: Micros) -> Vec<u8> {
+    let patience = pass.cut_at().saturating_sub(now) / 1000;
+    let mut body = Vec::new();
+    let mut head = String::new();
+    if let [part] = pass.parts.as_slice() {
+        let r = &part.transaction.request;
+        head.push_str("POST /v1/messages HTTP/1.1\r\n");
+        head.push_str(&format!("X-Request-Id: {}\r\n", r.word));
+        if let Some(key) = &r.key {
+            head.push_str(&format!("Idempotency-Key: {key}\r\n"));
+        }
+        body.extend_from_slice(&r.body);
+    } else {
+        head.push_str("POST /v1/messages:batch HTTP/1.1\r\n");
+        for part in &pass.parts {
+            let r = &part.transaction.request;
+            let key = r.key.as_deref().unwrap_or("-");
+            body.extend_from_slice(format!("{} {key} {}\r\n", r.word, r.body.len()).as_bytes());
+            body.extend_from_slice(&r.body);
+            body.extend_from_slice(b"\r\n");
+        }
+    }
+    head.push_str(&format!(
+        "Host: endpoint\r\nX-Deadline: {patience}m\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    ));
+    let mut bytes = head.into_bytes();
+    bytes.append(&mut body);
+    bytes
+}
+
+/// The ends that an answer gives.
+fn read_answer(context: &Context, pass: &Pass, answer: &Answered, body: &[u8]) -> Ended {
+    let wait = answer.fields.get("X-RateLimit-Wait-Ms").and_then(|w| w.parse::<f64>().ok());
+    let wait = wait.filter(|w| *w > 0.0).map(|w| (w.min(1e10) * 1000.0) as Micros);
+    let report = answer.fields.get("X-Load").and_then(read_load);
+    let moot = |ended| End { outcome: Outcome::Moot, ended };
+    let alike = match answer.status {
+        200 if pass.parts.len() > 1 => None,
+        200 => Some(End::of(Outcome::Ok)),
+        503 if answer.fields.get("X-Over-Slots").is_some_and(|v| v != "0") => Some(moot(false)),
+        429 | 503 => Some(End::of(Outcome::Full(wait))),
+        504 => Some(moot(false)),
+        410 => Some(moot(true)),
+        400 | 413 => {
+            warn!(context.log, "call not understood"; "endpoint" => pass.endpoint.0, "status" => answer.status);
+            Some(moot(false))
+        }
+        _ => Some(End::of(Outcome::Error)),
+    };
+    let text = String::from_utf8_lossy(body);
+    let end = |word: &str| {
+        let mut lines = text.lines().filter_map(|l| l.trim().split_once(' '));
+        match lines.find(|l| l.0 == word).map(|l| l.1) {
+            Some("delivered") => End::of(Outcome::Ok),
+            Some("refused") => End::of(Outcome::Full(wait)),
+            Some("over") => moot(true),
+            Some("spent") => moot(false),
+            // Also where the answer is silent: it may have run.
+            _ => End::of(Outcome::Error),
+        }
+    };
+    let ends = pass.parts.iter().map(|p| alike.unwrap_or_else(|| end(&p.transaction.request.word)));
+    Ended { ends: ends.collect(), report, wait }
+}
+
+fn read_load(text: &str) -> Option<LimitReport> {
+    let value = |name: &str| {
+        let mut pairs = text.split(',').filter_map(|p| p.trim().split_once('='));
+        let value = pairs.find(|p| p.0 == name)?.1.parse::<f64>().ok()?;
+        value.is_finite().then_some(value)
+    };
+    Some(LimitReport { left: value("x0")?, rate: value("x1")? })
+}
--- /dev/null
+++ b/src/net/transaction.rs
@@ -0,0 +1,76 @@
+//! A message that was taken on, from its request to its end.
+
+use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, TenantId};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// What a front hands in.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The user agent's name for it.
+    pub word: String,
+    /// What marks repeats of it.
+    pub key: Option<String>,
+    /// Its class.
+    pub class: ClassId,
+    /// Whose it is.
+    pub tenant: Option<TenantId>,
+    /// Where it goes.
+    pub destination: DestinationId,
+    /// Up to when it may be delivered, on the program's clock.
+    pub deadline: Micros,
+    /// What is passed on.
+    pub body: Rc<[u8]>,
+    /// It was handed in before and turned away.
+    pub again: bool,
+    /// A forwarder had it that died, so it may have run.
+    pub orphan: bool,
+}
+
+/// A request that is held, with what became of it.
+#[derive(Debug)]
+pub struct Transaction {
+    /// The module's name for it.
+    pub id: MessageId,
+    /// As it was handed in.
+    pub request: Request,
+    attempts: Cell<u32>,
+    over: Cell<bool>,
+}
+
+impl Transaction {
+    /// A transaction that is under way, with the attempts that an earlier process made.
+    pub fn new(id: MessageId, request: Request, attempts: u32) -> Self {
+        Transaction { id, request, attempts: Cell::new(attempts), over: Cell::new(false) }
+    }
+
+    /// The number of its next attempt, from 0; it counts as begun.
+    pub fn next_attempt(&self) -> u32 {
+        self.attempts.replace(self.attempts.get() + 1)
+    }
+
+    /// Nothing more may be sent for it.
+    pub fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
+    /// Marks its end.
+    pub fn finish(&self) {
+        self.over.set(true);
+    }
+
+    /// The module's view of it at a time.
+    pub fn message(&self, now: Micros) -> NewMessage {
+        NewMessage {
+            id: self.id,
+            class: self.request.class,
+            tenant: self.request.tenant,
+            key: None,
+            time_left: self.request.deadline.saturating_sub(now),
+            destination: self.request.destination,
+            orphan: self.request.orphan,
+            again: self.request.again,
+            attempts: self.attempts.get(),
+        }
+    }
+}
