Start the clock without reaching back before the machine's start

Seen by reading: Clock::start took 60 s off the current instant, which panics on a machine up for less. Ruled out: other subtractions; all saturate. Now the offset is added to what is shown.

--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -3,27 +3,30 @@
 use crate::Micros;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Microseconds since the program started; it never goes back.
+/// Counts microseconds from the program's start on; it never goes back.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
 }
 
+/// What the clock shows as it starts: spans can be taken off early times.
+const FIRST: Micros = 60_000_000;
+
 impl Clock {
-    /// A clock that starts now. It does not start at zero, so that spans can be taken off early times.
+    /// A clock that starts now.
     pub fn start() -> Self {
-        Clock { start: Instant::now() - Duration::from_secs(60) }
+        Clock { start: Instant::now() }
     }
 
     /// Now.
     pub fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
+        FIRST + self.start.elapsed().as_micros() as Micros
     }
 
     /// When a point of this clock comes.
     pub fn at(&self, time: Micros) -> Instant {
         // A far point is as good as never.
-        self.start + Duration::from_micros(time.min(self.now() + 86_400_000_000))
+        self.start + Duration::from_micros(time.min(self.now() + 86_400_000_000).saturating_sub(FIRST))
     }
 
     /// A point of this clock on the wall clock.
