Let the module's actor rest once it is closed

Seen by reading: after Close no step takes due timers away, so the loop found one due at once, again and again, and never let other actors run; an ending program with held messages would have hung to the SIGKILL. Ruled out: the step itself, which is skipped.

--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -163,7 +163,8 @@
         let clock = self.context.clock;
         loop {
             if self.events.is_empty() {
-                let timer = self.timers.peek().map(|t| t.0 .0);
+                // Once closed, nothing takes timers away: one that is due would keep this loop from ever resting.
+                let timer = self.timers.peek().map(|t| t.0 .0).filter(|_| !self.closed);
                 let due = async {
                     match timer {
                         Some(at) => Timer::at(clock.at(at)).await,
