--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -16,7 +16,7 @@
 /// The largest record; more is a damaged length.
 const LARGEST: usize = 1 << 20;
 /// The share of the limit that what lives may take; the rest keeps copying rare.
-const LIVE_SHARE: u64 = 50;
+const LIVE_SHARE: u64 = 70;
 
 /// A message as it is kept. Classes and tenants are kept by name, as settings may change between starts.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -262,9 +262,14 @@
                 self.drop_oldest()?;
             }
             let oldest = self.segments.front().map_or(0, |s| self.live_size_in(s.number));
-            if self.disk() + more + oldest + 4 * UNIT <= self.limit || rounds == 0 {
+            if self.disk() + more + oldest + 4 * UNIT <= self.limit {
                 return Ok(());
             }
+            if rounds == 0 {
+                // All was copied once and gave no more; without the reserve for copies it may still fit.
+                let fits = self.disk() + more + UNIT <= self.limit;
+                return if fits { Ok(()) } else { Err(io::ErrorKind::StorageFull.into()) };
+            }
             rounds -= 1;
             if self.segments.len() == 1 {
                 self.newest = None; // the survivors go to a fresh one
