Close idle connections that lead to an address of the past

Seen by reading: the list may move an endpoint to another hostPort, and its idle connections went on being used. The pool now compares addresses before each use.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,7 +4,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::fmt;
 use std::io;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 
 /// The largest head that is read.
 pub const HEAD_LIMIT: usize = 16 * 1024;
@@ -186,6 +186,11 @@
         Wire { stream, buffer: Buffer::default() }
     }
 
+    /// Who is at the other end.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.stream.get_ref().peer_addr().ok()
+    }
+
     /// Reads some more into the buffer; nothing means that the other side has ended its sending.
     pub async fn fill(&mut self) -> io::Result<usize> {
         let got = self.stream.read(self.buffer.room()).await?;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -9,7 +9,7 @@
 use futures_lite::future;
 use slog::{info, warn};
 use std::cell::Cell;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +29,7 @@
 
 struct Idle {
     wire: Wire,
+    address: Option<SocketAddr>,
     until: Micros,
 }
 
@@ -48,7 +49,8 @@
         room.set(room.get() - 1);
         let span = self.context.config.conn_idle;
         let until = self.context.clock.now() + span.saturating_sub(IDLE_MARGIN.min(span / 4));
-        self.idle.push(Idle { wire, until });
+        let address = wire.peer();
+        self.idle.push(Idle { wire, address, until });
     }
 
     fn remove(&mut self, at: usize) -> Wire {
@@ -73,17 +75,22 @@
         }
     }
 
-    /// Gives up what is too old or was ended by the other side. Guards against a call written to a connection
+    /// Gives up what is too old, leads to an address of the past, or was ended by the other side. Guards against a call written to a connection
     /// that is already closed: it would count as one that may have run.
     fn tidy(&mut self) {
         let now = self.context.clock.now();
+        let address = self.context.board.get(self.endpoint).map(|k| k.address);
         let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
         for at in (0..self.idle.len()).rev() {
-            let old = now >= self.idle[at].until;
-            if old || self.idle[at].wire.poll_disturbed(&mut cx) {
-                drop(self.remove(at));
-                self.closed(if old { "idle" } else { "peer-closed" });
-            }
+            let idle = &mut self.idle[at];
+            let reason = match now >= idle.until {
+                true => "idle",
+                false if idle.address != address => "moved",
+                false if idle.wire.poll_disturbed(&mut cx) => "peer-closed",
+                false => continue,
+            };
+            drop(self.remove(at));
+            self.closed(reason);
         }
     }
 
@@ -294,7 +301,7 @@
 }
 
 fn request(pass: &Pass, now: Micros) -> Vec<u8> {
-    let patience = pass.cut_at().saturating_sub(now) / 1000;
+    let patience = (pass.cut_at().saturating_sub(now) / 1000).max(1);
     let mut body = Vec::new();
     let mut head = String::new();
     if let [part] = pass.parts.as_slice() {
