Look for a user agent's leaving before its answer is believed

Seen by reading: when answer and end of the connection were both there, the answer won and the message counted as taken on though its user agent was gone.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -256,7 +256,8 @@
             }
             future::pending().await
         };
-        match future::or(said, gone).await {
+        // Looked at first, so that one who went as the answer came is not counted as told.
+        match future::or(gone, said).await {
             Some(Reply::Taken) => Ok(Answer::plain(202, "")),
             Some(Reply::Unavailable(after)) => Ok(Answer::unavailable(after)),
             Some(Reply::Failed) => Ok(Answer::plain(500, "failed\n")),
