--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -80,6 +80,8 @@
     reused,
     /// Connections taken from user agents.
     accepted,
+    /// Versions of the list taken in from the watch.
+    lists,
 }
 
 impl Counters {
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -157,6 +157,7 @@
         let v: Value = serde_json::from_slice(line).map_err(|e| e.to_string())?;
         let (complete, entries) = self.read(&v)?;
         info!(self.context.log, "list"; "generation" => self.generation, "complete" => complete, "entries" => entries.len());
+        self.context.counters.lists.add();
         self.tell(if complete { ListNews::Whole(entries) } else { ListNews::Patch(entries) }).await;
         Ok(())
     }
