--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -135,6 +135,8 @@
     let listen = config.listen;
     let listener =
         Async::<TcpListener>::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    // The port may have been left to the system.
+    let listen = listener.get_ref().local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let (decider, mail) = async_channel::bounded(1024);
     let (close, closing) = async_channel::bounded(1);
     let context = Rc::new(Context {
--- /dev/null
+++ b/tests/net.rs
@@ -0,0 +1,415 @@
+//! Scenarios over sockets, in the language of `scenario/mod.rs`.
+
+mod scenario;
+
+use scenario::{play, program};
+
+#[test]
+fn a_message_is_taken_on_sent_and_delivered_over_a_connection_used_again() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200 X-Load:x0=0.4,x1=25
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 200
+         wait delivered=2 opened=1 reused=1 accepted>=1 open=0",
+    );
+}
+
+/// Guards against a request written to a connection that the endpoint has closed: it would end as a reset.
+#[test]
+fn a_stale_idle_connection_is_not_used_again() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         e1 close m1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 200
+         wait delivered=2 opened=2 reset=0",
+    );
+}
+
+#[test]
+fn after_a_kill_all_that_was_taken_on_comes_back() {
+    play(
+        "with e1=1 e2=9:one:hidden
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         u2 send m2 dest=9
+         u2 expect 202
+         u3 send m3 class=once
+         u3 expect 202
+         e1 expect m3
+         u4 send m4 dest=8 deadline=150m
+         u4 expect 202
+         kill
+         start
+         wait restored=4
+         e1 expect m1
+         e1 send m1 200
+         p send e2=active
+         e2 expect m2
+         e2 send m2 200
+         wait delivered=2 failed=1 returned=1 open=0 notices=2
+         kill
+         start
+         wait restored=0",
+    );
+}
+
+/// Guards against attempts without end: those of earlier processes count.
+#[test]
+fn attempts_made_before_a_kill_count_against_the_most() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         kill
+         start
+         e1 expect m1
+         kill
+         start
+         e1 expect m1
+         kill
+         start
+         p expect m1 failed
+         wait attempts=0 open=0",
+    );
+}
+
+/// Guards against a message that the platform was told is over and that is sent all the same after a restart.
+#[test]
+fn a_notice_that_was_not_confirmed_is_told_again_after_a_kill() {
+    play(
+        "with e1=1:one:hidden
+         start
+         p mute
+         u1 send m1 deadline=150m
+         u1 expect 202
+         wait notices_owed=1
+         kill
+         p send e1=active
+         start
+         log notices not taken
+         p speak
+         p expect m1 returned
+         wait notices_owed=0 attempts=0 restored=1",
+    );
+}
+
+#[test]
+fn after_a_term_calls_finish_and_the_rest_stays_in_the_journal() {
+    play(
+        "with e1=1 e2=9:one:hidden
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         u2 send m2 dest=9
+         u2 expect 202
+         u4 send-raw POST /api HTTP/1.1\\r\\n
+         wait open=2
+         term
+         log ending
+         u1 expect end
+         u3 send m3
+         u3 expect 202 Connection: close
+         u3 expect end
+         u4 send-raw Content-Length: 0\\r\\n\\r\\n
+         u4 expect 400 close
+         e1 send m1 200
+         e1 expect m3
+         e1 send m3 200
+         exit
+         log left_in_journal: 1
+         log \"delivered\":2
+         start
+         wait restored=1
+         p send e2=active
+         e2 expect m2
+         e2 send m2 200
+         wait delivered=1",
+    );
+}
+
+#[test]
+fn a_damaged_journal_loses_its_tail_and_nothing_else() {
+    play(
+        "with e1=9:one:hidden
+         start
+         u1 send m1 dest=9
+         u1 expect 202
+         u1 send m2 dest=9
+         u1 expect 202
+         kill
+         damage cut 3
+         start
+         wait restored=1
+         log damaged
+         u2 send m3 dest=9
+         u2 expect 202
+         kill
+         damage flip 9
+         start
+         wait restored=1
+         kill
+         start
+         wait restored=1
+         p send e1=active
+         e1 expect m1",
+    );
+}
+
+#[test]
+fn a_full_journal_gives_the_unavailable_answer_and_room_comes_back() {
+    play(
+        "with e1=9:one:hidden disk=0.05
+         start
+         u1 send m1 dest=9 size=10000
+         u1 expect 202
+         u1 send m2 dest=9 size=10000
+         u1 expect 202
+         u1 send m3 dest=9 size=10000
+         u1 expect 202
+         u1 send m4 dest=9 size=10000
+         u1 expect 503 Retry-After
+         state-under 50000
+         p send e1=active
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m5 dest=9 size=10000
+         u1 expect 202
+         state-under 50000
+         kill
+         start
+         wait restored=3
+         state-under 50000",
+    );
+}
+
+#[test]
+fn more_than_may_be_held_gets_the_unavailable_answer() {
+    play(
+        "with e1=1 open=2
+         start
+         u1 send m1 dest=9
+         u1 expect 202
+         u1 send m2 dest=9
+         u1 expect 202
+         u1 send m3
+         u1 expect 503 Retry-After
+         wait taken=2 unavailable=1 open=2",
+    );
+}
+
+/// Guards against work for an endpoint that began to leave while the connection to it was made.
+#[test]
+fn an_endpoint_that_leaves_while_a_connection_is_made_gets_nothing() {
+    play(
+        "with e1=1:one:stalled e2=1:one:hidden
+         start
+         u1 send m1
+         u1 expect 202
+         wait opened=1
+         p send e1=leaving
+         wait lists>=2
+         e1 open
+         wait moot=1 attempts=0
+         p send e2=active
+         e2 expect m1
+         e2 send m1 200
+         wait delivered=1 attempts=1",
+    );
+}
+
+/// Guards against a call during a wait that was told while the connection to another endpoint was made.
+#[test]
+fn a_wait_that_is_told_while_a_connection_is_made_binds_that_call() {
+    play(
+        "with e1=1:one:stalled e2=1
+         start
+         u1 send m1
+         u1 expect 202
+         wait opened=1
+         u1 send m2
+         u1 expect 202
+         e2 expect m2
+         e2 send m2 429 X-RateLimit-Wait-Ms:6000
+         wait full=1
+         e1 open
+         wait moot=1 attempts=1",
+    );
+}
+
+#[test]
+fn each_message_of_a_shared_call_gets_its_own_end() {
+    play(
+        "with b1=2:many:hidden
+         start
+         u1 send m1 dest=2
+         u1 expect 202
+         u1 send m2 dest=2
+         u1 expect 202
+         u1 send m3 dest=2
+         u1 expect 202
+         p send b1=active
+         b1 expect m1 m2 m3
+         b1 send m1 200 m1=delivered m2=refused m3=failed
+         b1 expect m2 m3
+         b1 send m2 200 m2=over m3=delivered
+         wait delivered=2 open=0 passes=2 attempts=5 ok=2 full=1 error=1 moot=1",
+    );
+}
+
+/// Guards against a wait that goes unheard since nothing was refused.
+#[test]
+fn a_wait_in_an_answer_that_refuses_nothing_is_heeded() {
+    play(
+        "with b1=2:many:hidden
+         start
+         u1 send m1 dest=2
+         u1 expect 202
+         u1 send m2 dest=2
+         u1 expect 202
+         p send b1=active
+         b1 expect m1 m2
+         b1 send m1 200 X-RateLimit-Wait-Ms:700 m1=delivered m2=delivered
+         wait delivered=2
+         u1 send m3 dest=2 deadline=300m
+         u1 expect 503 Retry-After
+         u1 send m4 dest=2
+         u1 expect 202
+         b1 expect m4
+         b1 send m4 200
+         wait moot=0 attempts=3",
+    );
+}
+
+/// Guards against sending for a user agent that will hand its message in elsewhere.
+#[test]
+fn a_user_agent_that_goes_before_its_answer_takes_its_message_with_it() {
+    play(
+        "with e1=1
+         start
+         stop
+         u1 send m1
+         u1 close
+         continue
+         wait withdrawn=1 open=0
+         log agent-gone
+         u2 send m2
+         u2 expect 202
+         e1 expect m2
+         e1 send m2 200
+         wait attempts=1
+         kill
+         start
+         wait restored=0",
+    );
+}
+
+#[test]
+fn what_comes_back_unsent_or_broken_is_told_apart() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 close m1
+         wait reset=1
+         e1 expect m1
+         e1 send m1 503 X-Over-Slots:1
+         wait moot=1
+         e1 expect m1
+         e1 send m1 410
+         wait moot=2 open=0
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 500
+         wait error=1",
+    );
+}
+
+#[test]
+fn a_silent_watch_is_opened_anew_from_where_it_was() {
+    play(
+        "with e1=1 e2=2:one:hidden
+         start
+         p expect-watch -
+         p send e2=active
+         wait lists>=2
+         p quiet
+         p expect-watch 2
+         log reason: malformed",
+    );
+}
+
+#[test]
+fn bad_input_gets_a_plain_answer_and_harms_nothing() {
+    play(
+        "with e1=1
+         start
+         u1 send-raw NONSENSE\\r\\n\\r\\n
+         u1 expect 400
+         u1 expect end
+         u2 send-raw POST /api HTTP/1.1\\r\\nContent-Length: 65537\\r\\n\\r\\n
+         u2 expect 413
+         u2 expect end
+         u3 send m1 class=unheard
+         u3 expect 400
+         u3 send m1 deadline=soon
+         u3 expect 400
+         u3 send m1 dest=here
+         u3 expect 400
+         u3 send-raw POST /api HTTP/1.1\\r\\nX-Request-Id: m1\\r\\nX-Class: notice\\r\\nContent-Length: 0\\r\\n\\r\\n
+         u3 expect 400
+         u3 send-raw GET /api HTTP/1.1\\r\\n\\r\\n
+         u3 expect 405
+         u3 send-raw GET /elsewhere HTTP/1.1\\r\\n\\r\\n
+         u3 expect 404
+         wait bad_requests=6
+         u3 send m1 size=65536
+         u3 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1",
+    );
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_line() {
+    let folder = std::env::temp_dir().join(format!("cedarbridge-config-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("config.json");
+    for (text, wanted) in
+        [("{", "not JSON"), ("{}", "missing setting `settings`"), (r#"{"settings":{}}"#, "specifics")]
+    {
+        std::fs::write(&path, text).expect("written");
+        let out = program().arg(&path).output().expect("it runs");
+        let said = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && said.lines().count() == 1 && said.contains(wanted), "{said}");
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+    let out = program().output().expect("it runs");
+    assert!(!out.status.success() && String::from_utf8_lossy(&out.stderr).contains("no configuration"));
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,516 @@
+//! A small language for scenarios: one line a step, played against the real program over sockets.
+//!
+//! | line | what it does |
+//! | --- | --- |
+//! | `with endpoints e1=1 e2=2:many:hidden … open=8 disk=1` | parties and limits, before `start` |
+//! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the program, signals it, waits for its end |
+//! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a user agent hands in a message |
+//! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 close` | the rest of a user agent's life |
+//! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
+//! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
+//! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled endpoint accept |
+//! | `p send e1=leaving`, `p expect m1 failed`, `p expect-watch 1`, `p mute`, `p speak`, `p quiet` | the platform |
+//! | `wait name=value …`, `log TEXT` | waits for counters, for a line in the log |
+//! | `state-under N`, `damage cut N`, `damage flip N` | the folder that lasts |
+
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Reads a head and a body of known length; none at the end of the connection.
+fn read_message(stream: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let lower = head.to_lowercase();
+    let length = lower.split("content-length: ").nth(1).and_then(|l| l.split("\r\n").next());
+    let mut body = vec![0; length.map_or(0, |l| l.parse().expect("a length"))];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+fn listener(backlog: i32) -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(backlog).expect("listens");
+    socket.into()
+}
+
+/// Serves each connection of a listener in a thread of its own.
+fn accept(listener: TcpListener, serve: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream));
+        }
+    });
+}
+
+struct Call {
+    ids: Vec<String>,
+    stream: TcpStream,
+}
+
+struct Endpoint {
+    destination: u64,
+    kind: String,
+    address: SocketAddr,
+    sender: Sender<Call>,
+    calls: Receiver<Call>,
+    answered: BTreeMap<String, TcpStream>,
+    stalled: Option<(TcpListener, TcpStream)>,
+}
+
+impl Endpoint {
+    fn new(destination: u64, kind: &str, stalled: bool) -> Self {
+        let socket = listener(if stalled { 0 } else { 64 });
+        let address = socket.local_addr().expect("bound");
+        let (sender, calls) = channel();
+        let (kind, answered) = (kind.to_owned(), BTreeMap::new());
+        let mut endpoint = Endpoint { destination, kind, address, sender, calls, answered, stalled: None };
+        if stalled {
+            // With its queue full the system leaves further connections unanswered.
+            let filler = TcpStream::connect(address).expect("the first fits the queue");
+            endpoint.stalled = Some((socket, filler));
+        } else {
+            endpoint.serve(socket);
+        }
+        endpoint
+    }
+
+    fn serve(&self, socket: TcpListener) {
+        let sender = Mutex::new(self.sender.clone());
+        accept(socket, move |stream| {
+            let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+            while let Some((head, body)) = read_message(&mut reader) {
+                let ids = match head.split("X-Request-Id: ").nth(1) {
+                    Some(id) => vec![id.split("\r\n").next().expect("a line").to_owned()],
+                    None => batch_ids(&body),
+                };
+                let stream = stream.try_clone().expect("a handle");
+                let _ = sender.lock().expect("unpoisoned").send(Call { ids, stream });
+            }
+        });
+    }
+}
+
+fn batch_ids(mut body: &[u8]) -> Vec<String> {
+    let mut ids = Vec::new();
+    while !body.is_empty() {
+        let end = body.windows(2).position(|w| w == b"\r\n").expect("a line");
+        let line = std::str::from_utf8(&body[..end]).expect("text");
+        let words: Vec<_> = line.split(' ').collect();
+        let length: usize = words[2].parse().expect("a length");
+        assert_eq!(&body[end + 2 + length..end + 4 + length], b"\r\n", "the body of {line}");
+        ids.push(words[0].to_owned());
+        body = &body[end + 4 + length..];
+    }
+    ids
+}
+
+#[derive(Default)]
+struct Platform {
+    list: Mutex<BTreeMap<String, Value>>,
+    generation: AtomicU32,
+    watches: Mutex<Vec<TcpStream>>,
+    mute: AtomicBool,
+    quiet: AtomicBool,
+}
+
+impl Platform {
+    fn line(&self, reset: bool, instances: Vec<Value>) -> String {
+        let generation = self.generation.load(Ordering::SeqCst);
+        json!({"generation": generation, "reset": reset, "instances": instances}).to_string() + "\n"
+    }
+
+    fn tell(&self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+        self.watches.lock().expect("unpoisoned").retain_mut(|w| w.write_all(chunk.as_bytes()).is_ok());
+    }
+
+    fn serve(&self, mut stream: TcpStream, notices: &Sender<Value>, watched: &Sender<String>) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        while let Some((head, body)) = read_message(&mut reader) {
+            if head.starts_with("GET ") {
+                let after = head.split("after=").nth(1).and_then(|a| a.split(' ').next()).unwrap_or("-");
+                let _ = watched.send(after.to_owned());
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let all = self.list.lock().expect("unpoisoned").values().cloned().collect();
+                let line = self.line(true, all);
+                let _ = stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes());
+                return self.watches.lock().expect("unpoisoned").push(stream);
+            }
+            let mute = self.mute.load(Ordering::SeqCst);
+            if !mute {
+                let lines = std::str::from_utf8(&body).expect("text").lines();
+                lines.for_each(|l| drop(notices.send(serde_json::from_str(l).expect("a notice"))));
+            }
+            let status = if mute { "500 No" } else { "204 No Content" };
+            let _ = stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
+        }
+    }
+}
+
+/// All parties of a scenario.
+struct World {
+    folder: PathBuf,
+    platform: Arc<Platform>,
+    discovery: SocketAddr,
+    notices: Receiver<Value>,
+    watched: Receiver<String>,
+    endpoints: BTreeMap<String, Endpoint>,
+    agents: BTreeMap<String, BufReader<TcpStream>>,
+    program: Option<Child>,
+    listen: Option<SocketAddr>,
+    log: Arc<Mutex<Vec<String>>>,
+    open: u64,
+    disk: f64,
+}
+
+/// Plays a scenario; the first line that does not hold fails the test.
+pub fn play(script: &str) {
+    let mut world = World::new();
+    for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
+        eprintln!("> {line}");
+        world.step(line);
+    }
+}
+
+fn soon<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < until, "never came: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("cedarbridge-net-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let folder = std::env::temp_dir().join(name);
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(folder.join("state")).expect("a folder");
+        let platform = Arc::new(Platform::default());
+        platform.generation.store(1, Ordering::SeqCst);
+        let socket = listener(64);
+        let discovery = socket.local_addr().expect("bound");
+        let ((notice, notices), (watch, watched)) = (channel(), channel());
+        let (serving, senders) = (platform.clone(), Mutex::new((notice, watch)));
+        accept(socket, move |stream| {
+            let (notice, watch) = senders.lock().expect("unpoisoned").clone();
+            serving.serve(stream, &notice, &watch);
+        });
+        let beating = Arc::downgrade(&platform);
+        thread::spawn(move || {
+            while let Some(platform) = beating.upgrade() {
+                if !platform.quiet.load(Ordering::SeqCst) {
+                    platform.tell("\n");
+                }
+                drop(platform);
+                thread::sleep(Duration::from_millis(500));
+            }
+        });
+        let (endpoints, agents, log) = Default::default();
+        let (open, disk, program, listen) = (8, 1.0, None, None);
+        World {
+            folder,
+            platform,
+            discovery,
+            notices,
+            watched,
+            endpoints,
+            agents,
+            program,
+            listen,
+            log,
+            open,
+            disk,
+        }
+    }
+
+    fn step(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let rest = line.split_once(' ').map_or("", |r| r.1);
+        match words[0] {
+            "with" => words[1..].iter().for_each(|w| self.set(w)),
+            "start" => self.start(),
+            "stop" => self.signal("STOP"),
+            "continue" => self.signal("CONT"),
+            "term" => self.signal("TERM"),
+            "kill" => {
+                let mut program = self.program.take().expect("started");
+                program.kill().and_then(|()| program.wait()).expect("it ends");
+            }
+            "exit" => {
+                let mut program = self.program.take().expect("started");
+                let status = soon("the end of the program", || program.try_wait().expect("a child"));
+                assert!(status.success(), "{status}");
+            }
+            "wait" => words[1..].iter().for_each(|w| self.wait(w)),
+            "log" => {
+                let log = self.log.clone();
+                let there = || log.lock().expect("unpoisoned").iter().any(|l| l.contains(rest)).then_some(());
+                soon(&format!("log line `{rest}`"), there);
+            }
+            "state-under" => {
+                let sizes = fs::read_dir(self.folder.join("state")).expect("a folder");
+                let sizes = sizes.map(|f| f.expect("a file").metadata().expect("a size").len());
+                let all: u64 = sizes.map(|s| s.div_ceil(512) * 512).sum();
+                assert!(all <= words[1].parse().expect("a number"), "{all} bytes of state");
+            }
+            "damage" => self.damage(words[1], words[2].parse().expect("a number")),
+            "p" => self.platform(&words[1..]),
+            name if self.endpoints.contains_key(name) => self.endpoint(name, &words[1..]),
+            name => self.agent(name, &words[1..], rest),
+        }
+    }
+
+    fn set(&mut self, word: &str) {
+        let (name, value) = word.split_once('=').expect("name=value");
+        match name {
+            "open" => self.open = value.parse().expect("a number"),
+            "disk" => self.disk = value.parse().expect("a number"),
+            _ => {
+                let parts: Vec<&str> = value.split(':').collect();
+                let kind = if parts.contains(&"many") { "many" } else { "one" };
+                let destination = parts[0].parse().expect("a destination");
+                let endpoint = Endpoint::new(destination, kind, parts.contains(&"stalled"));
+                self.endpoints.insert(name.to_owned(), endpoint);
+                if !parts.contains(&"hidden") {
+                    self.list(name, "active");
+                }
+            }
+        }
+    }
+
+    fn list(&self, name: &str, lifecycle: &str) -> Value {
+        let e = &self.endpoints[name];
+        let entry = json!({
+            "instanceId": name, "hostPort": e.address.to_string(), "zone": "east", "machineType": e.kind,
+            "cell": e.destination, "lifecycle": lifecycle, "weight": 50.0, "startedAtMs": 0,
+        });
+        self.platform.list.lock().expect("unpoisoned").insert(name.to_owned(), entry.clone());
+        entry
+    }
+
+    fn start(&mut self) {
+        let class = |name: &str, semantics: &str| {
+            json!({"name": name, "semantics": semantics, "promise": 2000.0, "deadline": 20000.0,
+                   "gain": 1.0, "late-worth": 0.3, "memory-span": 30000.0, "dedup-scope": "all"})
+        };
+        let settings = json!({
+            "azs": ["east"], "zone": "east", "balancers": 1, "kinds": ["one", "many"], "discovery": "pushed",
+            "categories": [class("notice", "token"), class("once", "side_effect"), class("free", "pure")],
+            "realms": [{"name": "acme", "portion": 1.0, "quota-per-s": 1000.0}],
+            "granularity": 5.0, "weight-source": "rough", "fees": {}, "callers": {"marks-retry": true},
+            "permissions": {"max-open": self.open, "max-attempts": 3, "cancel": true, "retry-after": true,
+                "max-retry-after": 3000.0, "conn-idle": 5000.0, "dial-timeout": 12000.0},
+            "rules": {"fall-multiple": 2.0, "fall": 2000.0, "cold": 9000.0, "cold-from": 0.2, "drain-grace": 250.0},
+            "specifics": {"call-slots": 4, "late": "linear", "own-limits": [false, false], "per-call": [1, 3]},
+        });
+        let config = json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
+            "state": self.folder.join("state"), "seed": "8c1f30d27a5be964", "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": self.disk},
+        });
+        let path = self.folder.join("config.json");
+        fs::write(&path, config.to_string()).expect("written");
+        let mut program = program().arg(path).stderr(Stdio::piped()).spawn().expect("it starts");
+        let lines = BufReader::new(program.stderr.take().expect("a pipe")).lines();
+        self.program = Some(program);
+        let log = self.log.clone();
+        log.lock().expect("unpoisoned").clear();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                eprintln!("  {line}");
+                log.lock().expect("unpoisoned").push(line);
+            }
+        });
+        let log = self.log.clone();
+        self.listen = Some(soon("its address", || {
+            let log = log.lock().expect("unpoisoned");
+            let line = log.iter().find(|l| l.contains("serving"))?;
+            line.split("listen: ").nth(1)?.split(',').next()?.trim().parse().ok()
+        }));
+        soon("its health", || self.get("/_health").starts_with("HTTP/1.1 200").then_some(()));
+        // Past the list that it may have known; from here on all news is news.
+        self.wait("lists>=1");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.program.as_ref().expect("started").id().to_string();
+        let sent = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        assert!(sent.expect("a shell").success());
+    }
+
+    fn get(&self, path: &str) -> String {
+        let mut stream = TcpStream::connect(self.listen.expect("started")).expect("it listens");
+        let request = format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    fn wait(&self, condition: &str) {
+        let (name, wanted) = condition.split_once('=').expect("name=value");
+        let wanted = wanted.parse::<u64>().expect("a number");
+        let mut last = Value::Null;
+        let look = || {
+            let answer = self.get("/_counters");
+            last = serde_json::from_str(answer.split("\r\n\r\n").nth(1)?).expect("JSON");
+            let value = last[name.trim_end_matches('>')].as_u64().expect("a counter");
+            (value == wanted || name.ends_with('>') && value > wanted).then_some(())
+        };
+        soon(condition, look);
+    }
+
+    fn damage(&self, how: &str, place: usize) {
+        let files =
+            fs::read_dir(self.folder.join("state")).expect("a folder").map(|f| f.expect("a file").path());
+        let newest = files.max().expect("a segment");
+        let mut bytes = fs::read(&newest).expect("read");
+        let at = bytes.len() - place;
+        match how {
+            "cut" => bytes.truncate(at),
+            _ => bytes[at] ^= 0xff,
+        }
+        fs::write(newest, bytes).expect("written");
+    }
+
+    fn platform(&mut self, words: &[&str]) {
+        match words {
+            ["send", changes @ ..] => {
+                let split =
+                    |c: &&str| c.split_once('=').map(|(n, l)| self.list(n, l)).expect("name=lifecycle");
+                let entries = changes.iter().map(split).collect();
+                self.platform.generation.fetch_add(1, Ordering::SeqCst);
+                self.platform.tell(&self.platform.line(false, entries));
+            }
+            ["expect", id, state] => {
+                let notice = self.notices.recv_timeout(PATIENCE).expect("a notice");
+                assert_eq!((notice["id"].as_str(), notice["state"].as_str()), (Some(*id), Some(*state)));
+            }
+            ["expect-watch", after] => {
+                assert_eq!(self.watched.recv_timeout(PATIENCE).expect("a watch"), *after);
+            }
+            ["mute"] => self.platform.mute.store(true, Ordering::SeqCst),
+            ["speak"] => self.platform.mute.store(false, Ordering::SeqCst),
+            ["quiet"] => self.platform.quiet.store(true, Ordering::SeqCst),
+            _ => panic!("no such step of the platform"),
+        }
+    }
+
+    fn endpoint(&mut self, name: &str, words: &[&str]) {
+        let e = self.endpoints.get_mut(name).expect("known");
+        match words {
+            ["expect", ids @ ..] => {
+                let call = e.calls.recv_timeout(PATIENCE).expect("a call");
+                assert_eq!(call.ids, ids, "the messages of the call");
+                e.answered.insert(call.ids[0].clone(), call.stream);
+            }
+            ["send", id, status, more @ ..] => {
+                let fields = more.iter().filter_map(|m| m.split_once(':'));
+                let fields: String = fields.map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+                let ends = more.iter().filter_map(|m| m.split_once('='));
+                let body: String = ends.map(|(id, end)| format!("{id} {end}\r\n")).collect();
+                let answer =
+                    format!("HTTP/1.1 {status} X\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
+                e.answered
+                    .get_mut(*id)
+                    .expect("expected before")
+                    .write_all(answer.as_bytes())
+                    .expect("written");
+            }
+            ["close", id] => {
+                let stream = e.answered.remove(*id).expect("expected before");
+                stream.shutdown(std::net::Shutdown::Both).expect("open");
+            }
+            ["open"] => {
+                let (socket, _filler) = e.stalled.take().expect("stalled");
+                e.serve(socket);
+            }
+            _ => panic!("no such step of an endpoint"),
+        }
+    }
+
+    fn agent(&mut self, name: &str, words: &[&str], rest: &str) {
+        let listen = self.listen.expect("started");
+        let connect = || {
+            let stream = TcpStream::connect(listen).expect("it listens");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            BufReader::new(stream)
+        };
+        if words[0] == "close" {
+            return drop(self.agents.remove(name).expect("connected"));
+        }
+        let agent = self.agents.entry(name.to_owned()).or_insert_with(connect);
+        match words {
+            ["send", id, more @ ..] => {
+                let more: BTreeMap<&str, &str> = more.iter().filter_map(|m| m.split_once('=')).collect();
+                let of = |name: &str, default: &'static str| more.get(name).copied().unwrap_or(default);
+                let body = "x".repeat(of("size", "3").parse().expect("a size"));
+                let head = format!(
+                    "POST /api HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Class: {}\r\nX-Tenant: acme\r\nX-Deadline: {}\r\n\
+                     Idempotency-Key: key-{id}\r\nX-Addressing: dest={}\r\nContent-Length: {}\r\n\r\n{body}",
+                    of("class", "notice"), of("deadline", "9000m"), of("dest", "1"), body.len(),
+                );
+                agent.get_mut().write_all(head.as_bytes()).expect("written");
+            }
+            ["send-raw", ..] => {
+                let text = rest.trim_start_matches("send-raw ").replace("\\r", "\r").replace("\\n", "\n");
+                agent.get_mut().write_all(text.as_bytes()).expect("written");
+            }
+            ["expect", "end"] => {
+                let mut left = Vec::new();
+                agent.read_to_end(&mut left).expect("an orderly end");
+                assert!(left.is_empty(), "{}", String::from_utf8_lossy(&left));
+            }
+            ["expect", status, more @ ..] => {
+                let (head, _) = read_message(agent).expect("an answer");
+                assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+                more.iter().for_each(|m| assert!(head.contains(m), "no {m} in {head}"));
+            }
+            _ => panic!("no such step of a user agent"),
+        }
+    }
+}
+
+/// The program, shut off from the surroundings' variables.
+pub fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cedarbridge"));
+    for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_STATE", "ROUTER_CONFIG"] {
+        command.env_remove(name);
+    }
+    command
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some(mut program) = self.program.take() {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
