Make three scenarios catch what they are there for

The first now asks for the log line, a new one covers the second, the third uses a shared call. Each fault now fails a scenario. A program that does not end when told is killed with its scenario.

--- a/tests/net.rs
+++ b/tests/net.rs
@@ -34,6 +34,7 @@
          e1 send m1 200
          wait delivered=1
          e1 close m1
+         log peer-closed
          u1 send m2
          u1 expect 202
          e1 expect m2
@@ -149,6 +150,24 @@
     );
 }
 
+/// Guards against an actor that never rests, and so an end that never comes, once timers are due after the
+/// last step.
+#[test]
+fn after_a_term_the_end_comes_although_a_call_stays_out_and_a_deadline_passes() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         u2 send m2 dest=9 deadline=2900m
+         u2 expect 202
+         term
+         exit
+         log left_in_journal: 2",
+    );
+}
+
 #[test]
 fn a_damaged_journal_loses_its_tail_and_nothing_else() {
     play(
@@ -180,7 +199,7 @@
 #[test]
 fn a_full_journal_gives_the_unavailable_answer_and_room_comes_back() {
     play(
-        "with e1=9:one:hidden disk=0.05
+        "with b1=9:many:hidden disk=0.05
          start
          u1 send m1 dest=9 size=10000
          u1 expect 202
@@ -191,9 +210,9 @@
          u1 send m4 dest=9 size=10000
          u1 expect 503 Retry-After
          state-under 50000
-         p send e1=active
-         e1 expect m1
-         e1 send m1 200
+         p send b1=active
+         b1 expect m1 m2 m3
+         b1 send m1 200 m1=delivered m2=failed m3=failed
          wait delivered=1
          u1 send m5 dest=9 size=10000
          u1 expect 202
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -262,8 +262,10 @@
                 program.kill().and_then(|()| program.wait()).expect("it ends");
             }
             "exit" => {
-                let mut program = self.program.take().expect("started");
+                // Kept until it has ended: one that hangs is killed with the world.
+                let program = self.program.as_mut().expect("started");
                 let status = soon("the end of the program", || program.try_wait().expect("a child"));
+                self.program = None;
                 assert!(status.success(), "{status}");
             }
             "wait" => words[1..].iter().for_each(|w| self.wait(w)),
