Answer those taken on just as the program closes

Seen by reading: a message taken from the mailbox in the same turn as Close got no step, so its reply was dropped and the user agent's connection ended with no answer, which counts as a lost message. Ruled out: later ones, which get the unavailable answer.

--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -198,7 +198,19 @@
             ToDecider::Withdrawn { word } => self.withdraw(&word),
             ToDecider::List(news) => self.take_list(news),
             ToDecider::Passed { pass, ended } => self.take_passed(pass, &ended),
-            ToDecider::Close => self.closed = true,
+            ToDecider::Close => self.close(),
+        }
+    }
+
+    /// No step follows that would answer those just taken on. They are in the journal, so they are owed; and
+    /// without their answer the user agent's connection would end on a request that was read.
+    fn close(&mut self) {
+        self.closed = true;
+        for held in self.held.values_mut() {
+            if let Some(reply) = held.reply.take() {
+                self.context.counters.taken.add();
+                let _ = reply.try_send(Reply::Taken);
+            }
         }
     }
 
