Forget endpoints that left long ago

Seen by reading: the board and the farm's ids kept every endpoint ever listed, so a long life on a platform that replaces machines would only grow. Those that left two minutes ago are now forgotten with each version of the list; a small test holds it.

--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -6,6 +6,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// After so long nothing is under way any more to an endpoint that was told to leave.
+const LONG_AGO: Micros = 120_000_000;
+
 /// What is known of an endpoint now.
 #[derive(Clone, Debug)]
 pub struct Known {
@@ -61,6 +64,14 @@
         }
     }
 
+    /// Forgets what left long ago and waits that are over, lest a long life fill up with endpoints that were
+    /// replaced.
+    pub fn prune(&self, now: Micros) {
+        self.waits.borrow_mut().retain(|_, until| now < *until);
+        let stays = |k: &Known| k.leaving_since.is_none_or(|t| now < t + LONG_AGO);
+        self.endpoints.borrow_mut().retain(|_, k| stays(k));
+    }
+
     /// What is known of an endpoint.
     pub fn get(&self, endpoint: EndpointId) -> Option<Known> {
         self.endpoints.borrow().get(&endpoint).cloned()
@@ -92,3 +103,25 @@
         until.is_some_and(|t| now < t).then_some("told-to-wait")
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_left_is_known_for_a_while_and_what_stays_always() {
+        let clock = Clock::start();
+        let board = Board::new(clock, 250_000);
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let known =
+            Known { address, destination: DestinationId(1), apart: false, per_call: 1, leaving_since: None };
+        board.list(EndpointId(1), Lifecycle::Listed, known.clone());
+        board.list(EndpointId(2), Lifecycle::Gone, known);
+        let still = |now| {
+            board.prune(now);
+            [1, 2].map(|e| board.get(EndpointId(e)).is_some())
+        };
+        assert_eq!(still(clock.now()), [true, true]);
+        assert_eq!(still(clock.now() + LONG_AGO), [true, false]);
+    }
+}
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -29,12 +29,13 @@
     names: Rc<Names>,
     generation: Option<u64>,
     ids: HashMap<String, EndpointId>,
+    next: u32,
 }
 
 impl Farm {
     /// A farm that holds nothing.
     pub fn new(context: Rc<Context>, names: Rc<Names>) -> Self {
-        Farm { context, names, generation: None, ids: HashMap::new() }
+        Farm { context, names, generation: None, ids: HashMap::new(), next: 0 }
     }
 
     /// Takes in the list that the configuration brings; it may be old.
@@ -68,6 +69,8 @@
             self.context.board.keep_only(&named);
         }
         self.generation = Some(generation);
+        self.context.board.prune(self.context.clock.now());
+        self.ids.retain(|_, id| self.context.board.get(*id).is_some());
         Ok((complete, entries))
     }
 
@@ -85,8 +88,11 @@
         let zone = index(&self.names.zones, &in_field(v, "zone", text)?, "zone")?;
         let destination = DestinationId(in_field(v, "cell", whole)?);
         let weight = v.get("weight").and_then(Value::as_f64).unwrap_or(1.0);
-        let next = EndpointId(self.ids.len() as u32);
-        let endpoint = *self.ids.entry(name).or_insert(next);
+        let next = &mut self.next;
+        let endpoint = *self.ids.entry(name).or_insert_with(|| {
+            *next += 1;
+            EndpointId(*next)
+        });
         let of = &self.context.config.kinds[kind];
         let (apart, per_call) = (of.apart, of.per_call);
         let known = Known { address, destination, apart, per_call, leaving_since: None };
