--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -145,10 +145,14 @@
 /// Makes a call and reports its end.
 async fn call(context: Rc<Context>, pass: Pass, used: Option<Wire>, back: Option<Sender<ToPeer>>) {
     context.passes_out.set(context.passes_out.get() + 1);
-    let ended = attend(&context, &pass, used, back).await;
+    let mut waited_for = vec![true; pass.parts.len()];
+    let mut ended = attend(&context, &pass, used, back, &mut waited_for).await;
     if let Some(wait) = ended.wait {
         context.board.told_wait(pass.endpoint, wait);
     }
+    let left: Vec<usize> = (0..pass.parts.len()).filter(|i| waited_for[*i]).collect();
+    ended.ends = left.iter().map(|i| ended.ends[*i]).collect();
+    let pass = pass.with(&left);
     // Only now, with the connection dropped or idle, may the module know: its next attempt must not find this
     // one still out.
     let _ = context.decider.send(ToDecider::Passed { pass, ended }).await;
@@ -176,21 +180,33 @@
     pass: &Pass,
     used: Option<Wire>,
     back: Option<Sender<ToPeer>>,
+    waited_for: &mut [bool],
 ) -> Ended {
     let stage = Cell::new(Stage::Dialing);
     let reused = used.is_some();
     let mut slot = used;
     let mut head = None;
-    let cut = async {
-        Timer::at(context.clock.at(pass.cut_at())).await;
-        Stop::Cut
-    };
-    let called_off = async {
-        let _ = pass.called_off.recv().await;
-        Stop::CalledOff
+    let clock = context.clock;
+    let stop = {
+        let mut exchange = std::pin::pin!(exchange(context, pass, &mut slot, &stage, &mut head));
+        loop {
+            let cut = async {
+                Timer::at(clock.at(pass.first_cut(waited_for))).await;
+                Stop::Cut
+            };
+            let called_off = async {
+                let _ = pass.called_off.recv().await;
+                Stop::CalledOff
+            };
+            let stop = future::or(exchange.as_mut(), future::or(cut, called_off)).await;
+            let cut = matches!(stop, Stop::Cut) && stage.get() == Stage::Written;
+            let lapsed = || pass.lapsed(clock.now(), context.config.granularity, waited_for);
+            let Some(lapsed) = cut.then(lapsed).flatten() else { break stop };
+            lapsed.iter().for_each(|i| waited_for[*i] = false);
+            let ended = Ended::alike(lapsed.len(), End::of(Outcome::TimedOut));
+            let _ = context.decider.send(ToDecider::Passed { pass: pass.with(&lapsed), ended }).await;
+        }
     };
-    let exchange = exchange(context, pass, &mut slot, &stage, &mut head);
-    let stop = future::or(exchange, future::or(cut, called_off)).await;
     let parts = pass.parts.len();
     if reused && stage.get() != Stage::Dialing && stage.get() != Stage::Barred {
         context.counters.reused.add();
@@ -253,7 +269,7 @@
     let over = pass.parts.iter().any(|p| p.transaction.is_over());
     let bar = if over {
         Some("over")
-    } else if now >= pass.cut_at() {
+    } else if now >= pass.first_cut(&vec![true; pass.parts.len()]) {
         Some("cut")
     } else {
         context.board.bars(pass.endpoint)
@@ -301,7 +317,7 @@
 }
 
 fn request(pass: &Pass, now: Micros) -> Vec<u8> {
-    let patience = (pass.cut_at().saturating_sub(now) / 1000).max(1);
+    let patience = (pass.last_cut().saturating_sub(now) / 1000).max(1);
     let mut body = Vec::new();
     let mut head = String::new();
     if let [part] = pass.parts.as_slice() {
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 /// A message in a call.
+#[derive(Clone)]
 pub struct Part {
     /// Which message.
     pub transaction: Rc<Transaction>,
@@ -27,10 +28,32 @@
 }
 
 impl Pass {
-    /// The time at which the call is dropped: that of the part that is abandoned first, as none may be
-    /// reported while the call is still out.
-    pub fn cut_at(&self) -> Micros {
-        self.parts.iter().map(|p| p.cut_at).min().unwrap_or(0)
+    /// When the part is abandoned that is abandoned first, of those that are still waited for.
+    pub fn first_cut(&self, waited_for: &[bool]) -> Micros {
+        let parts = self.parts.iter().zip(waited_for).filter(|p| *p.1);
+        parts.map(|p| p.0.cut_at).min().unwrap_or(0)
+    }
+
+    /// When the last part is abandoned.
+    pub fn last_cut(&self) -> Micros {
+        self.parts.iter().map(|p| p.cut_at).max().unwrap_or(0)
+    }
+
+    /// The parts that can be abandoned at a time while the call goes on for the others, if that is so for all
+    /// that are due. A part may be reported while its call is out only if it is never sent again: when its
+    /// own time is up. Guards against cutting a whole call, over and over, for one message at its deadline.
+    pub fn lapsed(&self, now: Micros, granularity: Micros, waited_for: &[bool]) -> Option<Vec<usize>> {
+        let waited: Vec<usize> = (0..self.parts.len()).filter(|i| waited_for[*i]).collect();
+        let due: Vec<usize> = waited.iter().copied().filter(|i| self.parts[*i].cut_at <= now).collect();
+        let up = |p: &Part| p.cut_at + granularity >= p.transaction.request.deadline;
+        let alone = !due.is_empty() && due.len() < waited.len() && due.iter().all(|i| up(&self.parts[*i]));
+        alone.then_some(due)
+    }
+
+    /// The same call with some of its parts only.
+    pub fn with(&self, parts: &[usize]) -> Pass {
+        let parts = parts.iter().map(|i| self.parts[*i].clone()).collect();
+        Pass { parts, called_off: self.called_off.clone(), ..*self }
     }
 }
 
