Read the configuration again on SIGHUP and move the farm and the notices

A watch on /proc during the run shows that only `discovery` changes in the file, while ROUTER_DISCOVERY keeps naming the first address until a restart, which gets the new one. Checked: the log ends at the signal, so no actor failed. At fault: `Signals::new([Term, Int])` in net/mod.rs leaves SIGHUP its default action, and `Config::read` puts the variable first. Ruled out: the list itself (the same entries and numbers come at the new address; still a number is used only at the address that gave it, as nothing promises more). The farm now has a watch as a task of its own, so that a new one opens beside the old.

--- a/src/api.rs
+++ b/src/api.rs
@@ -271,6 +271,8 @@
 pub enum Event {
     /// News of the endpoint list.
     List(ListNews),
+    /// Other settings hold from now on. They list the same classes, tenants, zones and kinds.
+    Settings(Box<Settings>),
     /// A new message.
     Message(NewMessage),
     /// An answer has begun to stream; the attempt is bound and no time-out applies.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -416,6 +416,7 @@
     fn take(&mut self, now: Micros, event: &Event) {
         match event {
             Event::List(news) => self.take_list(now, news),
+            Event::Settings(settings) => self.s = (**settings).clone(),
             Event::Message(m) => self.take_message(now, m),
             Event::Result { id, attempt, endpoint, outcome, elapsed, ended, report } => {
                 self.hear(now, *endpoint, *outcome, *report);
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! Reads the configuration and starts the forwarder.
 
-use cedarbridge::net::{self, config::Config};
+use cedarbridge::net::{self, config::Config, Reading};
 use slog::{o, Drain};
 use std::process::ExitCode;
 
@@ -8,11 +8,15 @@
     let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = std::env::args().nth(1).or(variable("ROUTER_CONFIG"));
     let path = path.ok_or("no configuration: name its file as the argument or in ROUTER_CONFIG")?;
-    let json = std::fs::read_to_string(&path).map_err(|e| format!("cannot read `{path}`: {e}"))?;
-    let (config, settings, names) = Config::read(&json, variable).map_err(|e| format!("`{path}`: {e}"))?;
+    let load = move |reading| {
+        let json = std::fs::read_to_string(&path).map_err(|e| format!("cannot read `{path}`: {e}"))?;
+        let told =
+            |name: &str| variable(name).filter(|_| reading == Reading::Start || name != "ROUTER_DISCOVERY");
+        Config::read(&json, told).map_err(|e| format!("`{path}`: {e}"))
+    };
     let lines = slog_term::PlainSyncDecorator::new(std::io::stderr());
     let drain = slog_term::FullFormat::new(lines).use_utc_timestamp().build().ignore_res();
-    net::run(config, settings, names, slog::Logger::root(drain, o!()))
+    net::run(&load, slog::Logger::root(drain, o!()))
 }
 
 fn main() -> ExitCode {
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -2,7 +2,7 @@
 
 use super::clock::Clock;
 use crate::{DestinationId, EndpointId, Lifecycle, Micros};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -33,7 +33,7 @@
 /// The board: the farm and the answers write on it at once, ahead of the module's next step.
 pub struct Board {
     clock: Clock,
-    grace: Micros,
+    grace: Cell<Micros>,
     endpoints: RefCell<BTreeMap<EndpointId, Known>>,
     waits: RefCell<BTreeMap<Waiter, Micros>>,
 }
@@ -41,9 +41,16 @@
 impl Board {
     /// An empty board. Work may still go to an endpoint for most of the grace after it was told to leave.
     pub fn new(clock: Clock, grace: Micros) -> Self {
-        // The platform's moment of telling lies a little before ours.
         let (endpoints, waits) = Default::default();
-        Board { clock, grace: grace * 4 / 5, endpoints, waits }
+        let board = Board { clock, grace: Cell::new(0), endpoints, waits };
+        board.grace(grace);
+        board
+    }
+
+    /// Sets the grace.
+    pub fn grace(&self, grace: Micros) {
+        // The platform's moment of telling lies a little before ours.
+        self.grace.set(grace * 4 / 5);
     }
 
     /// Writes down an endpoint; the time of an earlier leave stays.
@@ -96,7 +103,7 @@
     pub fn bars(&self, endpoint: EndpointId) -> Option<&'static str> {
         let now = self.clock.now();
         let Some(known) = self.get(endpoint) else { return Some("unknown-endpoint") };
-        if known.leaving_since.is_some_and(|t| now >= t + self.grace) {
+        if known.leaving_since.is_some_and(|t| now >= t + self.grace.get()) {
             return Some("leaving");
         }
         let until = self.waiter(endpoint).and_then(|w| self.waits.borrow().get(&w).copied());
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 /// The largest body of a message.
 pub const BODY_LIMIT: usize = 64 * 1024;
@@ -41,6 +42,8 @@
     pub slots: usize,
     /// The kinds of destination.
     pub kinds: Vec<Kind>,
+    /// What classes, tenants, zones and kinds are called.
+    pub names: Rc<Names>,
     /// Whether each class needs a key, by class.
     pub keyed: Vec<bool>,
     /// Whether a message of each class must never run twice, by class.
@@ -55,10 +58,7 @@
 
 impl Config {
     /// Reads the text of a configuration. Variables, as the platform sets them, go before what it says.
-    pub fn read(
-        json: &str,
-        variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<(Self, Settings, Names), String> {
+    pub fn read(json: &str, variable: impl Fn(&str) -> Option<String>) -> Result<(Self, Settings), String> {
         let v: Value =
             serde_json::from_str(json).map_err(|e| format!("the configuration is not JSON: {e}"))?;
         let told = |name: &str, key: &str| match variable(name) {
@@ -93,6 +93,7 @@
             max_open: settings.max_open,
             slots: settings.slots,
             kinds: settings.kinds.clone(),
+            names: Rc::new(names),
             keyed: of(crate::Effect::Keyed),
             unsafe_twice: of(crate::Effect::Unsafe),
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
@@ -100,7 +101,20 @@
         if config.sockets < 64 + 2 * config.slots {
             return Err(format!("limits: {} sockets are too few for {} calls", config.sockets, config.slots));
         }
-        Ok((config, settings, names))
+        Ok((config, settings))
+    }
+
+    /// Why this one cannot take the place of another while the program runs, if it cannot: what is held goes
+    /// by the other's names, and address and folder stay as they were opened.
+    pub fn needs_restart(&self, other: &Config) -> Option<&'static str> {
+        if self.name != other.name || self.listen != other.listen || self.state != other.state {
+            return Some("`name`, `listen` and `state` change only at a start");
+        }
+        let same = self.names == other.names && self.keyed == other.keyed;
+        let same = same && self.unsafe_twice == other.unsafe_twice;
+        (!same).then_some(
+            "names of classes, tenants, zones and kinds, and what repeats do, change only at a start",
+        )
     }
 
     /// Connections of user agents held at once.
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -82,6 +82,8 @@
     accepted,
     /// Versions of the list taken in from the watch.
     lists,
+    /// Configurations read again and applied.
+    reloads,
 }
 
 impl Counters {
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -1,6 +1,6 @@
 //! The module's actor: it brings events to the decisions and carries out what they say.
 
-use super::farm::Watch;
+use super::farm::ToFarm;
 use super::journal::{Kept, Verdict};
 use super::notices::Notice;
 use super::peer::{self, ToPeer};
@@ -9,7 +9,7 @@
 use super::Context;
 use crate::words::Names;
 use crate::{Action, ClassId, Courier, DestinationId, EndpointId, Event, Lifecycle, ListNews, MessageId};
-use crate::{Micros, Outcome, TenantId};
+use crate::{Micros, Outcome, Settings, TenantId};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
@@ -34,6 +34,8 @@
     },
     /// News of the list.
     List(ListNews),
+    /// Other settings hold from now on.
+    Settings(Box<Settings>),
     /// A call has come out.
     Passed {
         /// The call.
@@ -72,7 +74,7 @@
     names: Rc<Names>,
     courier: Courier,
     notices: Sender<Notice>,
-    farm: Sender<Watch>,
+    farm: Sender<ToFarm>,
     peers: BTreeMap<EndpointId, Sender<ToPeer>>,
     held: BTreeMap<MessageId, Held>,
     words: HashMap<String, MessageId>,
@@ -88,15 +90,14 @@
     /// An actor that holds nothing yet; ids go on after the last one used.
     pub fn new(
         context: Rc<Context>,
-        names: Rc<Names>,
         courier: Courier,
         notices: Sender<Notice>,
-        farm: Sender<Watch>,
+        farm: Sender<ToFarm>,
         last_id: u64,
     ) -> Self {
         Decider {
+            names: context.config().names.clone(),
             context,
-            names,
             courier,
             notices,
             farm,
@@ -119,7 +120,7 @@
             let may_have_run = kept.ran || kept.out;
             let class = self.names.classes.iter().position(|c| *c == kept.class);
             let id = MessageId(id);
-            let unrepeatable = |c: usize| may_have_run && self.context.config.unsafe_twice[c];
+            let unrepeatable = |c: usize| may_have_run && self.context.config().unsafe_twice[c];
             // The platform may have had the notice of a verdict: the message must not be sent after it. One
             // that may not run twice fails, as does one of a class that is no more.
             let verdict = match class {
@@ -178,7 +179,7 @@
                     None => {}
                 }
             }
-            let ready = self.last_step + self.context.config.granularity;
+            let ready = self.last_step + self.context.config().granularity;
             if clock.now() < ready {
                 Timer::at(clock.at(ready)).await;
             }
@@ -197,6 +198,7 @@
             ToDecider::Take { request, reply } => self.take_on(request, reply),
             ToDecider::Withdrawn { word } => self.withdraw(&word),
             ToDecider::List(news) => self.take_list(news),
+            ToDecider::Settings(settings) => self.events.push(Event::Settings(settings)),
             ToDecider::Passed { pass, ended } => self.take_passed(pass, &ended),
             ToDecider::Close => self.close(),
         }
@@ -236,7 +238,7 @@
             ..Kept::default()
         };
         self.next += 1;
-        let crowded = self.closed || self.open >= self.context.config.max_open;
+        let crowded = self.closed || self.open >= self.context.config().max_open;
         if crowded || self.context.journal.borrow_mut().take(self.next, &kept).is_err() {
             counters.unavailable.add();
             let _ = reply.try_send(Reply::Unavailable(LATER));
@@ -284,7 +286,7 @@
                         self.peers.remove(&entry.endpoint);
                     } else if !self.peers.contains_key(&entry.endpoint) {
                         // All calls at once, all of their connections coming back, and a few words more.
-                        let room = 2 * self.context.config.slots + 16;
+                        let room = 2 * self.context.config().slots + 16;
                         let (send, mail) = async_channel::bounded(room);
                         let actor = peer::run(self.context.clone(), entry.endpoint, mail, send.downgrade());
                         self.context.executor.spawn(actor).detach();
@@ -369,7 +371,7 @@
                     self.pass_on(now, std::mem::take(&mut passes));
                     self.peers.get(&endpoint).map(|p| p.try_send(ToPeer::CloseIdle));
                 }
-                Action::Watch => drop(self.farm.try_send(Watch)),
+                Action::Watch => drop(self.farm.try_send(ToFarm::Watch)),
                 Action::Probe { endpoint } => {
                     warn!(self.context.log, "no probes on this platform"; "endpoint" => endpoint.0)
                 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -20,19 +20,19 @@
 const SLOW: Duration = Duration::from_secs(10);
 
 /// Takes connections until the listener is dropped.
-pub async fn serve(context: Rc<Context>, names: Rc<Names>, listener: Async<TcpListener>) {
+pub async fn serve(context: Rc<Context>, listener: Async<TcpListener>) {
     loop {
         // What does not fit waits in the listener's queue.
-        while context.user_agents.get() >= context.config.user_agents() {
+        while context.user_agents.get() >= context.config().user_agents() {
             Timer::after(Duration::from_millis(5)).await;
         }
         match listener.accept().await {
             Ok((stream, address)) => {
                 context.counters.accepted.add();
                 context.user_agents.set(context.user_agents.get() + 1);
-                let (context, names) = (context.clone(), names.clone());
+                let context = context.clone();
                 let executor = context.executor.clone();
-                executor.spawn(attend(context, names, stream, address)).detach();
+                executor.spawn(attend(context, stream, address)).detach();
             }
             Err(e) => {
                 warn!(context.log, "cannot accept"; "error" => %e);
@@ -42,7 +42,8 @@
     }
 }
 
-async fn attend(context: Rc<Context>, names: Rc<Names>, stream: Async<TcpStream>, address: SocketAddr) {
+async fn attend(context: Rc<Context>, stream: Async<TcpStream>, address: SocketAddr) {
+    let names = context.config().names.clone();
     let mut agent = UserAgent { context: context.clone(), names, wire: Wire::new(stream) };
     let reason = agent.converse().await;
     context.user_agents.set(context.user_agents.get() - 1);
@@ -116,7 +117,7 @@
                 Ok(answer) => answer,
                 Err(reason) => return reason,
             };
-            let crowded = self.context.user_agents.get() * 4 > self.context.config.user_agents() * 3;
+            let crowded = self.context.user_agents.get() * 4 > self.context.config().user_agents() * 3;
             let keeps = head.keeps && !crowded && !self.context.closing();
             if !self.say(&answer, keeps).await {
                 if answer.status == 202 {
@@ -218,14 +219,14 @@
             None => return Err("no X-Tenant".into()),
         };
         let key = told("Idempotency-Key").map(str::to_owned);
-        if key.is_none() && self.context.config.keyed[class.0] {
+        if key.is_none() && self.context.config().keyed[class.0] {
             return Err("no Idempotency-Key, which this class needs".into());
         }
         let mut places = must("X-Addressing")?.split([',', ';']).filter_map(|p| p.trim().split_once('='));
         let destination = places.find(|p| p.0 == "dest").and_then(|p| p.1.parse().ok());
         let destination = DestinationId(destination.ok_or("X-Addressing names no dest")?);
         let time = read_time(must("X-Deadline")?).ok_or("X-Deadline is not a time")?;
-        let deadline = came + time.min(self.context.config.deadlines[class.0]);
+        let deadline = came + time.min(self.context.config().deadlines[class.0]);
         let retry = told("X-Retry");
         Ok(Request {
             word: word.to_owned(),
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -105,15 +105,15 @@
         fs::create_dir_all(folder)?;
         let mut journal = Journal {
             folder: folder.to_owned(),
-            // A unit is kept free for what the folder itself may count.
-            limit: limit.saturating_sub(4 * UNIT),
-            segment_size: (limit / 12).max(8 * UNIT),
+            limit: 0,
+            segment_size: 0,
             segments: VecDeque::new(),
             newest: None,
             live: BTreeMap::new(),
             live_size: 0,
             foreign: 0,
         };
+        journal.limit(limit);
         let mut numbers = Vec::new();
         for entry in fs::read_dir(folder)? {
             let entry = entry?;
@@ -138,6 +138,13 @@
         Ok((journal, restored))
     }
 
+    /// Sets the limit. Under a lower one than what lives takes, nothing is taken on until enough has ended.
+    pub fn limit(&mut self, limit: u64) {
+        // Some units are kept free for what the folder itself may count.
+        self.limit = limit.saturating_sub(4 * UNIT);
+        self.segment_size = (limit / 12).max(8 * UNIT);
+    }
+
     /// Reads a segment up to the first record that is not whole, and cuts the rest off.
     fn replay(&mut self, number: u64, found: &mut BTreeMap<u64, Kept>, to: &mut Restored) -> io::Result<()> {
         let path = self.folder.join(name(number));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,6 @@
 pub mod proxy_pass;
 pub mod transaction;
 
-use crate::words::Names;
 use crate::{Courier, MessageId, Settings};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -25,7 +24,7 @@
 use config::Config;
 use counters::Counters;
 use decider::{Decider, ToDecider};
-use farm::Farm;
+use farm::{Farm, ToFarm};
 use futures_lite::{future, StreamExt};
 use journal::Journal;
 use serde_json::Value;
@@ -49,8 +48,7 @@
     pub log: Logger,
     /// The clock of all decisions.
     pub clock: Clock,
-    /// What the program was told.
-    pub config: Config,
+    config: RefCell<Rc<Config>>,
     /// Runs the actors.
     pub executor: Rc<LocalExecutor<'static>>,
     /// What binds every first byte.
@@ -61,8 +59,8 @@
     pub counters: Counters,
     /// The module's mailbox.
     pub decider: Sender<ToDecider>,
-    /// Idle connections to endpoints that may still be kept.
-    pub idle_room: Cell<usize>,
+    /// Idle connections to endpoints that are kept.
+    pub idle_peers: Cell<usize>,
     /// Calls under way.
     pub passes_out: Cell<usize>,
     /// Messages held and not ended.
@@ -77,6 +75,11 @@
 }
 
 impl Context {
+    /// What the program was told last.
+    pub fn config(&self) -> Rc<Config> {
+        self.config.borrow().clone()
+    }
+
     /// The program is ending.
     pub fn closing(&self) -> bool {
         self.closing.is_closed()
@@ -109,21 +112,30 @@
     }
 }
 
+/// Reads the configuration. At a reload the file's word on the platform's address goes before the variable's,
+/// which still tells what held at the start.
+pub type Load = dyn Fn(Reading) -> Result<(Config, Settings), String>;
+
+/// What the configuration is read for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// The start of the program.
+    Start,
+    /// A change while it runs.
+    Reload,
+}
+
 /// Runs the forwarder until it is told to end.
-pub fn run(config: Config, settings: Settings, names: Names, log: Logger) -> Result<(), String> {
+pub fn run(load: &Load, log: Logger) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
     let running = executor.clone();
-    async_io::block_on(running.run(start(config, settings, names, log, executor)))
+    async_io::block_on(running.run(start(load, log, executor)))
 }
 
-async fn start(
-    config: Config,
-    settings: Settings,
-    names: Names,
-    log: Logger,
-    executor: Rc<LocalExecutor<'static>>,
-) -> Result<(), String> {
-    let signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+async fn start(load: &Load, log: Logger, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let (config, settings) = load(Reading::Start)?;
     let clock = Clock::start();
     let state = config.state.display().to_string();
     let (journal, restored) =
@@ -142,13 +154,13 @@
     let context = Rc::new(Context {
         board: Board::new(clock, config.drain_grace),
         journal: RefCell::new(journal),
-        idle_room: Cell::new(config.idle_peers()),
+        idle_peers: Cell::new(0),
         log,
         clock,
         executor,
         decider,
         closing,
-        config,
+        config: RefCell::new(Rc::new(config)),
         counters: Counters::default(),
         passes_out: Cell::new(0),
         open: Cell::new(0),
@@ -156,29 +168,57 @@
         user_agents: Cell::new(0),
         holds_list: Cell::new(false),
     });
-    let names = Rc::new(names);
+    let config = context.config();
     let (notices, notices_mail) = async_channel::bounded(4096);
-    let (farm_box, farm_mail) = async_channel::bounded(4);
+    let (farm_box, farm_mail) = async_channel::bounded(16);
     context.executor.spawn(notices::run(context.clone(), notices_mail)).detach();
-    let mut decider =
-        Decider::new(context.clone(), names.clone(), courier, notices, farm_box, restored.last_id);
-    let mut farm = Farm::new(context.clone(), names.clone());
-    if let Some(known) = context.config.known.clone() {
-        farm.take_known(&known).await;
+    let mut decider = Decider::new(context.clone(), courier, notices, farm_box.clone(), restored.last_id);
+    let mut farm = Farm::new(context.clone(), farm_box.clone());
+    if let Some(known) = &config.known {
+        farm.take_known(known).await;
     }
     decider.restore(restored.kept).await;
     context.executor.spawn(decider.run(mail)).detach();
     context.executor.spawn(farm.run(farm_mail)).detach();
-    let front = context.executor.spawn(front::serve(context.clone(), names, listener));
-    info!(context.log, "serving"; "name" => &context.config.name, "listen" => %listen, "restored" => context.open.get());
-    end(&context, signals, close, front).await;
+    let front = context.executor.spawn(front::serve(context.clone(), listener));
+    info!(context.log, "serving"; "name" => &config.name, "listen" => %listen, "restored" => context.open.get());
+    drop(config);
+    attend_signals(&context, &mut signals, load, &farm_box).await;
+    end(&context, close, front).await;
     info!(context.log, "counters"; "report" => %context.report());
     Ok(())
 }
 
-/// Waits for the signal and ends in order.
-async fn end(context: &Context, mut signals: Signals, close: Sender<()>, front: async_executor::Task<()>) {
-    let _ = signals.next().await;
+/// Reads the configuration again on each SIGHUP, up to the signal that ends the program. A SIGHUP that comes
+/// later finds it ending and changes nothing.
+async fn attend_signals(context: &Context, signals: &mut Signals, load: &Load, farm: &Sender<ToFarm>) {
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        match reload(context, load) {
+            Ok(settings) => {
+                let discovery = context.config().discovery;
+                info!(context.log, "configuration reloaded"; "discovery" => %discovery);
+                let _ = context.decider.send(ToDecider::Settings(Box::new(settings))).await;
+                let _ = farm.send(ToFarm::Look).await;
+                context.counters.reloads.add();
+            }
+            Err(e) => warn!(context.log, "configuration not reloaded, the old one holds"; "error" => e),
+        }
+    }
+}
+
+fn reload(context: &Context, load: &Load) -> Result<Settings, String> {
+    let (config, settings) = load(Reading::Reload)?;
+    if let Some(why) = config.needs_restart(&context.config()) {
+        return Err(why.into());
+    }
+    context.journal.borrow_mut().limit(config.disk);
+    context.board.grace(config.drain_grace);
+    *context.config.borrow_mut() = Rc::new(config);
+    Ok(settings)
+}
+
+/// Ends in order.
+async fn end(context: &Context, close: Sender<()>, front: async_executor::Task<()>) {
     info!(context.log, "ending"; "open" => context.open.get());
     let since = std::time::Instant::now();
     close.close();
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use slog::{info, warn};
 use std::collections::VecDeque;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -87,10 +87,18 @@
     }
 }
 
-async fn post(context: &Context, connection: &mut Option<Wire>, body: &str) -> Result<u16, Broken> {
-    let address = context.config.discovery;
+async fn post(
+    context: &Context,
+    connection: &mut Option<(SocketAddr, Wire)>,
+    body: &str,
+) -> Result<u16, Broken> {
+    // Read anew each time: what is owed goes to where the platform listens now.
+    let address = context.config().discovery;
+    if connection.take_if(|c| c.0 != address).is_some() {
+        info!(context.log, "connection ended"; "side" => "notices", "reason" => "moved");
+    }
     let mut wire = match connection.take() {
-        Some(wire) => wire,
+        Some((_, wire)) => wire,
         None => Wire::new(Async::<TcpStream>::connect(address).await.map_err(Broken::Socket)?),
     };
     let head = format!("POST /reports HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
@@ -99,7 +107,7 @@
     let answer = wire.read_answer().await?;
     wire.answer_body(&answer, 64 * 1024).await?;
     if answer.keeps {
-        *connection = Some(wire);
+        *connection = Some((address, wire));
     }
     Ok(answer.status)
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -42,19 +42,19 @@
 
 impl Pool {
     fn keep(&mut self, wire: Wire) {
-        let room = &self.context.idle_room;
-        if room.get() == 0 {
+        let kept = &self.context.idle_peers;
+        if kept.get() >= self.context.config().idle_peers() {
             return self.closed("no-room");
         }
-        room.set(room.get() - 1);
-        let span = self.context.config.conn_idle;
+        kept.set(kept.get() + 1);
+        let span = self.context.config().conn_idle;
         let until = self.context.clock.now() + span.saturating_sub(IDLE_MARGIN.min(span / 4));
         let address = wire.peer();
         self.idle.push(Idle { wire, address, until });
     }
 
     fn remove(&mut self, at: usize) -> Wire {
-        self.context.idle_room.set(self.context.idle_room.get() + 1);
+        self.context.idle_peers.set(self.context.idle_peers.get() - 1);
         self.idle.remove(at).wire
     }
 
@@ -200,7 +200,7 @@
             };
             let stop = future::or(exchange.as_mut(), future::or(cut, called_off)).await;
             let cut = matches!(stop, Stop::Cut) && stage.get() == Stage::Written;
-            let lapsed = || pass.lapsed(clock.now(), context.config.granularity, waited_for);
+            let lapsed = || pass.lapsed(clock.now(), context.config().granularity, waited_for);
             let Some(lapsed) = cut.then(lapsed).flatten() else { break stop };
             lapsed.iter().for_each(|i| waited_for[*i] = false);
             let ended = Ended::alike(lapsed.len(), End::of(Outcome::TimedOut));
@@ -308,7 +308,7 @@
     let Some(known) = context.board.get(endpoint) else { return Err(Broken::Malformed("unknown endpoint")) };
     context.counters.opened.add();
     let late = async {
-        Timer::after(Duration::from_micros(context.config.dial_timeout)).await;
+        Timer::after(Duration::from_micros(context.config().dial_timeout)).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
     let stream =
--- a/src/words.rs
+++ b/src/words.rs
@@ -37,7 +37,7 @@
 }
 
 /// Names that the settings list, by which the wire refers to classes, tenants, zones and kinds.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Names {
     /// By [`crate::ClassId`].
     pub classes: Vec<String>,
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -514,3 +514,86 @@
     let out = program().output().expect("it runs");
     assert!(!out.status.success() && String::from_utf8_lossy(&out.stderr).contains("no configuration"));
 }
+
+/// Guards against the signal's default action, which ends the program; against a variable of the start that
+/// masks the new address; against a gap between two watches; and against asking one platform for what follows
+/// a version that another one numbered.
+#[test]
+fn a_reload_moves_the_farm_without_a_gap() {
+    play(
+        "with e1=1 e2=2:one:hidden e3=3:one:hidden
+         start
+         p expect-watch -
+         p hold
+         p move
+         reload
+         log configuration reloaded
+         p expect-watch -
+         p send e2=active
+         wait lists=2
+         p unhold
+         log reason: moved, side: farm
+         p let-go
+         p send e3=active
+         wait lists>=4
+         u1 send m2 dest=2
+         u1 expect 202
+         e2 expect m2
+         e2 send m2 200
+         u1 send m3 dest=3
+         u1 expect 202
+         e3 expect m3
+         e3 send m3 200
+         wait delivered=2
+         term
+         exit",
+    );
+}
+
+/// Guards against notices that go on to an address where nobody takes them any more.
+#[test]
+fn after_a_reload_owed_notices_go_to_the_new_address() {
+    play(
+        "with e1=1:one:hidden
+         start
+         p mute
+         u1 send m1 deadline=500m
+         u1 expect 202
+         log notices not taken
+         p move
+         p speak
+         reload
+         p expect m1 returned
+         wait notices_owed=0
+         u1 send m2 deadline=500m
+         u1 expect 202
+         p expect m2 returned",
+    );
+}
+
+/// Guards against a program that a slip of the pen ends or empties, and against limits that only a start reads.
+#[test]
+fn a_reload_takes_the_whole_file_or_nothing_of_it() {
+    play(
+        "with e1=1 open=1
+         start
+         u1 send m1 dest=9
+         u1 expect 202
+         u1 send m2 dest=9
+         u1 expect 503
+         reload {\"settings\":
+         log the old one holds, error
+         reload
+         log configuration reloaded
+         u1 send m3 dest=9
+         u1 expect 503
+         reload open=3
+         wait reloads=2
+         u1 send m4 dest=9
+         u1 expect 202
+         wait open=2 reloads=2
+         kill
+         start
+         wait restored=2",
+    );
+}
