Make room for those that ask, and refuse bad clients' requests whole

A sniffer beside the run shows hundreds of connections that say nothing and stay over 11 s, requests that wait unread behind them past the 400 ms of their user agents, and the ids of those requests in use by bad clients afterwards; the system dropped 18,885 connections at full queues. At fault: `serve` in front.rs waits at the cap while silent ones sit (60 s) and half requests lie (10 s); `words` is overwritten by a second request under an id, and `Withdrawn` goes by that word, so a stranger's leaving ends the message. Ruled out: load (CPU 0.11 s in the worst second) and the answers to what can't be read (all had one). A lobby now tells who goes first, newcomers have 2.4 s, ids stay in use up to their confirmed end, and messages are withdrawn by the module's own id. From the same capture: pipelined requests, two marks of a length, odd chunk sizes (httparse reads an empty one as 0) and doubled fields are refused and closed on; errors linger until read. A destination that no list has named gets the unavailable answer, where it was held up to its deadline.

--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -84,6 +84,11 @@
         self.endpoints.borrow().get(&endpoint).cloned()
     }
 
+    /// The list has named an endpoint of this destination lately.
+    pub fn names(&self, destination: DestinationId) -> bool {
+        self.endpoints.borrow().values().any(|k| k.destination == destination)
+    }
+
     fn waiter(&self, endpoint: EndpointId) -> Option<Waiter> {
         let known = self.get(endpoint)?;
         let whole = Waiter::Destination(known.destination);
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -15,7 +15,7 @@
 use futures_lite::future;
 use slog::{info, warn};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
 
 /// What the module's actor can be told.
@@ -29,8 +29,8 @@
     },
     /// The user agent of a message went before its answer was written.
     Withdrawn {
-        /// The user agent's name for it.
-        word: String,
+        /// The message that was taken on from it.
+        id: MessageId,
     },
     /// News of the list.
     List(ListNews),
@@ -50,8 +50,10 @@
 /// What becomes of a message that is handed in.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reply {
-    /// Taken on.
-    Taken,
+    /// Taken on, under this id.
+    Taken(MessageId),
+    /// Not taken on: another message of that name is not over yet.
+    Held,
     /// Unavailable; it may come again after a while.
     Unavailable(Micros),
     /// It failed at once.
@@ -77,7 +79,6 @@
     farm: Sender<ToFarm>,
     peers: BTreeMap<EndpointId, Sender<ToPeer>>,
     held: BTreeMap<MessageId, Held>,
-    words: HashMap<String, MessageId>,
     open: usize,
     next: u64,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
@@ -103,7 +104,6 @@
             farm,
             peers: BTreeMap::new(),
             held: BTreeMap::new(),
-            words: HashMap::new(),
             open: 0,
             next: last_id,
             timers: BinaryHeap::new(),
@@ -152,7 +152,7 @@
     fn hold(&mut self, transaction: Transaction, reply: Option<Sender<Reply>>) {
         let message = transaction.message(self.context.clock.now());
         let id = transaction.id;
-        self.words.insert(transaction.request.word.clone(), id);
+        self.context.keep_word(&transaction.request.word);
         self.held.insert(id, Held { transaction: Rc::new(transaction), out: None, reply });
         self.open += 1;
         self.context.open.set(self.open);
@@ -186,17 +186,18 @@
             while let Ok(news) = mail.try_recv() {
                 self.take(news).await;
             }
-            if !self.closed {
+            if self.closed {
+                self.events.clear();
+            } else {
                 self.step().await;
             }
-            self.events.clear();
         }
     }
 
     async fn take(&mut self, news: ToDecider) {
         match news {
             ToDecider::Take { request, reply } => self.take_on(request, reply),
-            ToDecider::Withdrawn { word } => self.withdraw(&word),
+            ToDecider::Withdrawn { id } => self.withdraw(id),
             ToDecider::List(news) => self.take_list(news),
             ToDecider::Settings(settings) => self.events.push(Event::Settings(settings)),
             ToDecider::Passed { pass, ended } => self.take_passed(pass, &ended),
@@ -208,21 +209,19 @@
     /// without their answer the user agent's connection would end on a request that was read.
     fn close(&mut self) {
         self.closed = true;
-        for held in self.held.values_mut() {
+        for (id, held) in &mut self.held {
             if let Some(reply) = held.reply.take() {
                 self.context.counters.taken.add();
-                let _ = reply.try_send(Reply::Taken);
+                let _ = reply.try_send(Reply::Taken(*id));
             }
         }
     }
 
     fn take_on(&mut self, request: Request, reply: Sender<Reply>) {
         let counters = &self.context.counters;
-        let held = self.words.get(&request.word).and_then(|id| self.held.get(id));
-        if let Some(held) = held {
-            // Handed in twice under one id: it is held already, or its last attempt is still out.
-            let over = held.transaction.is_over();
-            let _ = reply.try_send(if over { Reply::Unavailable(LATER) } else { Reply::Taken });
+        // Neither may the one replace the other, nor may one end be told for both.
+        if self.context.word_in_use(&request.word) {
+            let _ = reply.try_send(Reply::Held);
             return;
         }
         let name = |all: &[String], at: usize| all.get(at).cloned().unwrap_or_default();
@@ -247,8 +246,7 @@
         self.hold(Transaction::new(MessageId(self.next), request, 0), Some(reply));
     }
 
-    fn withdraw(&mut self, word: &str) {
-        let Some(id) = self.words.get(word).copied() else { return };
+    fn withdraw(&mut self, id: MessageId) {
         if self.finish(id) {
             self.context.journal_end(id);
             self.context.counters.withdrawn.add();
@@ -270,7 +268,7 @@
     fn forget(&mut self, id: MessageId) {
         if self.held.get(&id).is_some_and(|h| h.transaction.is_over() && h.out.is_none()) {
             if let Some(held) = self.held.remove(&id) {
-                self.words.remove(&held.transaction.request.word);
+                self.context.release_word(&held.transaction.request.word);
             }
         }
     }
@@ -344,15 +342,23 @@
         if self.events.is_empty() {
             return;
         }
+        // Nobody waits for these any more: they are withdrawn before anything is sent for them.
+        let gone = |e: &Event| match e {
+            Event::Message(m) => self.held.get(&m.id)?.reply.as_ref()?.is_closed().then_some(m.id),
+            _ => None,
+        };
+        let gone: Vec<MessageId> = self.events.iter().filter_map(gone).collect();
+        gone.into_iter().for_each(|id| self.withdraw(id));
+        let mut events = std::mem::take(&mut self.events);
         // A message's time runs from its last byte, not from this step.
-        for event in &mut self.events {
+        for event in &mut events {
             if let Event::Message(m) = event {
                 let held = self.held.get(&m.id);
                 m.time_left = held.map_or(0, |h| h.transaction.request.deadline.saturating_sub(now));
             }
         }
         let mut actions = Vec::new();
-        self.courier.step(now, &self.events, &mut actions);
+        self.courier.step(now, &events, &mut actions);
         let mut passes: Vec<(EndpointId, Vec<Part>)> = Vec::new();
         for action in actions {
             match action {
@@ -379,14 +385,14 @@
             }
         }
         self.pass_on(now, passes);
-        let taken = self.events.iter().filter_map(|e| match e {
-            Event::Message(m) => Some(m.id),
-            _ => None,
-        });
-        for id in taken {
-            if let Some(reply) = self.held.get_mut(&id).and_then(|h| h.reply.take()) {
-                self.context.counters.taken.add();
-                let _ = reply.try_send(Reply::Taken);
+        for event in &events {
+            let Event::Message(m) = event else { continue };
+            if let Some(reply) = self.held.get_mut(&m.id).and_then(|h| h.reply.take()) {
+                if reply.try_send(Reply::Taken(m.id)).is_ok() {
+                    self.context.counters.taken.add();
+                } else {
+                    self.withdraw(m.id);
+                }
             }
         }
     }
@@ -475,6 +481,7 @@
             Verdict::Returned(_) => self.context.counters.returned.add(),
         }
         self.context.notices_owed.set(self.context.notices_owed.get() + 1);
+        self.context.keep_word(&word);
         let _ = self.notices.send(Notice { id, word, verdict }).await;
     }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -6,66 +6,158 @@
 use super::transaction::Request;
 use super::{Context, ToDecider};
 use crate::words::{index, Names};
-use crate::{ClassId, DestinationId, Micros, TenantId};
+use crate::{ClassId, DestinationId, MessageId, Micros, TenantId};
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use slog::{info, warn};
+use socket2::{Domain, Socket, Type};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// A user agent may leave its connection unused for so long.
-const IDLE: Duration = Duration::from_secs(60);
-/// A request that has begun must have come whole by then.
-const SLOW: Duration = Duration::from_secs(10);
+/// A user agent may leave its connection unused for so long once it has been served.
+const IDLE: Duration = Duration::from_secs(10);
+/// A request must have come whole so long after its first byte; the first one after the connection was taken.
+const SLOW: Duration = Duration::from_millis(2400);
+/// What a refused user agent still sends is read away for so long: closing on it would reset the connection,
+/// and the answer could be lost with it.
+const LINGER: Duration = Duration::from_millis(1000);
+/// The advice to come again with a message for a destination that no version of the list has named.
+const UNKNOWN_FOR: Micros = 1_000_000;
+/// What a message is read from; a field that comes twice says two things.
+const FIELDS: [&str; 7] =
+    ["X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Addressing", "Idempotency-Key", "X-Retry"];
+/// So many connections wait at most to be taken; a crowd must not make the system drop those behind it.
+const QUEUE: i32 = 1024;
+
+/// Opens the listener.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(QUEUE)?;
+    Async::new(socket.into())
+}
 
 /// Takes connections until the listener is dropped.
 pub async fn serve(context: Rc<Context>, listener: Async<TcpListener>) {
+    let lobby = Rc::new(Lobby::default());
     loop {
-        // What does not fit waits in the listener's queue.
-        while context.user_agents.get() >= context.config().user_agents() {
-            Timer::after(Duration::from_millis(5)).await;
+        while context.user_agents.get().saturating_sub(lobby.going.get()) >= context.config().user_agents() {
+            // Where all are being served, what does not fit waits in the listener's queue.
+            if !lobby.make_room() {
+                Timer::after(Duration::from_millis(5)).await;
+            }
         }
         match listener.accept().await {
             Ok((stream, address)) => {
                 context.counters.accepted.add();
                 context.user_agents.set(context.user_agents.get() + 1);
-                let context = context.clone();
+                let (context, lobby) = (context.clone(), lobby.clone());
                 let executor = context.executor.clone();
-                executor.spawn(attend(context, stream, address)).detach();
+                executor.spawn(attend(context, lobby, stream, address)).detach();
             }
             Err(e) => {
                 warn!(context.log, "cannot accept"; "error" => %e);
                 Timer::after(Duration::from_millis(50)).await;
             }
         }
+        // A crowd that is always ready must not keep the others from their turn.
+        future::yield_now().await;
     }
 }
 
-async fn attend(context: Rc<Context>, stream: Async<TcpStream>, address: SocketAddr) {
+async fn attend(context: Rc<Context>, lobby: Rc<Lobby>, stream: Async<TcpStream>, address: SocketAddr) {
     let names = context.config().names.clone();
-    let mut agent = UserAgent { context: context.clone(), names, wire: Wire::new(stream) };
+    let mut agent = UserAgent { context: context.clone(), names, lobby, wire: Wire::new(stream) };
     let reason = agent.converse().await;
     context.user_agents.set(context.user_agents.get() - 1);
     info!(context.log, "connection ended"; "side" => "user-agent", "address" => %address, "reason" => reason);
 }
 
+/// Where a connection stands that may be let go when there is no room: the first ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stay {
+    /// It was refused and has its answer.
+    Refused,
+    /// It never sent a request.
+    Silent,
+    /// It was served and is between requests.
+    Idle,
+    /// Its request has begun and is not whole.
+    Reading,
+}
+
+/// All connections that may be let go, in the order in which they go.
+#[derive(Default)]
+struct Lobby {
+    guests: RefCell<BTreeMap<(Stay, u64), Sender<()>>>,
+    entered: Cell<u64>,
+    /// Those that were asked to go and have not yet said what becomes of it.
+    going: Cell<usize>,
+}
+
+impl Lobby {
+    fn enter(self: &Rc<Self>, stay: Stay) -> Guest {
+        let (ask, asked) = async_channel::bounded(1);
+        self.entered.set(self.entered.get() + 1);
+        let place = (stay, self.entered.get());
+        self.guests.borrow_mut().insert(place, ask);
+        Guest { lobby: self.clone(), place, asked }
+    }
+
+    /// Asks the first one to go; false if all are being served.
+    fn make_room(&self) -> bool {
+        let asked = self.guests.borrow_mut().pop_first().is_some();
+        self.going.set(self.going.get() + usize::from(asked));
+        asked
+    }
+}
+
+/// A place in the lobby.
+struct Guest {
+    lobby: Rc<Lobby>,
+    place: (Stay, u64),
+    asked: Receiver<()>,
+}
+
+impl Guest {
+    /// Comes back once this one is asked to go.
+    async fn asked_to_go(&self) {
+        let _ = self.asked.recv().await;
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        if self.lobby.guests.borrow_mut().remove(&self.place).is_none() {
+            self.lobby.going.set(self.lobby.going.get() - 1);
+        }
+    }
+}
+
 /// An answer to be written.
 struct Answer {
     status: u16,
     extra: String,
     body: String,
+    /// The message that it says is taken on.
+    taken: Option<MessageId>,
 }
 
 impl Answer {
     fn plain(status: u16, body: impl Into<String>) -> Self {
-        Answer { status, extra: String::new(), body: body.into() }
+        Answer { status, extra: String::new(), body: body.into(), taken: None }
     }
 
     /// The unavailable answer.
     fn unavailable(after: Micros) -> Self {
         let extra = format!("Retry-After: {:.3}\r\n", after as f64 / 1e6);
-        Answer { status: 503, extra, body: String::new() }
+        Answer { extra, ..Answer::plain(503, "") }
     }
 
     fn bytes(&self, keeps: bool) -> String {
@@ -76,6 +168,7 @@
             404 => "Not Found",
             405 => "Method Not Allowed",
             408 => "Request Timeout",
+            409 => "Conflict",
             413 => "Content Too Large",
             500 => "Internal Server Error",
             _ => "Service Unavailable",
@@ -89,61 +182,66 @@
 struct UserAgent {
     context: Rc<Context>,
     names: Rc<Names>,
+    lobby: Rc<Lobby>,
     wire: Wire,
 }
 
 impl UserAgent {
     /// Serves request after request; the code of the reason why it ended.
     async fn converse(&mut self) -> &'static str {
+        // Silence and slowness of a newcomer count together: it is owed an end soon.
+        let newcomer = Instant::now() + SLOW;
+        let (mut stay, mut until) = (Stay::Silent, newcomer);
         loop {
-            if let Err(reason) = self.await_request().await {
+            if let Err(reason) = self.await_request(stay, until).await {
                 return reason;
             }
-            let late = async {
-                Timer::after(SLOW).await;
-                None
-            };
-            let read = future::or(async { Some(read(&mut self.wire).await) }, late).await;
-            let (head, body) = match read {
+            let due = if stay == Stay::Silent { newcomer } else { Instant::now() + SLOW };
+            let (head, body) = match self.read_in_time(due).await {
                 Some(Ok(request)) => request,
                 Some(Err(broken)) => return self.refuse_broken(broken).await,
-                None => {
-                    self.say(&Answer::plain(408, "the request took too long\n"), false).await;
-                    return "slow-request";
-                }
+                None => return self.refuse(408, "the request took too long", "slow-request").await,
             };
             let came = self.context.clock.now();
-            let answer = match self.serve(&head, body, came).await {
+            // What follows a request before its answer may be the rest of a body whose length is wrong, or a
+            // request hidden in it: none of it may be passed on.
+            let follows = future::poll_once(self.wire.fill()).await;
+            if !self.wire.buffer.bytes().is_empty() {
+                return self.refuse_followed().await;
+            }
+            let answer = match self.serve(&head, body, came, follows.is_some()).await {
                 Ok(answer) => answer,
                 Err(reason) => return reason,
             };
-            let crowded = self.context.user_agents.get() * 4 > self.context.config().user_agents() * 3;
-            let keeps = head.keeps && !crowded && !self.context.closing();
+            let keeps = head.keeps && !self.context.closing();
             if !self.say(&answer, keeps).await {
-                if answer.status == 202 {
-                    self.withdraw(&head).await;
+                if let Some(id) = answer.taken {
+                    self.withdraw(id).await;
                 }
                 return "agent-gone";
             }
             if !keeps {
                 return if self.context.closing() { "closing" } else { "answered" };
             }
+            (stay, until) = (Stay::Idle, Instant::now() + IDLE);
         }
     }
 
-    /// Comes back once a request has begun. A connection between requests is closed when the program ends,
-    /// but what has come by then is read first.
-    async fn await_request(&mut self) -> Result<(), &'static str> {
-        if !self.wire.buffer.bytes().is_empty() {
-            return Ok(());
-        }
+    /// Comes back once a request has begun. A connection between requests is closed when the program ends or
+    /// has no room for another, but what has come by then is read first.
+    async fn await_request(&mut self, stay: Stay, until: Instant) -> Result<(), &'static str> {
+        let guest = self.lobby.enter(stay);
         let closing = async {
             self.context.until_closing().await;
             Err("closing")
         };
-        let idle = async {
-            Timer::after(IDLE).await;
-            Err("idle")
+        let late = async {
+            Timer::at(until).await;
+            Err(if stay == Stay::Silent { "silent" } else { "idle" })
+        };
+        let asked = async {
+            guest.asked_to_go().await;
+            Err("crowded")
         };
         let filled = async {
             match self.wire.fill().await {
@@ -152,46 +250,81 @@
                 Err(_) => Err("agent-reset"),
             }
         };
-        future::or(filled, future::or(closing, idle)).await
+        future::or(filled, future::or(closing, future::or(late, asked))).await
+    }
+
+    /// The request that has begun; none if it does not come whole in time, or while there is room.
+    async fn read_in_time(&mut self, due: Instant) -> Option<Result<(Asked, Vec<u8>), Broken>> {
+        let guest = self.lobby.enter(Stay::Reading);
+        let late = async {
+            Timer::at(due).await;
+            None
+        };
+        let asked = async {
+            guest.asked_to_go().await;
+            None
+        };
+        future::or(async { Some(read(&mut self.wire).await) }, future::or(late, asked)).await
     }
 
     async fn say(&mut self, answer: &Answer, keeps: bool) -> bool {
         let late = async {
             Timer::after(SLOW).await;
-            Err(std::io::ErrorKind::TimedOut.into())
+            Err(io::ErrorKind::TimedOut.into())
         };
         future::or(self.wire.write(answer.bytes(keeps).as_bytes()), late).await.is_ok()
     }
 
     async fn refuse_broken(&mut self, broken: Broken) -> &'static str {
-        let status = match broken {
-            Broken::Malformed(_) => 400,
-            Broken::TooLarge => 413,
-            Broken::Ended | Broken::Torn | Broken::Socket(_) => return "torn-request",
+        let (status, code) = match broken {
+            Broken::Malformed(_) => (400, broken.code()),
+            Broken::TooLarge => (413, broken.code()),
+            Broken::Ended | Broken::Torn => (400, "torn-request"),
+            Broken::Socket(_) => return "torn-request",
         };
+        self.refuse(status, &broken.to_string(), code).await
+    }
+
+    async fn refuse_followed(&mut self) -> &'static str {
+        self.refuse(400, "more than a request came before its answer", "followed").await
+    }
+
+    /// Ends the connection with an error.
+    async fn refuse(&mut self, status: u16, why: &str, code: &'static str) -> &'static str {
         self.context.counters.bad_requests.add();
-        self.say(&Answer::plain(status, format!("{broken}\n")), false).await;
-        // Closing while something unread lies there would reset the connection and take the answer with it.
-        let rest = async {
-            while self.wire.fill().await.is_ok_and(|n| n > 0) {
-                let read = self.wire.buffer.bytes().len();
-                self.wire.buffer.consume(read);
-            }
-        };
+        let guest = self.lobby.enter(Stay::Refused);
+        if !self.say(&Answer::plain(status, format!("{why}\n")), false).await {
+            return code;
+        }
+        self.wire.end_sending();
         let enough = async {
-            Timer::after(Duration::from_millis(300)).await;
+            Timer::after(LINGER).await;
         };
-        future::or(rest, enough).await;
-        broken.code()
+        let asked = guest.asked_to_go();
+        future::or(future::or(enough, asked), self.wire.drain()).await;
+        code
     }
 
-    async fn serve(&mut self, head: &Asked, body: Vec<u8>, came: Micros) -> Result<Answer, &'static str> {
+    /// Answers a request; `gone` if the user agent has ended its sending with it.
+    async fn serve(
+        &mut self,
+        head: &Asked,
+        body: Vec<u8>,
+        came: Micros,
+        gone: bool,
+    ) -> Result<Answer, &'static str> {
         let path = head.target.split('?').next().unwrap_or_default();
         match (head.method.as_str(), path) {
             ("GET", "/_health") if self.context.ready() => Ok(Answer::plain(200, "ready\n")),
             ("GET", "/_health") => Ok(Answer::plain(503, "not ready\n")),
             ("GET", "/_counters") => Ok(Answer::plain(200, format!("{}\n", self.context.report()))),
             ("POST", "/api") => match self.read_message(head, body, came) {
+                Ok(_) if gone => Err("agent-gone"),
+                Ok(request) if !self.context.board.names(request.destination) => {
+                    self.context.counters.unavailable.add();
+                    info!(self.context.log, "unknown destination"; "destination" => request.destination.0);
+                    Ok(Answer::unavailable(UNKNOWN_FOR))
+                }
                 Ok(request) => self.hand_in(request).await,
                 Err(why) => {
                     self.context.counters.bad_requests.add();
@@ -207,6 +340,9 @@
     fn read_message(&self, head: &Asked, body: Vec<u8>, came: Micros) -> Result<Request, String> {
         let told = |name: &str| head.fields.get(name).filter(|v| !v.is_empty());
         let must = |name: &str| told(name).ok_or(format!("no {name}"));
+        if let Some(name) = FIELDS.iter().find(|f| head.fields.count(f) > 1) {
+            return Err(format!("{name} comes twice"));
+        }
         let word = must("X-Request-Id")?;
         let fits = |w: &str| w.len() <= 256 && w.bytes().all(|b| b.is_ascii_graphic());
         if !fits(word) || told("Idempotency-Key").is_some_and(|k| !fits(k)) {
@@ -244,41 +380,52 @@
     /// Hands a message to the module's actor. A user agent that goes meanwhile takes its message with it.
     async fn hand_in(&mut self, request: Request) -> Result<Answer, &'static str> {
         let (reply, answer) = async_channel::bounded(1);
-        let word = request.word.clone();
         if self.context.decider.send(ToDecider::Take { request, reply }).await.is_err() {
             return Ok(Answer::unavailable(1_000_000));
         }
         let said = async { answer.recv().await.ok() };
+        let followed = Cell::new(false);
         let wire = &mut self.wire;
         let gone = async {
-            // The next request may already come in; then there is no more need to look.
-            if wire.buffer.bytes().is_empty() && !matches!(wire.fill().await, Ok(n) if n > 0) {
-                return None;
+            if matches!(wire.fill().await, Ok(n) if n > 0) {
+                followed.set(true);
+                future::pending::<()>().await;
             }
-            future::pending().await
+            None
         };
         // Looked at first, so that one who went as the answer came is not counted as told.
-        match future::or(gone, said).await {
-            Some(Reply::Taken) => Ok(Answer::plain(202, "")),
+        let said = future::or(gone, said).await;
+        // No word can come any more that nobody reads: it is here, or the module's actor finds nobody to tell.
+        answer.close();
+        let late = answer.try_recv().ok();
+        let taken = match said.or(late) {
+            Some(Reply::Taken(id)) => Some(id),
+            _ => None,
+        };
+        if let Some(id) = taken.filter(|_| said.is_none() || followed.get()) {
+            self.withdraw(id).await;
+        }
+        match said {
+            None => Err("agent-gone"),
+            Some(_) if followed.get() => Err(self.refuse_followed().await),
+            Some(Reply::Taken(_)) => Ok(Answer { taken, ..Answer::plain(202, "") }),
             Some(Reply::Unavailable(after)) => Ok(Answer::unavailable(after)),
             Some(Reply::Failed) => Ok(Answer::plain(500, "failed\n")),
-            None => {
-                let _ = self.context.decider.send(ToDecider::Withdrawn { word }).await;
-                Err("agent-gone")
+            Some(Reply::Held) => {
+                self.context.counters.bad_requests.add();
+                Ok(Answer::plain(409, "a message of that id is not over yet\n"))
             }
         }
     }
 
-    async fn withdraw(&self, head: &Asked) {
-        if let Some(word) = head.fields.get("X-Request-Id").map(str::to_owned) {
-            let _ = self.context.decider.send(ToDecider::Withdrawn { word }).await;
-        }
+    async fn withdraw(&self, id: MessageId) {
+        let _ = self.context.decider.send(ToDecider::Withdrawn { id }).await;
     }
 }
 
 async fn read(wire: &mut Wire) -> Result<(Asked, Vec<u8>), Broken> {
     let head = wire.read_request().await?;
-    if head.fields.expects_continue() {
+    if head.fields.expects_continue() && !head.longer_than(BODY_LIMIT) {
         wire.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(Broken::Socket)?;
     }
     let body = wire.request_body(&head, BODY_LIMIT).await?;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,16 +1,17 @@
 //! HTTP/1.1 on one connection: heads by httparse, bodies by length or in chunks, within size limits.
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::fmt;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 
 /// The largest head that is read.
 pub const HEAD_LIMIT: usize = 16 * 1024;
 const HEADER_COUNT: usize = 64;
 const FIRST_ROOM: usize = 2 * 1024;
 const KEPT_ROOM: usize = 16 * 1024;
+const SCRATCH: usize = 64 * 1024;
 
 /// Why nothing more can be read from a connection.
 #[derive(Debug)]
@@ -105,6 +106,11 @@
         self.0.iter().find(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str())
     }
 
+    /// How often a field comes.
+    pub fn count(&self, name: &str) -> usize {
+        self.0.iter().filter(|f| f.0.eq_ignore_ascii_case(name)).count()
+    }
+
     fn has_word(&self, name: &str, word: &str) -> bool {
         let named = self.0.iter().filter(|f| f.0.eq_ignore_ascii_case(name));
         named.flat_map(|f| f.1.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
@@ -120,20 +126,22 @@
         self.has_word("expect", "100-continue")
     }
 
-    /// How the body is marked off. Two marks that differ are an old trick to smuggle in a request.
-    fn framing(&self) -> Result<Option<Framing>, Broken> {
-        let mut lengths = self.0.iter().filter(|f| f.0.eq_ignore_ascii_case("content-length"));
-        let coded = self.get("transfer-encoding").is_some();
-        match (lengths.next(), lengths.next(), coded) {
-            (_, Some(_), _) | (Some(_), _, true) => Err(Broken::Malformed("two marks of the body's length")),
-            (Some((_, l)), None, false) => {
-                let plain = !l.is_empty() && l.bytes().all(|b| b.is_ascii_digit());
-                let length = l.parse().ok().filter(|_| plain);
+    /// How the body is marked off. Two marks, or one that is read in two ways, are an old trick to smuggle in
+    /// a request.
+    fn framing(&self, version: Option<u8>) -> Result<Option<Framing>, Broken> {
+        match (self.count("content-length"), self.count("transfer-encoding")) {
+            (0, 0) => Ok(None),
+            (1, 0) => {
+                let length = self.get("content-length").filter(|l| l.bytes().all(|b| b.is_ascii_digit()));
+                let length = length.and_then(|l| l.parse().ok());
                 Ok(Some(Framing::Length(length.ok_or(Broken::Malformed("the body's length is no number"))?)))
             }
-            (None, _, true) if self.has_word("transfer-encoding", "chunked") => Ok(Some(Framing::Chunked)),
-            (None, _, true) => Err(Broken::Malformed("unknown transfer coding")),
-            (None, _, false) => Ok(None),
+            (0, 1) if version == Some(1) => {
+                let chunked =
+                    self.get("transfer-encoding").is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
+                chunked.then_some(Some(Framing::Chunked)).ok_or(Broken::Malformed("unknown transfer coding"))
+            }
+            _ => Err(Broken::Malformed("two marks of the body's length")),
         }
     }
 }
@@ -159,6 +167,13 @@
     framing: Framing,
 }
 
+impl Asked {
+    /// The body is said to be longer than that.
+    pub fn longer_than(&self, limit: usize) -> bool {
+        matches!(self.framing, Framing::Length(length) if length > limit)
+    }
+}
+
 /// The head of an answer, its body still to be read.
 #[derive(Debug)]
 pub struct Answered {
@@ -207,6 +222,20 @@
         }
     }
 
+    /// Tells the other side that nothing more will be written.
+    pub fn end_sending(&self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+    }
+
+    /// Reads away whatever comes, up to the end.
+    pub async fn drain(&mut self) {
+        let mut scratch = vec![0; SCRATCH];
+        while self.stream.read(&mut scratch).await.is_ok_and(|n| n > 0) {
+            // One that keeps sending is always ready and must not keep the others from their turn.
+            future::yield_now().await;
+        }
+    }
+
     /// Writes all of it.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
@@ -220,7 +249,7 @@
             match head.parse(self.buffer.bytes()) {
                 Ok(httparse::Status::Complete(used)) => {
                     let fields = Fields::read(head.headers);
-                    let framing = fields.framing()?.unwrap_or(Framing::Length(0));
+                    let framing = fields.framing(head.version)?.unwrap_or(Framing::Length(0));
                     let keeps = head.version == Some(1) && !fields.closes();
                     let word = |w: Option<&str>| w.unwrap_or_default().to_owned();
                     let (method, target) = (word(head.method), word(head.path));
@@ -239,6 +268,7 @@
 
     /// Reads the head of an answer; interim ones are passed over.
     pub async fn read_answer(&mut self) -> Result<Answered, Broken> {
+        let mut passed = 0;
         loop {
             let mut headers = [httparse::EMPTY_HEADER; HEADER_COUNT];
             let mut head = httparse::Response::new(&mut headers);
@@ -247,13 +277,18 @@
                     let status = head.code.unwrap_or_default();
                     let fields = Fields::read(head.headers);
                     let bare = matches!(status, 100..=199 | 204 | 304);
-                    let marked = if bare { Some(Framing::Length(0)) } else { fields.framing()? };
+                    let marked =
+                        if bare { Some(Framing::Length(0)) } else { fields.framing(head.version)? };
                     let keeps = head.version == Some(1) && !fields.closes() && marked.is_some();
                     self.buffer.consume(used);
                     if !(100..200).contains(&status) {
                         let framing = marked.unwrap_or(Framing::UntilEnd);
                         return Ok(Answered { status, fields, keeps, framing });
                     }
+                    passed += used;
+                    if passed >= HEAD_LIMIT {
+                        return Err(Broken::TooLarge);
+                    }
                 }
                 Ok(httparse::Status::Partial) if self.buffer.bytes().len() >= HEAD_LIMIT => {
                     return Err(Broken::TooLarge)
@@ -323,6 +358,11 @@
                 Ok(httparse::Status::Partial) => return Err(Broken::TooLarge),
                 Err(_) => return Err(Broken::Malformed("a chunk's size is malformed")),
             };
+            // The parser reads a line without a digit as 0, and passes over anything behind a semicolon.
+            let line = &self.buffer.bytes()[..used - 2];
+            if !line.first().is_some_and(u8::is_ascii_hexdigit) || line.iter().any(|b| b.is_ascii_control()) {
+                return Err(Broken::Malformed("a chunk's size is malformed"));
+            }
             if size > limit as u64 {
                 return Err(Broken::TooLarge);
             }
@@ -346,13 +386,18 @@
 
     /// Passes over what follows the last chunk, up to an empty line.
     async fn trailer(&mut self) -> Result<(), Broken> {
+        let mut passed = 0;
         loop {
             match self.buffer.bytes().windows(2).position(|w| w == b"\r\n") {
                 Some(0) => {
                     self.buffer.consume(2);
                     return Ok(());
                 }
-                Some(at) => self.buffer.consume(at + 2),
+                Some(at) if passed + at < HEAD_LIMIT => {
+                    passed += at + 2;
+                    self.buffer.consume(at + 2);
+                }
+                Some(_) => return Err(Broken::TooLarge),
                 None if self.buffer.bytes().len() >= HEAD_LIMIT => return Err(Broken::TooLarge),
                 None => self.more_of_it().await?,
             }
@@ -410,8 +455,31 @@
         assert_eq!(code(b"GET /\x01 HTTP/9\r\n\r\n"), Err("malformed"));
         assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\nhello"), Err("malformed"));
         assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n"), Err("too-large"));
-        let both = b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
-        assert_eq!(code(both), Err("malformed"));
+        // Guards against a body that two readers mark off in two ways: what one takes for its rest, the other
+        // takes for a request.
+        for marks in [
+            "Content-Length: 1\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 1",
+            "Content-Length: 1\r\nContent-Length: 1",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: xchunked",
+            "Content-Length: 1, 1",
+            "Content-Length: -1",
+            "Content-Length:",
+        ] {
+            let request = format!("POST / HTTP/1.1\r\n{marks}\r\n\r\n0\r\n\r\n");
+            assert_eq!(code(request.as_bytes()), Err("malformed"), "{marks}");
+        }
+        assert_eq!(code(b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), Err("malformed"));
+        for size in ["", ";x", " 3", "+3", "0x3", "3;a\nb", "g", "11111111111111111"] {
+            let request =
+                format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\nabc\r\n0\r\n\r\n");
+            assert_eq!(code(request.as_bytes()), Err("malformed"), "a chunk of `{size}`");
+        }
+        let trailers = "T: 1\r\n".repeat(4000);
+        let endless = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n{trailers}\r\n");
+        assert_eq!(code(endless.as_bytes()), Err("too-large"));
         assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel"), Err("torn"));
         assert_eq!(
             code(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n"),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,7 +17,7 @@
 use crate::{Courier, MessageId, Settings};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use board::Board;
 use clock::Clock;
@@ -30,7 +30,7 @@
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
-use std::net::TcpListener;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -71,6 +71,8 @@
     pub user_agents: Cell<usize>,
     /// The module has a list to go by.
     pub holds_list: Cell<bool>,
+    /// The names that user agents gave to messages, each for as long as the message is held or its notice owed.
+    words: RefCell<HashMap<String, usize>>,
     closing: Receiver<()>,
 }
 
@@ -104,6 +106,26 @@
         report
     }
 
+    /// A message of that name is not over yet.
+    pub fn word_in_use(&self, word: &str) -> bool {
+        self.words.borrow().contains_key(word)
+    }
+
+    /// Keeps a name in use.
+    pub fn keep_word(&self, word: &str) {
+        *self.words.borrow_mut().entry(word.to_owned()).or_default() += 1;
+    }
+
+    /// Lets go of a name, once for each time that it was kept.
+    pub fn release_word(&self, word: &str) {
+        let mut words = self.words.borrow_mut();
+        let left = words.get(word).map_or(0, |count| count - 1);
+        match left {
+            0 => drop(words.remove(word)),
+            _ => drop(words.insert(word.to_owned(), left)),
+        }
+    }
+
     /// Notes the end of a message in the journal.
     pub fn journal_end(&self, id: MessageId) {
         if let Err(e) = self.journal.borrow_mut().end(id.0) {
@@ -145,8 +167,7 @@
     }
     let courier = Courier::new(settings, config.seed).map_err(|e| e.to_string())?;
     let listen = config.listen;
-    let listener =
-        Async::<TcpListener>::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let listener = front::listen(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     // The port may have been left to the system.
     let listen = listener.get_ref().local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let (decider, mail) = async_channel::bounded(1024);
@@ -160,6 +181,7 @@
         executor,
         decider,
         closing,
+        words: RefCell::default(),
         config: RefCell::new(Rc::new(config)),
         counters: Counters::default(),
         passes_out: Cell::new(0),
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -64,6 +64,7 @@
             Ok(204) => {
                 for notice in pending.drain(..count) {
                     context.journal_end(notice.id);
+                    context.release_word(&notice.word);
                     context.counters.notices.add();
                     context.notices_owed.set(context.notices_owed.get().saturating_sub(1));
                 }
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -46,7 +46,7 @@
 #[test]
 fn after_a_kill_all_that_was_taken_on_comes_back() {
     play(
-        "with e1=1 e2=9:one:hidden
+        "with e1=1 e2=9:one:leaving e3=8:one:leaving
          start
          u1 send m1
          u1 expect 202
@@ -99,7 +99,7 @@
 #[test]
 fn a_notice_that_was_not_confirmed_is_told_again_after_a_kill() {
     play(
-        "with e1=1:one:hidden
+        "with e1=1:one:leaving
          start
          p mute
          u1 send m1 deadline=1000m
@@ -118,7 +118,7 @@
 #[test]
 fn after_a_term_calls_finish_and_the_rest_stays_in_the_journal() {
     play(
-        "with e1=1 e2=9:one:hidden
+        "with e1=1 e2=9:one:leaving
          start
          u1 send m1
          u1 expect 202
@@ -155,7 +155,7 @@
 #[test]
 fn after_a_term_the_end_comes_although_a_call_stays_out_and_a_deadline_passes() {
     play(
-        "with e1=1
+        "with e1=1 e2=9:one:leaving
          start
          u1 send m1
          u1 expect 202
@@ -171,7 +171,7 @@
 #[test]
 fn a_damaged_journal_loses_its_tail_and_nothing_else() {
     play(
-        "with e1=9:one:hidden
+        "with e1=9:one:leaving
          start
          u1 send m1 dest=9
          u1 expect 202
@@ -199,7 +199,7 @@
 #[test]
 fn a_full_journal_gives_the_unavailable_answer_and_room_comes_back() {
     play(
-        "with b1=9:many:hidden disk=0.05
+        "with b1=9:many:leaving disk=0.05
          start
          u1 send m1 dest=9 size=10000
          u1 expect 202
@@ -227,7 +227,7 @@
 #[test]
 fn more_than_may_be_held_gets_the_unavailable_answer() {
     play(
-        "with e1=1 open=2
+        "with e1=1 e2=9:one:leaving open=2
          start
          u1 send m1 dest=9
          u1 expect 202
@@ -281,7 +281,7 @@
 #[test]
 fn each_message_of_a_shared_call_gets_its_own_end() {
     play(
-        "with b1=2:many:hidden
+        "with b1=2:many:leaving
          start
          u1 send m1 dest=2
          u1 expect 202
@@ -303,7 +303,7 @@
 #[test]
 fn a_message_at_its_deadline_leaves_a_shared_call_alone() {
     play(
-        "with b1=2:many:hidden
+        "with b1=2:many:leaving
          start
          u1 send m1 dest=2 deadline=1500m
          u1 expect 202
@@ -321,7 +321,7 @@
 #[test]
 fn a_wait_in_an_answer_that_refuses_nothing_is_heeded() {
     play(
-        "with b1=2:many:hidden
+        "with b1=2:many:leaving
          start
          u1 send m1 dest=2
          u1 expect 202
@@ -351,8 +351,8 @@
          u1 send m1
          u1 close
          continue
-         wait withdrawn=1 open=0
          log agent-gone
+         wait taken=0 open=0
          u2 send m2
          u2 expect 202
          e1 expect m2
@@ -364,6 +364,25 @@
     );
 }
 
+/// The same where it goes while the module's next step is still to come.
+#[test]
+fn a_user_agent_that_goes_between_two_steps_takes_its_message_with_it() {
+    play(
+        "with e1=1 tick=1500
+         start
+         u1 send m1
+         wait open=1
+         u1 close
+         wait withdrawn=1 open=0
+         log agent-gone
+         u2 send m2
+         u2 expect 202
+         e1 expect m2
+         e1 send m2 200
+         wait taken=1 attempts=1 delivered=1 open=0",
+    );
+}
+
 #[test]
 fn what_comes_back_unsent_or_broken_is_told_apart() {
     play(
@@ -554,7 +573,7 @@
 #[test]
 fn after_a_reload_owed_notices_go_to_the_new_address() {
     play(
-        "with e1=1:one:hidden
+        "with e1=1:one:leaving
          start
          p mute
          u1 send m1 deadline=500m
@@ -575,7 +594,7 @@
 #[test]
 fn a_reload_takes_the_whole_file_or_nothing_of_it() {
     play(
-        "with e1=1 open=1
+        "with e1=1 e2=9:one:leaving open=1
          start
          u1 send m1 dest=9
          u1 expect 202
@@ -597,3 +616,111 @@
          wait restored=2",
     );
 }
+
+/// Guards against a crowd of silent connections that keeps the usual user agents out, and against one of
+/// those being let go in its stead.
+#[test]
+fn silent_connections_make_room_for_those_that_ask() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         crowd 300
+         log reason: crowded
+         u2 send m2
+         u2 expect 202
+         u1 send m3
+         u1 expect 202
+         e1 expect m1
+         e1 expect m2
+         e1 expect m3
+         wait taken=3",
+    );
+}
+
+/// Guards against silent connections that stay for a minute and requests that never become whole.
+#[test]
+fn silence_and_half_a_request_come_to_an_end() {
+    play(
+        "with e1=1
+         start
+         u1 connect
+         u2 send-raw POST /api HTTP/1.1\\r\\nX-Request-Id: m1\\r\\n
+         u1 expect end
+         log reason: silent
+         u2 expect 408 close
+         u2 expect end
+         log reason: slow-request",
+    );
+}
+
+/// Guards against one user agent that ends, withdraws or doubles the message of another by using its id.
+#[test]
+fn an_id_in_use_is_refused_and_its_message_goes_on() {
+    play(
+        "with e1=9:one:leaving e2=1:one:leaving
+         start
+         u1 send m1 dest=9
+         u1 expect 202
+         u2 send m1 dest=9
+         u2 expect 409
+         stop
+         u2 send m1 dest=9
+         u2 close
+         continue
+         log reason: agent-gone
+         wait open=1 withdrawn=0 taken=1
+         p send e1=active
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1 attempts=1 open=0
+         p mute
+         u1 send m2 deadline=300m
+         u1 expect 202
+         wait notices_owed=1
+         u2 send m2
+         u2 expect 409
+         p speak
+         p expect m2 returned
+         wait notices_owed=0 open=0
+         u2 send m2
+         u2 expect 202",
+    );
+}
+
+/// Guards against passing on what is hidden behind a length that is wrong.
+#[test]
+fn what_follows_a_request_before_its_answer_is_refused_with_it() {
+    play(
+        "with e1=1
+         start
+         u1 send-raw POST /api HTTP/1.1\\r\\nX-Request-Id: m1\\r\\nX-Class: free\\r\\nX-Tenant: acme\\r\\nX-Deadline: 9000m\\r\\nX-Addressing: dest=1\\r\\nContent-Length: 3\\r\\n\\r\\nabcPOST /api HTTP/1.1\\r\\nX-Request-Id: m2\\r\\nX-Class: free\\r\\nX-Tenant: acme\\r\\nX-Deadline: 9000m\\r\\nX-Addressing: dest=1\\r\\nContent-Length: 0\\r\\n\\r\\n
+         u1 expect 400 close
+         u1 expect end
+         log reason: followed
+         u2 send-raw POST /api HTTP/1.1\\r\\nX-Request-Id: m3\\r\\nX-Request-Id: m4\\r\\nX-Class: free\\r\\nX-Tenant: acme\\r\\nX-Deadline: 9000m\\r\\nX-Addressing: dest=1\\r\\nContent-Length: 0\\r\\n\\r\\n
+         u2 expect 400
+         u3 send m5 size=3000000
+         u3 expect 413
+         u3 expect end
+         wait taken=0 attempts=0",
+    );
+}
+
+/// Guards against holding, up to its deadline, what nobody is there to take.
+#[test]
+fn a_destination_that_the_list_never_named_gets_the_unavailable_answer() {
+    play(
+        "with e1=1 e2=2:one:hidden
+         start
+         u1 send m1 dest=2
+         u1 expect 503 Retry-After
+         wait taken=0 open=0
+         p send e2=active
+         wait lists>=2
+         u1 send m1 dest=2
+         u1 expect 202
+         e2 expect m1",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! | line | what it does |
 //! | --- | --- |
-//! | `with endpoints e1=1 e2=2:many:hidden … open=8 disk=1 grace=250` | parties and limits, before `start` |
+//! | `with endpoints e1=1 e2=2:many:hidden e3=3:one:leaving … open=8 disk=1 grace=250 tick=5` | parties and limits, before `start` |
 //! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the program, signals it, waits for its end |
 //! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a user agent hands in a message |
-//! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 close` | the rest of a user agent's life |
+//! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 close` | the rest of a user agent's life |
+//! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
 //! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
 //! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled or closed endpoint accept |
@@ -221,12 +222,14 @@
     senders: (Sender<Value>, Sender<String>),
     endpoints: BTreeMap<String, Endpoint>,
     agents: BTreeMap<String, BufReader<TcpStream>>,
+    crowd: Vec<TcpStream>,
     program: Option<Child>,
     listen: Option<SocketAddr>,
     log: Arc<Mutex<Vec<String>>>,
     open: u64,
     disk: f64,
     grace: f64,
+    tick: f64,
 }
 
 /// Plays a scenario; the first line that does not hold fails the test.
@@ -271,8 +274,8 @@
                 thread::sleep(Duration::from_millis(500));
             }
         });
-        let (endpoints, agents, log) = Default::default();
-        let (open, disk, grace, program, listen) = (8, 1.0, 250.0, None, None);
+        let (endpoints, agents, crowd, log) = Default::default();
+        let (open, disk, grace, tick, program, listen) = (8, 1.0, 250.0, 5.0, None, None);
         World {
             folder,
             platform,
@@ -282,12 +285,14 @@
             senders,
             endpoints,
             agents,
+            crowd,
             program,
             listen,
             log,
             open,
             disk,
             grace,
+            tick,
         }
     }
 
@@ -333,6 +338,11 @@
                 let all: u64 = sizes.map(|s| s.div_ceil(512) * 512).sum();
                 assert!(all <= words[1].parse().expect("a number"), "{all} bytes of state");
             }
+            "crowd" => {
+                let count: usize = words[1].parse().expect("a number");
+                let connect = |_| TcpStream::connect(self.listen.expect("started")).expect("it listens");
+                self.crowd.extend((0..count).map(connect));
+            }
             "damage" => self.damage(words[1], words[2].parse().expect("a number")),
             "p" => self.platform(&words[1..]),
             name if self.endpoints.contains_key(name) => self.endpoint(name, &words[1..]),
@@ -344,6 +354,7 @@
         let (name, value) = word.split_once('=').expect("name=value");
         match name {
             "grace" => self.grace = value.parse().expect("a number"),
+            "tick" => self.tick = value.parse().expect("a number"),
             "open" => self.open = value.parse().expect("a number"),
             "disk" => self.disk = value.parse().expect("a number"),
             _ => {
@@ -354,7 +365,7 @@
                 let endpoint = Endpoint::new(destination, kind, state);
                 self.endpoints.insert(name.to_owned(), endpoint);
                 if !parts.contains(&"hidden") {
-                    self.list(name, "active");
+                    self.list(name, if parts.contains(&"leaving") { "leaving" } else { "active" });
                 }
             }
         }
@@ -380,7 +391,7 @@
             "azs": ["east"], "zone": "east", "balancers": 1, "kinds": ["one", "many"], "discovery": "pushed",
             "categories": [class("notice", "token"), class("once", "side_effect"), class("free", "pure")],
             "realms": [{"name": "acme", "portion": 1.0, "quota-per-s": 1000.0}],
-            "granularity": 5.0, "weight-source": "rough", "fees": {}, "callers": {"marks-retry": true},
+            "granularity": self.tick, "weight-source": "rough", "fees": {}, "callers": {"marks-retry": true},
             "permissions": {"max-open": self.open, "max-attempts": 3, "cancel": true, "retry-after": true,
                 "max-retry-after": 3000.0, "conn-idle": 5000.0, "dial-timeout": 12000.0},
             "rules": {"fall-multiple": 2.0, "fall": 2000.0, "cold": 9000.0, "cold-from": 0.2, "drain-grace": self.grace},
@@ -552,6 +563,7 @@
                 );
                 agent.get_mut().write_all(head.as_bytes()).expect("written");
             }
+            ["connect"] => {}
             ["send-raw", ..] => {
                 let text = rest.trim_start_matches("send-raw ").replace("\\r", "\r").replace("\\n", "\n");
                 agent.get_mut().write_all(text.as_bytes()).expect("written");
