Let calls that nothing paced leave no debt at an endpoint

A sniffer shows one forwarder making no call to partner 1 from second 18 to 25 while 150 messages wait and its breaker is closed. A debug line each half second shows why: the endpoint's tokens stand at -23 and -32, and at 0.7 a second the debt takes half a minute. At fault in logic.rs: `book` takes a token from the endpoint's record for every call, but `pick` refills it only while that endpoint is paced, in an outage or cold. Ruled out: slots (half of them free), the holding limit (open 400 of 858), the list, connections, bad reports. Conclusion: the pace after an outage is now the destination's own.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -844,6 +844,10 @@
             let b = &mut ep.breaker;
             let paced = apart || b.outage || b.cold_since.is_some();
             let mut trial = whole_trial;
+            if !paced {
+                // What was called while nothing paced it is no debt: it would be paid off after an outage.
+                b.tokens = b.tokens.max(0.0);
+            }
             match if paced { b.pass(now, &self.s) } else { b.gate(now) } {
                 Gate::Until(at) if !whole_trial => {
                     self.wake_at(at);
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -91,6 +91,27 @@
     assert!((1..=4).contains(&dead), "{dead} calls to the dead endpoint");
 }
 
+/// Guards against paying off, at the slow pace after an outage, for all the calls that went before it while
+/// nothing paced the endpoint.
+#[test]
+fn calls_before_an_outage_are_no_debt_after_it() {
+    let mut w = one();
+    for _ in 0..400 {
+        let (id, e) = w.sent(SAFE, 1);
+        w.at(50 * MS, vec![result(id, 0, e, Outcome::Ok)]);
+    }
+    w.open(1);
+    let mut events: Vec<Event> = (0..60).map(|_| Event::Message(w.message(SAFE, 1))).collect();
+    let mut sent = 0;
+    for _ in 0..250 {
+        let out = sends(&w.at(20 * MS, std::mem::take(&mut events)));
+        sent += out.len();
+        events = out.iter().map(|(id, e)| result(*id, 0, *e, Outcome::Ok)).collect();
+    }
+    // The trial after two seconds, then three at 0.38 of 20 calls a second and more.
+    assert!(sent >= 20, "{sent} sent");
+}
+
 #[test]
 fn the_slot_goes_to_the_destination_that_waited_longest() {
     let s = Settings { slots: 1, ..settings() };
