Give each forwarder its even part of a told limit after an outage

At fault: `rate` in logic.rs multiplies the cold pace by that trim. The trim makes up for a courier that counted more than its even part as its own; of a limit that the answers tell, the even part is no guess. Ruled out: the rates of what is not limited (trim 1 there), slots, the trials (no further failure after the first success).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -272,7 +272,9 @@
     fn rate(&mut self, now: Micros, s: &Settings) -> f64 {
         let known = self.limit.filter(|l| l.rate > 0.0);
         if let Some(share) = self.cold_share(now, s) {
-            return share * s.fall_multiple * COLD_PACE * self.trim.min(1.0) / self.spread;
+            // Refusals trim what a courier had beyond its even part; of a told limit, that part is its own.
+            let even = known.map_or(0.0, |l| l.rate / s.couriers as f64);
+            return share * s.fall_multiple * COLD_PACE * (self.trim.min(1.0) / self.spread).max(even);
         }
         let crammed = self.trim < 1.0 && (known.is_some() || now < self.paused_at + CRAMMED * self.backoff);
         let least = if crammed { 0.0 } else { LONE_PACE };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -112,6 +112,36 @@
     assert!(sent >= 20, "{sent} sent");
 }
 
+/// Guards against a return that refusals long before it slow down, although the limit is told.
+#[test]
+fn after_an_outage_the_even_part_of_a_told_limit_is_not_trimmed() {
+    let mut w = World::new(Settings { couriers: 2, ..settings() }, vec![entry(7, 1, 0)]);
+    let told = |event| match event {
+        Event::Result { id, attempt, endpoint, outcome, elapsed, ended, .. } => {
+            let report = Some(LimitReport { left: 0.0, rate: 20.0 });
+            Event::Result { id, attempt, endpoint, outcome, elapsed, ended, report }
+        }
+        other => other,
+    };
+    for _ in 0..10 {
+        let (id, e) = w.sent(SAFE, 1);
+        w.at(10 * MS, vec![told(result(id, 0, e, Outcome::Full(None))), Event::Withdrawn { id }]);
+        w.at(2 * SECOND, vec![]);
+        let (id, e) = w.sent(SAFE, 1);
+        w.at(10 * MS, vec![told(result(id, 0, e, Outcome::Ok))]);
+    }
+    w.open(1);
+    let mut events: Vec<Event> = (0..60).map(|_| Event::Message(w.message(SAFE, 1))).collect();
+    let mut sent = 0;
+    for _ in 0..250 {
+        let out = sends(&w.at(20 * MS, std::mem::take(&mut events)));
+        sent += out.len();
+        events = out.iter().map(|(id, e)| result(*id, 0, *e, Outcome::Ok)).collect();
+    }
+    // Half of 20 calls a second, times 0.38 and more, for three seconds.
+    assert!((15..=30).contains(&sent), "{sent} sent");
+}
+
 #[test]
 fn the_slot_goes_to_the_destination_that_waited_longest() {
     let s = Settings { slots: 1, ..settings() };
