End an answer that stalls, and leave out what came unasked or out of range

Ruled out: unasked bytes read as the next answer, in all captures they come in one write with the answer and close its connection; the pool now tells them from a close in its log.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -279,7 +279,7 @@
         let (status, code) = match broken {
             Broken::Malformed(_) => (400, broken.code()),
             Broken::TooLarge => (413, broken.code()),
-            Broken::Ended | Broken::Torn => (400, "torn-request"),
+            Broken::Ended | Broken::Torn | Broken::Stalled => (400, "torn-request"),
             Broken::Socket(_) => return "torn-request",
         };
         self.refuse(status, &broken.to_string(), code).await
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 on one connection: heads by httparse, bodies by length or in chunks, within size limits.
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::fmt;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::task::Poll;
+use std::time::Duration;
 
 /// The largest head that is read.
 pub const HEAD_LIMIT: usize = 16 * 1024;
@@ -26,6 +28,8 @@
     Malformed(&'static str),
     /// Head or body is over its limit.
     TooLarge,
+    /// It came to a stop in the middle of something.
+    Stalled,
 }
 
 impl Broken {
@@ -37,6 +41,7 @@
             Broken::Socket(_) => "socket",
             Broken::Malformed(_) => "malformed",
             Broken::TooLarge => "too-large",
+            Broken::Stalled => "stalled",
         }
     }
 }
@@ -191,6 +196,8 @@
     stream: Async<TcpStream>,
     /// What has come and is not yet used.
     pub buffer: Buffer,
+    /// What has begun must go on within this; without it, for ever.
+    pub stall: Option<Duration>,
 }
 
 impl Wire {
@@ -198,7 +205,7 @@
     pub fn new(stream: Async<TcpStream>) -> Self {
         // Small messages must not wait for the answer to earlier ones.
         let _ = stream.get_ref().set_nodelay(true);
-        Wire { stream, buffer: Buffer::default() }
+        Wire { stream, buffer: Buffer::default(), stall: None }
     }
 
     /// Who is at the other end.
@@ -213,13 +220,36 @@
         Ok(got)
     }
 
+    /// More of a head; nothing has begun while the buffer is empty.
     async fn more(&mut self) -> Result<(), Broken> {
-        match self.fill().await {
-            Ok(0) if self.buffer.bytes().is_empty() => Err(Broken::Ended),
-            Ok(0) => Err(Broken::Torn),
-            Ok(_) => Ok(()),
-            Err(e) => Err(Broken::Socket(e)),
-        }
+        let begun = !self.buffer.bytes().is_empty();
+        self.more_within(self.stall.filter(|_| begun)).await.map_err(|e| match e {
+            Broken::Torn if !begun => Broken::Ended,
+            e => e,
+        })
+    }
+
+    /// More of a body: within it every end is a torn one, also with nothing left in the buffer.
+    async fn more_of_it(&mut self) -> Result<(), Broken> {
+        self.more_within(self.stall).await
+    }
+
+    async fn more_within(&mut self, stall: Option<Duration>) -> Result<(), Broken> {
+        let late = async {
+            match stall {
+                Some(stall) => Timer::after(stall).await,
+                None => future::pending().await,
+            };
+            Err(Broken::Stalled)
+        };
+        let filled = async {
+            match self.fill().await {
+                Ok(0) => Err(Broken::Torn),
+                Ok(_) => Ok(()),
+                Err(e) => Err(Broken::Socket(e)),
+            }
+        };
+        future::or(filled, late).await
     }
 
     /// Tells the other side that nothing more will be written.
@@ -331,20 +361,14 @@
                 if self.buffer.bytes().len() > limit {
                     return Err(Broken::TooLarge);
                 }
-                match self.fill().await {
-                    Ok(0) => return Ok(self.buffer.bytes().to_vec()),
-                    Ok(_) => {}
-                    Err(e) => return Err(Broken::Socket(e)),
+                match self.more_of_it().await {
+                    Err(Broken::Torn) => return Ok(self.buffer.bytes().to_vec()),
+                    more => more?,
                 }
             },
         }
     }
 
-    async fn more_of_it(&mut self) -> Result<(), Broken> {
-        // Within a body every end is a torn one, also with nothing left in the buffer.
-        self.more().await.map_err(|e| if matches!(e, Broken::Ended) { Broken::Torn } else { e })
-    }
-
     /// The next chunk of a chunked body of an answer or request; none after the last.
     pub async fn chunk(&mut self, limit: usize) -> Result<Option<Vec<u8>>, Broken> {
         loop {
@@ -404,11 +428,15 @@
         }
     }
 
-    /// Whether the other side has ended or sent something while nothing was asked.
-    pub fn poll_disturbed(&mut self, cx: &mut std::task::Context<'_>) -> bool {
+    /// Whether the other side has ended or sent something while nothing was asked, by the code of the reason.
+    pub fn poll_disturbed(&mut self, cx: &mut std::task::Context<'_>) -> Option<&'static str> {
         use futures_lite::AsyncRead;
         let mut one = [0u8; 1];
-        std::pin::Pin::new(&mut self.stream).poll_read(cx, &mut one).is_ready()
+        match std::pin::Pin::new(&mut self.stream).poll_read(cx, &mut one) {
+            Poll::Pending => None,
+            Poll::Ready(Ok(1)) => Some("unasked"),
+            Poll::Ready(_) => Some("peer-closed"),
+        }
     }
 }
 
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -26,6 +26,13 @@
 /// A connection is given up so long before the endpoint may close it: a request must not cross that.
 const IDLE_MARGIN: Micros = 250_000;
 const ANSWER_LIMIT: usize = 64 * 1024;
+/// An answer that has begun and does not go on for so long is spoilt: its call must not keep a slot until it is
+/// cut, and its connection is of no more use.
+const STALL: Duration = Duration::from_millis(500);
+/// The same for the rest of one that has already said what matters.
+const REST: Duration = Duration::from_millis(50);
+/// No destination takes more calls a second than that.
+const MOST_CALLS: f64 = 1e6;
 
 struct Idle {
     wire: Wire,
@@ -83,11 +90,14 @@
         let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
         for at in (0..self.idle.len()).rev() {
             let idle = &mut self.idle[at];
-            let reason = match now >= idle.until {
-                true => "idle",
-                false if idle.address != address => "moved",
-                false if idle.wire.poll_disturbed(&mut cx) => "peer-closed",
-                false => continue,
+            let reason = if now >= idle.until {
+                "idle"
+            } else if idle.address != address {
+                "moved"
+            } else {
+                // What came unasked would be read as the answer to the next call.
+                let Some(reason) = idle.wire.poll_disturbed(&mut cx) else { continue };
+                reason
             };
             drop(self.remove(at));
             self.closed(reason);
@@ -103,7 +113,7 @@
         };
         let idle = &mut self.idle;
         let disturbed = future::poll_fn(|cx| {
-            let any = idle.iter_mut().any(|i| i.wire.poll_disturbed(cx));
+            let any = idle.iter_mut().any(|i| i.wire.poll_disturbed(cx).is_some());
             if any {
                 std::task::Poll::Ready(())
             } else {
@@ -246,9 +256,12 @@
     Ended::alike(parts, End::of(if delivered { Outcome::Ok } else { outcome }))
 }
 
+/// The head cannot be read, but its first line is whole and says 200.
 fn starts_with_ok(wire: &Wire) -> bool {
-    let bytes = wire.buffer.bytes();
-    bytes.starts_with(b"HTTP/1.1 200") && bytes.contains(&b'\n')
+    let mut lines = wire.buffer.bytes().split_inclusive(|b| *b == b'\n');
+    let first = lines.next().and_then(|l| l.strip_suffix(b"\n")).unwrap_or_default();
+    let mut words = first.trim_ascii_end().split(|b| *b == b' ');
+    matches!(words.next(), Some(b"HTTP/1.1" | b"HTTP/1.0")) && words.next() == Some(b"200")
 }
 
 async fn exchange(
@@ -265,6 +278,7 @@
         }
     }
     let wire = slot.as_mut().expect("just made");
+    wire.stall = Some(STALL);
     let now = context.clock.now();
     let over = pass.parts.iter().any(|p| p.transaction.is_over());
     let bar = if over {
@@ -298,6 +312,10 @@
         Err(e) => return Stop::Broke(e),
     };
     *status = Some(answer.status);
+    if answer.status == 200 && pass.parts.len() == 1 {
+        // It is delivered; the rest only decides on the connection.
+        wire.stall = Some(REST);
+    }
     match wire.answer_body(&answer, ANSWER_LIMIT).await {
         Ok(body) => Stop::Answer(answer, body),
         Err(e) => Stop::Broke(e),
@@ -350,7 +368,7 @@
 /// The ends that an answer gives.
 fn read_answer(context: &Context, pass: &Pass, answer: &Answered, body: &[u8]) -> Ended {
     let wait = answer.fields.get("X-RateLimit-Wait-Ms").and_then(|w| w.parse::<f64>().ok());
-    let wait = wait.filter(|w| *w > 0.0).map(|w| (w.min(1e10) * 1000.0) as Micros);
+    let wait = wait.filter(|w| w.is_finite() && *w > 0.0).map(|w| (w.min(1e10) * 1000.0) as Micros);
     let report = answer.fields.get("X-Load").and_then(read_load);
     let moot = |ended| End { outcome: Outcome::Moot, ended };
     let alike = match answer.status {
@@ -382,11 +400,32 @@
     Ended { ends: ends.collect(), report, wait }
 }
 
+/// A report; one whose share or rate is out of range is left out, so that no decision rests on it.
 fn read_load(text: &str) -> Option<LimitReport> {
-    let value = |name: &str| {
+    let value = |name: &str, range: std::ops::RangeInclusive<f64>| {
         let mut pairs = text.split(',').filter_map(|p| p.trim().split_once('='));
         let value = pairs.find(|p| p.0 == name)?.1.parse::<f64>().ok()?;
-        value.is_finite().then_some(value)
+        range.contains(&value).then_some(value)
     };
-    Some(LimitReport { left: value("x0")?, rate: value("x1")? })
+    Some(LimitReport { left: value("x0", 0.0..=1.0)?, rate: value("x1", 0.0..=MOST_CALLS)? })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a spoilt report that sets the pace: a rate of next to nothing would hold its destination's
+    /// messages up to their end.
+    #[test]
+    fn a_report_out_of_range_is_left_out() {
+        let rate = |text| read_load(text).map(|r| r.rate);
+        assert_eq!(rate("x0=0.4,x1=25"), Some(25.0));
+        assert_eq!(rate("x0=0, x1=0, x2=9"), Some(0.0));
+        for odd in
+            ["x0=0.4", "x0=0.4,x1=", "x0=1.1,x1=2", "x0=-1,x1=2", "x0=0,x1=-2", "x0=0,x1=1e9", "=,=", "%"]
+        {
+            assert_eq!(rate(odd), None, "{odd}");
+        }
+        assert_eq!(rate("x0=nan,x1=5").or(rate("x0=1,x1=inf")), None);
+    }
 }
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -724,3 +724,68 @@
          e2 expect m1",
     );
 }
+
+/// Guards against an answer that comes to a stop and keeps its slot up to the cut, and against taking a spoilt
+/// answer at its word or using its connection again.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_unless_its_first_line_delivers() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send-raw m1 HTTP/1.1 200 OK\\r\\nContent-Length: 500\\r\\n\\r\\nabc
+         wait delivered=1 open=0
+         log reason: stalled
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send-raw m2 HTTP/1.1 200 OK\\r\\nno colon here\\r\\n\\r\\n
+         wait delivered=2 opened=2 reset=0
+         u1 send m3
+         u1 expect 202
+         e1 expect m3
+         e1 send-raw m3 HTTP/1.1 503 No\\r\\nContent-Length: 9\\r\\n\\r\\n
+         wait reset=1 full=0
+         e1 expect m3
+         e1 send-raw m3 HTTP/1.1 2000 OK\\r\\nno colon here\\r\\n\\r\\n
+         wait reset=2
+         e1 expect m3
+         e1 send-raw m3 HTTP/1.1 103 Early Hints\\r\\nLink: </a>\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok
+         wait delivered=3 opened=5 open=0
+         u1 send m4
+         u1 expect 202
+         e1 expect m4
+         e1 send-raw m4 HTTP/1.1 200 OK\\r\\nContent-Length: 3000000000\\r\\n\\r\\nabc
+         wait delivered=4 opened=5 reused=1",
+    );
+}
+
+/// Guards against reading what came unasked as the answer to the next call.
+#[test]
+fn what_comes_unasked_ends_its_connection_and_answers_nothing() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send-raw m1 HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nokHTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         wait opened=2 delivered=1
+         e1 send m2 200
+         wait delivered=2
+         e1 send m2 200
+         log reason: unasked
+         u1 send m3
+         u1 expect 202
+         e1 expect m3
+         wait opened=3 delivered=2
+         e1 send m3 500
+         wait error=1",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,6 +9,7 @@
 //! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
 //! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
+//! | `e1 send-raw m1 TEXT` | whatever else is written to the connection that m1 came on |
 //! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled or closed endpoint accept |
 //! | `p send e1=leaving`, `p expect m1 failed`, `p expect-watch 1`, `p mute`, `p speak`, `p quiet` | the platform |
 //! | `p move`, `p hold`, `p unhold`, `p let-go` | it listens elsewhere; holds lists back; closes what leads to the old address |
@@ -241,6 +242,10 @@
     }
 }
 
+fn unescape(text: &str) -> String {
+    text.replace("\\r", "\r").replace("\\n", "\n")
+}
+
 fn soon<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
     let until = Instant::now() + PATIENCE;
     loop {
@@ -345,7 +350,7 @@
             }
             "damage" => self.damage(words[1], words[2].parse().expect("a number")),
             "p" => self.platform(&words[1..]),
-            name if self.endpoints.contains_key(name) => self.endpoint(name, &words[1..]),
+            name if self.endpoints.contains_key(name) => self.endpoint(name, &words[1..], rest),
             name => self.agent(name, &words[1..], rest),
         }
     }
@@ -507,7 +512,7 @@
         }
     }
 
-    fn endpoint(&mut self, name: &str, words: &[&str]) {
+    fn endpoint(&mut self, name: &str, words: &[&str], rest: &str) {
         let e = self.endpoints.get_mut(name).expect("known");
         match words {
             ["expect", ids @ ..] => {
@@ -528,6 +533,11 @@
                     .write_all(answer.as_bytes())
                     .expect("written");
             }
+            ["send-raw", id, ..] => {
+                let text = unescape(rest.split_once(id).expect("the id").1.trim_start());
+                let stream = e.answered.get_mut(*id).expect("expected before");
+                stream.write_all(text.as_bytes()).expect("written");
+            }
             ["close", id] => {
                 let stream = e.answered.remove(*id).expect("expected before");
                 stream.shutdown(std::net::Shutdown::Both).expect("open");
@@ -565,7 +575,7 @@
             }
             ["connect"] => {}
             ["send-raw", ..] => {
-                let text = rest.trim_start_matches("send-raw ").replace("\\r", "\r").replace("\\n", "\n");
+                let text = unescape(rest.trim_start_matches("send-raw "));
                 agent.get_mut().write_all(text.as_bytes()).expect("written");
             }
             ["expect", "end"] => {
