Let a pause after a refusal save nothing up

Traced by the captured calls: after each pause of 0.2 s and more they come in one clump. At fault: `refused` in logic.rs pauses, while `paced` goes on saving up to 0.75 s of calls for the end of it. Ruled out: an outage (other calls succeed between), a told wait, the trim (it falls as meant). In an outage the saving stays: that start is planned for.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -238,6 +238,10 @@
             };
             let turn = self.turn(now, now - since + more, 0, s, draw);
             self.wait_until = self.wait_until.max(now) + if turn > more * 3 / 2 { turn } else { plain };
+            // What a pause saves up would go all at once at its end, and be refused again.
+            if !self.outage {
+                (self.tokens, self.refilled) = (self.tokens.min(1.0), self.wait_until);
+            }
             self.backoff = if told { self.backoff } else { (2 * self.backoff).min(BACKOFF.1) };
         }
         if trial || now - since >= TIMEOUT {
@@ -289,7 +293,7 @@
     fn paced(&mut self, now: Micros, s: &Settings) -> Gate {
         let per_us = self.rate(now, s) / SECOND as f64;
         let most = (per_us * BURST).max(1.0);
-        self.tokens = (self.tokens + per_us * (now - self.refilled) as f64).min(most);
+        self.tokens = (self.tokens + per_us * now.saturating_sub(self.refilled) as f64).min(most);
         self.refilled = now;
         let next = now + ((1.0 - self.tokens).max(0.0) / per_us).ceil() as Micros;
         if self.tokens >= 1.0 - 1e-6 {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -158,6 +158,26 @@
     }
 }
 
+/// Guards against a clump at the end of each pause: where refused calls use up the limit, all of it was refused
+/// again, over and over.
+#[test]
+fn what_a_pause_saves_up_does_not_go_at_once() {
+    let mut w = one();
+    for _ in 0..20 {
+        let (id, e) = w.sent(SAFE, 1);
+        w.at(100 * MS, vec![result(id, 0, e, Outcome::Ok)]);
+    }
+    let (id, e) = w.sent(SAFE, 1);
+    let mut events: Vec<Event> = (0..60).map(|_| Event::Message(w.message(SAFE, 1))).collect();
+    events.push(result(id, 0, e, Outcome::Full(None)));
+    let mut first = sends(&w.step(events)).len();
+    assert_eq!(first, 0, "a pause");
+    while first == 0 {
+        first = sends(&w.at(10 * MS, vec![])).len();
+    }
+    assert_eq!(first, 1, "calls at its end");
+}
+
 #[test]
 fn the_slot_goes_to_the_destination_that_waited_longest() {
     let s = Settings { slots: 1, ..settings() };
