--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,9 @@
 //! The interface of the decision module: settings, events, actions and the ids they name.
 //! Types only; every decision is in `logic.rs`.
 
+use crate::routes::Plan;
 use std::fmt;
+use std::sync::Arc;
 
 /// A point in time or a span, in whole microseconds of the caller's clock.
 pub type Micros = u64;
@@ -140,6 +142,8 @@
     pub probing: bool,
     /// Clients are given advice on when to come again.
     pub retry_after: bool,
+    /// The platform would stand two attempts of a message at once; this program never makes use of it.
+    pub second_copies: bool,
     /// The longest such advice a client follows.
     pub max_retry_after: Micros,
     /// The endpoint list must be asked for.
@@ -158,6 +162,8 @@
     pub cold_from: f64,
     /// A key's rest after an attempt whose end is not sure.
     pub key_rest: Micros,
+    /// What our own file says of time-outs and attempts, by route; without one the module has its own way.
+    pub routes: Option<Arc<Plan>>,
 }
 
 /// Settings that make no sense.
@@ -332,14 +338,18 @@
 /// What the caller is to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Call an endpoint with a message. Sends to one endpoint in one batch share a call where its kind allows.
+    /// Call an endpoint with a message.
     Send {
         /// Which message.
         id: MessageId,
         /// Where to.
         endpoint: EndpointId,
+        /// The call that carries it: sends of one number, which all are of one batch, travel together.
+        call: u64,
         /// When this attempt is abandoned.
         cut_at: Micros,
+        /// The message's time is up then: it will not be sent again.
+        last: bool,
     },
     /// End a message undelivered; the client may safely come again.
     Refuse {
--- a/src/bin/cedarbridge-simhost/wire.rs
+++ b/src/bin/cedarbridge-simhost/wire.rs
@@ -250,7 +250,7 @@
     fn action(&self, action: &Action) -> Value {
         let word = |id: &MessageId| &self.named[id].word;
         match action {
-            Action::Send { id, endpoint, cut_at } => {
+            Action::Send { id, endpoint, cut_at, .. } => {
                 json!(["submit-to", word(id), millis(*cut_at), endpoint.0])
             }
             Action::Refuse { id, retry_after } => {
--- /dev/null
+++ b/src/breach.rs
@@ -0,0 +1,113 @@
+//! What is wrong with a settings file of ours: where, under which code, and why. It checks nothing itself.
+
+use std::fmt;
+
+/// A place in a file, both counted from 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// The line.
+    pub line: u32,
+    /// The column, in characters.
+    pub column: u32,
+}
+
+/// A value and where it stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct At<T> {
+    /// The value.
+    pub value: T,
+    /// Where it stands.
+    pub at: Position,
+}
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $word:literal),* $(,)?) => {
+        /// Why a file is refused, one word a kind of breach; scripts may go by the words.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Code { $($(#[$doc])* $name),* }
+
+        impl Code {
+            /// The word that stands for it.
+            pub fn word(self) -> &'static str {
+                match self { $(Code::$name => $word),* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// Not YAML, or larger or deeper than any settings file is.
+    Syntax = "syntax",
+    /// Another type than the key takes.
+    Type = "type",
+    /// A key that does not exist.
+    UnknownKey = "unknown-key",
+    /// A key given twice.
+    RepeatedKey = "repeated-key",
+    /// A key that must be there.
+    MissingKey = "missing-key",
+    /// A version of the file that this program does not know.
+    Version = "version",
+    /// A time without a unit, or with one that does not exist.
+    Unit = "unit",
+    /// A time of zero, negative or over a day.
+    Time = "time",
+    /// The longest pause under the first.
+    Pause = "pause",
+    /// No attempts, or more than are allowed.
+    Attempts = "attempts",
+    /// A second copy while the first is out.
+    SecondCopy = "second-copy",
+    /// More than one attempt that may have run in a class that allows one.
+    SideEffect = "side-effect",
+    /// An attempt that could begin after the partner has forgotten the first.
+    MemorySpan = "memory-span",
+    /// Attempts that cannot end before the class's deadline, or a give-up beyond it.
+    Deadline = "deadline",
+    /// Attempts that cannot end before the entry's own give-up.
+    GiveUp = "give-up",
+    /// Two entries, equally specific, that could both win for some message.
+    Overlap = "overlap",
+    /// An entry that can never win.
+    Shadowed = "shadowed",
+    /// A name given to two entries.
+    RepeatedName = "repeated-name",
+    /// A kind that the platform's settings do not list.
+    UnknownKind = "unknown-kind",
+    /// A class that the platform's settings do not list.
+    UnknownClass = "unknown-class",
+    /// A list of destinations with nothing in it.
+    NoDestination = "no-destination",
+    /// A destination given twice in one list.
+    RepeatedDestination = "repeated-destination",
+}
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Where.
+    pub at: Position,
+    /// Of which kind.
+    pub code: Code,
+    /// The figures that collide, and what would be right.
+    pub reason: String,
+}
+
+impl Breach {
+    /// A breach at a place.
+    pub fn new(at: Position, code: Code, reason: impl Into<String>) -> Self {
+        Breach { at, code, reason: reason.into() }
+    }
+
+    /// As one line, `FILE:LINE:COLUMN: [code] reason`.
+    pub fn line(&self, file: &str) -> String {
+        format!("{file}:{self}")
+    }
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Breach { at, code, reason } = self;
+        write!(f, "{}:{}: [{}] {reason}", at.line, at.column, code.word())
+    }
+}
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,173 @@
+//! `explain`: which entry wins for a message and why, and the worst case that follows.
+
+use super::{lines, print, Failed, Files, Read};
+use crate::logic::longest_cut;
+use crate::routes::{worst_case, Plan, Route, Step, Timing, MOST_ATTEMPTS};
+use crate::site::written;
+use crate::words::index;
+use crate::{Class, ClassId, DestinationId, KindId, Micros};
+use clap::Args;
+use serde_json::{json, Value};
+use std::fmt::Write;
+
+#[derive(Args)]
+pub struct ExplainArgs {
+    #[command(flatten)]
+    files: Files,
+    /// The number of a destination; without it, one that no entry names
+    #[arg(long, value_name = "N")]
+    destination: Option<u64>,
+    /// A class; without it, each
+    #[arg(long, value_name = "NAME")]
+    class: Option<String>,
+    /// A kind; without it, that of the destination if the configuration lists it, or else each
+    #[arg(long, value_name = "NAME")]
+    kind: Option<String>,
+}
+
+/// A message of which everything is known that an entry can match.
+struct Case<'a> {
+    destination: Option<u64>,
+    kind: KindId,
+    class: ClassId,
+    of: &'a Read,
+    plan: &'a Plan,
+}
+
+/// The kind that the configuration's list gives a destination.
+fn listed_kind(of: &Read, destination: u64) -> Option<KindId> {
+    let config: Value = serde_json::from_str(&of.json).ok()?;
+    let all = config.get("known")?.get("instances")?.as_array()?;
+    let entry = all.iter().find(|e| e["cell"].as_u64() == Some(destination))?;
+    index(&of.names.kinds, entry["machineType"].as_str()?, "kind").ok().map(KindId)
+}
+
+fn chosen(all: &[String], given: Option<&str>, what: &str) -> Result<Vec<usize>, Failed> {
+    match given {
+        None => Ok((0..all.len()).collect()),
+        Some(name) => index(all, name, what)
+            .map(|at| vec![at])
+            .map_err(|e| Failed::Call(format!("{e}; the settings list {}", all.join(", ")))),
+    }
+}
+
+impl Case<'_> {
+    fn class(&self) -> &Class {
+        &self.of.settings.classes[self.class.0]
+    }
+
+    fn matching(&self) -> Vec<&Route> {
+        // A number that no entry names stands for all that none names.
+        let to = DestinationId(self.destination.unwrap_or(u64::MAX));
+        self.plan.matching(to, Some(self.kind), self.class)
+    }
+
+    fn timing(&self) -> Timing {
+        self.matching().first().map_or(Timing::default(), |r| r.timing)
+    }
+
+    /// When a message that nothing delivers ends at the latest, counted from its hand-in.
+    fn end(&self) -> Micros {
+        self.timing().end(0, self.class().deadline)
+    }
+
+    /// The attempts of the worst case: of those that are allowed, as many as begin in time.
+    fn steps(&self) -> Vec<Step> {
+        let timing = self.timing();
+        let timeout = timing.cut(longest_cut(self.class().effect));
+        let most = timing.most(self.of.settings.max_attempts.min(MOST_ATTEMPTS));
+        let end = self.end();
+        let all = worst_case(&timing, timeout, most).into_iter().filter(|s| s.begins < end);
+        all.map(|s| Step { ends: s.ends.min(end), ..s }).collect()
+    }
+
+    fn title(&self) -> String {
+        let (kinds, classes) = (&self.of.names.kinds, &self.of.names.classes);
+        let to = self.destination.map_or("any destination not named".into(), |d| format!("destination {d}"));
+        format!("{to}, kind {}, class {}", kinds[self.kind.0], classes[self.class.0])
+    }
+
+    fn why(&self) -> String {
+        let matching = self.matching();
+        let Some((first, rest)) = matching.split_first() else {
+            return "no entry matches: as without a site file".into();
+        };
+        let names = &self.of.names;
+        let mut why = format!("matches {}", first.shape.words(names));
+        for r in rest {
+            let _ =
+                write!(why, "; more specific than `{}` (line {}: {})", r.name, r.line, r.shape.words(names));
+        }
+        why
+    }
+
+    fn text(&self, file: &str) -> String {
+        let (t, mut out) = (self.timing(), self.title());
+        let entry = self.matching().first().map(|r| format!("`{}` ({file}:{})", r.name, r.line));
+        let _ = write!(out, "\n  entry        {}", entry.unwrap_or("none".into()));
+        let _ = write!(out, "\n  why          {}", self.why());
+        let module = || "left to the module".to_owned();
+        let _ = write!(out, "\n  timeout      {}", t.timeout.map_or_else(module, written));
+        let most = t.most(self.of.settings.max_attempts.min(MOST_ATTEMPTS));
+        let _ = write!(out, "\n  attempts     {most} at most");
+        let pause = t.pause.map(|(f, l)| format!("{}, doubled up to {}", written(f), written(l)));
+        let _ = write!(out, "\n  pause        {}", pause.unwrap_or_else(module));
+        let copy =
+            t.second_copy.map(|a| format!("{} after an attempt began that was cut, elsewhere", written(a)));
+        let _ = write!(out, "\n  second copy  {}", copy.unwrap_or("none".into()));
+        let _ = write!(out, "\n  ends         {} after it was handed in, at the latest", written(self.end()));
+        let _ = write!(out, "\n  worst case   attempt    begins       cut");
+        for s in self.steps() {
+            let (begins, ends) = (written(s.begins), written(s.ends));
+            let _ = write!(out, "\n               {:>7} {begins:>9} {ends:>9}", s.attempt);
+        }
+        out + "\n"
+    }
+
+    fn json(&self) -> Value {
+        let t = self.timing();
+        let ms = |t: Micros| t as f64 / 1e3;
+        let matching = self.matching();
+        let also: Vec<_> = matching.iter().skip(1).map(|r| json!({"name": r.name, "line": r.line})).collect();
+        let step = |s: &Step| json!({"attempt": s.attempt, "begins_ms": ms(s.begins), "cut_ms": ms(s.ends)});
+        json!({
+            "destination": self.destination, "kind": self.of.names.kinds[self.kind.0],
+            "class": self.of.names.classes[self.class.0],
+            "entry": matching.first().map(|r| json!({"name": r.name, "line": r.line})),
+            "why": self.why(), "also_matching": also,
+            "timeout_ms": t.timeout.map(ms), "attempts": t.attempts,
+            "pause_ms": t.pause.map(|(f, l)| [ms(f), ms(l)]), "second_copy_ms": t.second_copy.map(ms),
+            "ends_ms": ms(self.end()), "worst_case": self.steps().iter().map(step).collect::<Vec<_>>(),
+        })
+    }
+}
+
+impl ExplainArgs {
+    pub fn run(self) -> Result<(), Failed> {
+        let of = self.files.platform()?;
+        let refused = |b: Vec<_>| {
+            print(&lines(&self.files.site, &b));
+            Failed::Told
+        };
+        let site = self.files.site(&of)?.map_err(refused)?;
+        let classes = chosen(&of.names.classes, self.class.as_deref(), "class")?;
+        let mut kinds = chosen(&of.names.kinds, self.kind.as_deref(), "kind")?;
+        if self.kind.is_none() {
+            let listed = self.destination.and_then(|d| listed_kind(&of, d));
+            kinds = listed.map_or(kinds, |k| vec![k.0]);
+        }
+        let plan = &site.routes;
+        let cases = kinds.iter().flat_map(|k| classes.iter().map(move |c| (KindId(*k), ClassId(*c))));
+        let cases: Vec<Case<'_>> = cases
+            .map(|(kind, class)| Case { destination: self.destination, kind, class, of: &of, plan })
+            .collect();
+        if self.files.json {
+            print(&Value::from(cases.iter().map(Case::json).collect::<Vec<_>>()).to_string());
+        } else {
+            let file = self.files.site.display().to_string();
+            let all: Vec<String> = cases.iter().map(|c| c.text(&file)).collect();
+            print(all.join("\n").trim_end());
+        }
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,13 @@
 #![doc = include_str!("../README.md")]
 
 pub mod api;
+pub mod breach;
+pub mod cli;
 pub mod logic;
 pub mod net;
+pub mod routes;
 mod settings;
+pub mod site;
 pub mod words;
 
 pub use api::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! a free slot for the waiting destination with the least recent slot time. `docs/design.md`: what departs.
 
 use crate::api::*;
+use crate::routes::Timing;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -314,6 +315,7 @@
 #[derive(Default)]
 struct Destination {
     apart: bool,
+    kind: Option<KindId>, // Once the list has named an endpoint
     per_call: usize,
     endpoints: Vec<EndpointId>,
     breaker: Breaker,
@@ -336,6 +338,9 @@
     out: Option<(u32, u64)>,
     sent_zone: ZoneId,
     over: bool,
+    rest_until: Micros,         // The pause that its route sets before a further attempt
+    avoid: Option<EndpointId>,  // Where the attempt was cut that a copy is to follow elsewhere
+    last_until: Option<Micros>, // Its end, fixed once the attempt is out that lasts up to it
 }
 
 #[derive(Default)]
@@ -456,6 +461,7 @@
             let d = destination(&mut self.destinations, now, e.destination);
             d.apart = kind.is_some_and(|k| k.apart);
             d.per_call = kind.map_or(1, |k| k.per_call);
+            d.kind = Some(e.kind);
             if !d.endpoints.contains(&e.endpoint) {
                 d.endpoints.push(e.endpoint);
                 d.endpoints.sort();
@@ -547,9 +553,9 @@
         let Some((_, number)) = m.out.filter(|o| o.0 == attempt) else { return };
         m.out = None;
         let unsure = unsure(outcome);
-        let mut sent = now;
+        let (mut sent, mut endpoint) = (now, None);
         if let Some(call) = self.calls.get_mut(&number) {
-            sent = call.sent;
+            (sent, endpoint) = (call.sent, Some(call.endpoint));
             call.parts.retain(|p| p.0 != id);
             let (endpoint, trial, first, reused) = (call.endpoint, call.trial, !call.judged, call.reused);
             call.judged = true;
@@ -573,10 +579,31 @@
         } else if end || outcome == Outcome::Ok {
             self.end(id);
         } else {
+            let timing = self.timing(&self.messages[&id]);
+            let m = self.messages.get_mut(&id).unwrap();
+            m.last_until = m.last_until.filter(|_| outcome == Outcome::TimedOut);
+            if outcome != Outcome::Moot {
+                let cut = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+                m.rest_until = timing.next_attempt(m.attempts, sent, now, cut);
+                m.avoid = endpoint.filter(|_| cut && timing.second_copy.is_some());
+            }
             destination(&mut self.destinations, now, m.destination).waiting.push(id);
         }
     }
 
+    /// What our own file says of a message's attempts.
+    fn timing(&self, m: &Message) -> Timing {
+        let kind = |d| self.destinations.get(&d).and_then(|d: &Destination| d.kind);
+        let plan = self.s.routes.as_ref();
+        plan.map_or(Timing::default(), |p| p.timing(m.destination, kind(m.destination), m.class))
+    }
+
+    /// The time at which a message is over; not put off any more once its last attempt has run up to it.
+    fn end_of(&self, m: &Message) -> Micros {
+        let end = self.timing(m).end(m.born, m.deadline);
+        m.last_until.map_or(end, |t| end.min(t))
+    }
+
     fn judge(&mut self, now: Micros, id: EndpointId, outcome: Outcome, call: (Micros, bool), took: Micros) {
         let draw = self.draw();
         let (sent, trial) = call;
@@ -694,10 +721,11 @@
         for (id, m) in self.messages.iter().filter(|(_, m)| !m.over && m.out.is_none()) {
             let end = self.last_send(m);
             let blocked = self.destinations.get(&m.destination).map_or(0, |d| self.blocked_until(d));
-            if now >= end || blocked >= end || m.attempts >= self.s.max_attempts {
+            if now >= end || blocked >= end || m.attempts >= self.timing(m).most(self.s.max_attempts) {
                 lost.push(*id);
             } else {
                 let rest = m.key.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.rest_until);
+                let rest = rest.max(m.rest_until);
                 wake = wake.min(if rest > now { rest.min(end) } else { end });
             }
         }
@@ -710,7 +738,7 @@
     /// The time up to which a message may still be sent.
     fn last_send(&self, m: &Message) -> Micros {
         let class = &self.s.classes[m.class.0];
-        let end = m.deadline.saturating_sub(HOPELESS + 2 * self.s.granularity);
+        let end = self.end_of(m).saturating_sub(HOPELESS + 2 * self.s.granularity);
         match (class.effect, m.may_have_run) {
             (_, None) | (Effect::Safe, _) => end,
             (Effect::Keyed, Some((t, _))) => {
@@ -877,8 +905,9 @@
             candidates.push(((toll, load, NEVER - ep.last_used, *e), trial, trial || careful || suspect));
         }
         candidates.sort();
-        let first =
-            |c: ((_, _, _, EndpointId), bool, bool)| Some((c.0 .3, self.choose(now, id, c.0 .3, c.2)?, c.1));
+        let first = |c: ((_, _, _, EndpointId), bool, bool)| {
+            Some((c.0 .3, self.choose(now, id, c.0 .3, c.2, None)?, c.1))
+        };
         candidates.into_iter().find_map(first)
     }
 
@@ -902,7 +931,15 @@
 
     /// The message that gains most by going now: by worth lost over the time the queue takes to drain;
     /// while a destination is suspect, the cheapest to lose first.
-    fn choose(&self, now: Micros, id: DestinationId, e: EndpointId, careful: bool) -> Option<MessageId> {
+    /// In a call, only those follow the first that have its time-out: it is cut for all at once.
+    fn choose(
+        &self,
+        now: Micros,
+        id: DestinationId,
+        e: EndpointId,
+        careful: bool,
+        like: Option<Timing>,
+    ) -> Option<MessageId> {
         let d = &self.destinations[&id];
         let horizon = self.drain_time(now, d).clamp(HORIZON.0, HORIZON.1);
         let rank = |w: &&MessageId| {
@@ -911,7 +948,8 @@
             let (value, later) = (self.worth_at(m, now), self.worth_at(m, now + horizon));
             (effect, -((value - later + PRESENT * value) * GRAIN) as i64, m.deadline, **w)
         };
-        d.waiting.iter().filter(|w| self.may_send(now, **w, e)).min_by_key(rank).copied()
+        let fits = |w: &MessageId| like.is_none_or(|t| self.timing(&self.messages[w]).timeout == t.timeout);
+        d.waiting.iter().filter(|w| fits(w) && self.may_send(now, **w, e)).min_by_key(rank).copied()
     }
 
     /// The guard that every send passes: rules 1 (not over), 2 (no effect twice), 3 (drains), 5 (order)
@@ -924,7 +962,13 @@
         let in_scope = !scoped || m.may_have_run.is_none_or(|(_, z)| z.is_none_or(|z| z == ep.entry.zone));
         let front = |l: &KeyLine| l.queue.front() == Some(&id) && (now >= l.rest_until || m.attempts > 0);
         let due = m.key.and_then(|k| self.lines.get(&k)).is_none_or(front);
-        let open = !m.over && m.out.is_none() && m.attempts < self.s.max_attempts && now < self.last_send(m);
+        let most = self.timing(m).most(self.s.max_attempts);
+        let open = !m.over && m.out.is_none() && m.attempts < most && now < self.last_send(m);
+        // A copy goes elsewhere, if there is an elsewhere.
+        let well =
+            |o: &Endpoint| o.entry.lifecycle == Lifecycle::Listed && o.breaker.status == Status::Closed;
+        let others = || d.endpoints.iter().filter(|o| **o != e).filter_map(|o| self.endpoints.get(o));
+        let open = open && now >= m.rest_until && (m.avoid != Some(e) || !others().any(well));
         let listed = ep.entry.destination == m.destination && ep.entry.lifecycle == Lifecycle::Listed;
         let waited = now >= ep.breaker.wait_until && (d.apart || now >= d.breaker.wait_until);
         open && in_scope && due && listed && waited
@@ -955,23 +999,34 @@
         let mut next = Some(first);
         let mut parts = Vec::new();
         while let Some(m) = next {
+            let (timing, end) = (self.timing(&self.messages[&m]), self.end_of(&self.messages[&m]));
             let message = self.messages.get_mut(&m).unwrap();
-            let times = if self.s.classes[message.class.0].effect == Effect::Unsafe { 2 } else { 1 };
-            let cut_at = (now + times * ((mean * CUT.0) as Micros).clamp(CUT.1, CUT.2))
-                .min(message.deadline.saturating_sub(self.s.granularity));
+            let longest = longest_cut(self.s.classes[message.class.0].effect);
+            let adaptive = ((mean * CUT.0) as Micros).clamp(CUT.1, CUT.2) * (longest / CUT.2);
+            let up = end.saturating_sub(self.s.granularity);
+            let cut_at = (now + timing.cut(adaptive)).min(up);
+            let last = cut_at == up;
+            message.last_until = last.then_some(end);
             message.out = Some((message.attempts, number));
             parts.push((m, message.attempts));
             message.attempts += 1;
             message.sent_zone = zone;
             self.destinations.get_mut(&id).unwrap().waiting.retain(|w| *w != m);
-            self.actions.push(Action::Send { id: m, endpoint: e, cut_at });
-            next = if parts.len() < most { self.choose(now, id, e, false) } else { None };
+            self.actions.push(Action::Send { id: m, endpoint: e, call: number, cut_at, last });
+            let like = Some(timing);
+            next = if parts.len() < most { self.choose(now, id, e, false, like) } else { None };
         }
         let call = Call { endpoint: e, destination: id, sent: now, trial, parts, reused, ..Call::default() };
         self.calls.insert(number, call);
     }
 }
 
+/// The longest that an attempt may be out where its route says nothing. An unsafe message is lost when its
+/// attempt is cut, so it has longer.
+pub fn longest_cut(effect: Effect) -> Micros {
+    CUT.2 * if effect == Effect::Unsafe { 2 } else { 1 }
+}
+
 fn destination(
     all: &mut BTreeMap<DestinationId, Destination>,
     now: Micros,
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -18,8 +18,6 @@
     pub destination: DestinationId,
     /// Its destination's endpoints are routes apart.
     pub apart: bool,
-    /// Messages that one call may carry.
-    pub per_call: usize,
     /// When this program was told that nothing new should go there.
     pub leaving_since: Option<Micros>,
 }
@@ -125,8 +123,7 @@
         let clock = Clock::start();
         let board = Board::new(clock, 250_000);
         let address = "127.0.0.1:1".parse().expect("an address");
-        let known =
-            Known { address, destination: DestinationId(1), apart: false, per_call: 1, leaving_since: None };
+        let known = Known { address, destination: DestinationId(1), apart: false, leaving_since: None };
         board.list(EndpointId(1), Lifecycle::Listed, known.clone());
         board.list(EndpointId(2), Lifecycle::Gone, known);
         let still = |now| {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -56,18 +56,31 @@
     text.parse().map_err(|_| format!("{what}: `{text}` is not an address with a port"))
 }
 
+/// The platform's settings within the text of a configuration, checked, and the names that they list.
+pub fn platform(json: &str) -> Result<(Settings, Names), String> {
+    platform_of(&parse(json)?)
+}
+
+fn parse(json: &str) -> Result<Value, String> {
+    serde_json::from_str(json).map_err(|e| format!("the configuration is not JSON: {e}"))
+}
+
+fn platform_of(v: &Value) -> Result<(Settings, Names), String> {
+    let (settings, names) = settings(field(v, "settings")?)?;
+    settings.check().map_err(|e| e.to_string())?;
+    Ok((settings, names))
+}
+
 impl Config {
     /// Reads the text of a configuration. Variables, as the platform sets them, go before what it says.
     pub fn read(json: &str, variable: impl Fn(&str) -> Option<String>) -> Result<(Self, Settings), String> {
-        let v: Value =
-            serde_json::from_str(json).map_err(|e| format!("the configuration is not JSON: {e}"))?;
+        let v = parse(json)?;
         let told = |name: &str, key: &str| match variable(name) {
             Some(value) => Ok(value),
             None => in_field(&v, key, text),
         };
         let raw = field(&v, "settings")?;
-        let (settings, names) = settings(raw)?;
-        settings.check().map_err(|e| e.to_string())?;
+        let (settings, names) = platform_of(&v)?;
         let allow = field(raw, "permissions")?;
         let limits = field(&v, "limits")?;
         let seed = match field(&v, "seed")? {
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -8,7 +8,9 @@
 use super::transaction::{Request, Transaction};
 use super::Context;
 use crate::words::Names;
-use crate::{Action, ClassId, Courier, DestinationId, EndpointId, Event, Lifecycle, ListNews, MessageId};
+use crate::{
+    Action, ClassId, Courier, DestinationId, EndpointId, Event, KindId, Lifecycle, ListNews, MessageId,
+};
 use crate::{Micros, Outcome, Settings, TenantId};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -79,6 +81,8 @@
     farm: Sender<ToFarm>,
     peers: BTreeMap<EndpointId, Sender<ToPeer>>,
     held: BTreeMap<MessageId, Held>,
+    /// The kind of each destination that the list names.
+    kinds: BTreeMap<DestinationId, KindId>,
     open: usize,
     next: u64,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
@@ -104,6 +108,7 @@
             farm,
             peers: BTreeMap::new(),
             held: BTreeMap::new(),
+            kinds: BTreeMap::new(),
             open: 0,
             next: last_id,
             timers: BinaryHeap::new(),
@@ -149,7 +154,10 @@
         }
     }
 
-    fn hold(&mut self, transaction: Transaction, reply: Option<Sender<Reply>>) {
+    fn hold(&mut self, mut transaction: Transaction, reply: Option<Sender<Reply>>) {
+        let (to, class) = (transaction.request.destination, transaction.request.class);
+        transaction.stats = self.context.routes.of(to, self.kinds.get(&to).copied(), class);
+        transaction.stats.iter().for_each(|s| s.take());
         let message = transaction.message(self.context.clock.now());
         let id = transaction.id;
         self.context.keep_word(&transaction.request.word);
@@ -243,11 +251,13 @@
             let _ = reply.try_send(Reply::Unavailable(LATER));
             return;
         }
-        self.hold(Transaction::new(MessageId(self.next), request, 0), Some(reply));
+        let mut transaction = Transaction::new(MessageId(self.next), request, 0);
+        transaction.since = Some(self.context.clock.now());
+        self.hold(transaction, Some(reply));
     }
 
     fn withdraw(&mut self, id: MessageId) {
-        if self.finish(id) {
+        if self.finish(id, "withdrawn") {
             self.context.journal_end(id);
             self.context.counters.withdrawn.add();
             self.events.push(Event::Withdrawn { id });
@@ -255,10 +265,11 @@
         }
     }
 
-    /// Marks the end of a message; false if it had ended.
-    fn finish(&mut self, id: MessageId) -> bool {
+    /// Marks the end of a message, and how it came; false if it had ended.
+    fn finish(&mut self, id: MessageId, how: &'static str) -> bool {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.transaction.is_over()) else { return false };
         held.transaction.finish();
+        held.transaction.stats.iter().for_each(|s| s.end(how));
         self.open -= 1;
         self.context.open.set(self.open);
         true
@@ -279,6 +290,10 @@
                 if !matches!(news, ListNews::Patch(_)) {
                     self.peers.retain(|e, _| entries.iter().any(|n| n.endpoint == *e));
                 }
+                if !matches!(news, ListNews::Patch(_)) {
+                    self.kinds.clear();
+                }
+                self.kinds.extend(entries.iter().map(|e| (e.destination, e.kind)));
                 for entry in entries {
                     if entry.lifecycle == Lifecycle::Gone {
                         self.peers.remove(&entry.endpoint);
@@ -303,12 +318,18 @@
         for (part, end) in pass.parts.iter().zip(&ended.ends) {
             let id = part.transaction.id;
             self.context.counters.outcome(end.outcome);
+            part.transaction.stats.iter().for_each(|s| s.outcome(end.outcome));
             if let Some(held) = self.held.get_mut(&id) {
                 held.out = held.out.take().filter(|o| o.0 != part.attempt);
             }
             if end.ended {
-                if self.finish(id) && end.outcome == Outcome::Ok {
+                let delivered = end.outcome == Outcome::Ok;
+                if self.finish(id, if delivered { "delivered" } else { "over" }) && delivered {
                     self.context.counters.delivered.add();
+                    let (since, stats) = (part.transaction.since, part.transaction.stats.as_ref());
+                    if let Some((since, stats)) = since.zip(stats) {
+                        self.context.routes.delivered(stats, self.context.clock.now().saturating_sub(since));
+                    }
                 }
                 self.context.journal_end(id);
             } else if matches!(end.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
@@ -359,10 +380,12 @@
         }
         let mut actions = Vec::new();
         self.courier.step(now, &events, &mut actions);
-        let mut passes: Vec<(EndpointId, Vec<Part>)> = Vec::new();
+        let mut passes: Vec<((u64, EndpointId), Vec<Part>)> = Vec::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, cut_at } => self.gather(&mut passes, id, endpoint, cut_at),
+                Action::Send { id, endpoint, call, cut_at, last } => {
+                    self.gather(&mut passes, (call, endpoint), id, (cut_at, last));
+                }
                 Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)).await,
                 Action::Fail { id } => self.give_up(id, None).await,
                 Action::Cancel { id, attempt } => {
@@ -397,26 +420,26 @@
         }
     }
 
-    /// Sends of one step to one endpoint share a call, up to what its kind allows.
+    /// Messages share a call as the module decided. Guards against two calls of one step to one endpoint that
+    /// become one: it would be cut for all when the shorter time-out is over.
     fn gather(
         &self,
-        passes: &mut Vec<(EndpointId, Vec<Part>)>,
+        passes: &mut Vec<((u64, EndpointId), Vec<Part>)>,
+        to: (u64, EndpointId),
         id: MessageId,
-        to: EndpointId,
-        cut_at: Micros,
+        (cut_at, last): (Micros, bool),
     ) {
         let Some(held) = self.held.get(&id) else { return };
         let attempt = held.transaction.next_attempt();
-        let part = Part { transaction: held.transaction.clone(), attempt, cut_at };
-        let most = self.context.board.get(to).map_or(1, |k| k.per_call);
-        match passes.iter_mut().rev().find(|p| p.0 == to) {
-            Some(pass) if pass.1.len() < most => pass.1.push(part),
-            _ => passes.push((to, vec![part])),
+        let part = Part { transaction: held.transaction.clone(), attempt, cut_at, last };
+        match passes.last_mut().filter(|p| p.0 == to) {
+            Some(pass) => pass.1.push(part),
+            None => passes.push((to, vec![part])),
         }
     }
 
-    fn pass_on(&mut self, now: Micros, passes: Vec<(EndpointId, Vec<Part>)>) {
-        for (endpoint, parts) in passes {
+    fn pass_on(&mut self, now: Micros, passes: Vec<((u64, EndpointId), Vec<Part>)>) {
+        for ((_, endpoint), parts) in passes {
             let (call, called_off) = async_channel::bounded(1);
             for part in &parts {
                 if let Some(held) = self.held.get_mut(&part.transaction.id) {
@@ -450,7 +473,7 @@
 
     /// The module's end of a message: as the answer if that is still to be written, or else by notice.
     async fn give_up(&mut self, id: MessageId, refused: Option<Option<Micros>>) {
-        if !self.finish(id) {
+        if !self.finish(id, if refused.is_some() { "returned" } else { "failed" }) {
             return;
         }
         let Some(held) = self.held.get_mut(&id) else { return };
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -131,8 +131,8 @@
             EndpointId(*last)
         });
         let of = &self.context.config().kinds[kind];
-        let (apart, per_call) = (of.apart, of.per_call);
-        let known = Known { address, destination, apart, per_call, leaving_since: None };
+        let apart = of.apart;
+        let known = Known { address, destination, apart, leaving_since: None };
         self.context.board.list(endpoint, lifecycle, known);
         Ok(Entry { endpoint, destination, zone: ZoneId(zone), kind: KindId(kind), lifecycle, weight })
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod notices;
 pub mod peer;
 pub mod proxy_pass;
+pub mod route_stats;
 pub mod transaction;
 
 use crate::{Courier, MessageId, Settings};
@@ -57,6 +58,8 @@
     pub journal: RefCell<Journal>,
     /// Counts.
     pub counters: Counters,
+    /// Counts by the entries of the site file.
+    pub routes: route_stats::Routes,
     /// The module's mailbox.
     pub decider: Sender<ToDecider>,
     /// Idle connections to endpoints that are kept.
@@ -100,6 +103,9 @@
     /// The counters, with what is held just now.
     pub fn report(&self) -> Value {
         let mut report = self.counters.report();
+        if let Some(routes) = self.routes.report() {
+            report["routes"] = routes;
+        }
         report["open"] = self.open.get().into();
         report["notices_owed"] = self.notices_owed.get().into();
         report["journal_bytes"] = self.journal.borrow().disk().into();
@@ -165,6 +171,7 @@
     for damage in &restored.damage {
         warn!(log, "journal damaged"; "what" => damage);
     }
+    let routes = settings.routes.clone();
     let courier = Courier::new(settings, config.seed).map_err(|e| e.to_string())?;
     let listen = config.listen;
     let listener = front::listen(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
@@ -184,12 +191,14 @@
         words: RefCell::default(),
         config: RefCell::new(Rc::new(config)),
         counters: Counters::default(),
+        routes: route_stats::Routes::default(),
         passes_out: Cell::new(0),
         open: Cell::new(0),
         notices_owed: Cell::new(0),
         user_agents: Cell::new(0),
         holds_list: Cell::new(false),
     });
+    context.routes.apply(routes);
     let config = context.config();
     let (notices, notices_mail) = async_channel::bounded(4096);
     let (farm_box, farm_mail) = async_channel::bounded(16);
@@ -223,7 +232,9 @@
                 let _ = farm.send(ToFarm::Look).await;
                 context.counters.reloads.add();
             }
-            Err(e) => warn!(context.log, "configuration not reloaded, the old one holds"; "error" => e),
+            Err(e) => {
+                warn!(context.log, "configuration not reloaded, the old one holds"; "error" => e.replace('\n', "; "))
+            }
         }
     }
 }
@@ -235,6 +246,7 @@
     }
     context.journal.borrow_mut().limit(config.disk);
     context.board.grace(config.drain_grace);
+    context.routes.apply(settings.routes.clone());
     *context.config.borrow_mut() = Rc::new(config);
     Ok(settings)
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -213,7 +213,7 @@
             };
             let stop = future::or(exchange.as_mut(), future::or(cut, called_off)).await;
             let cut = matches!(stop, Stop::Cut) && stage.get() == Stage::Written;
-            let lapsed = || pass.lapsed(clock.now(), context.config().granularity, waited_for);
+            let lapsed = || pass.lapsed(clock.now(), waited_for);
             let Some(lapsed) = cut.then(lapsed).flatten() else { break stop };
             lapsed.iter().for_each(|i| waited_for[*i] = false);
             let ended = Ended::alike(lapsed.len(), End::of(Outcome::TimedOut));
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -13,6 +13,8 @@
     pub attempt: u32,
     /// When this attempt is abandoned.
     pub cut_at: Micros,
+    /// The message's time is up then: it will not be sent again.
+    pub last: bool,
 }
 
 /// A call that the module has decided on.
@@ -42,11 +44,10 @@
     /// The parts that can be abandoned at a time while the call goes on for the others, if that is so for all
     /// that are due. A part may be reported while its call is out only if it is never sent again: when its
     /// own time is up. Guards against cutting a whole call, over and over, for one message at its deadline.
-    pub fn lapsed(&self, now: Micros, granularity: Micros, waited_for: &[bool]) -> Option<Vec<usize>> {
+    pub fn lapsed(&self, now: Micros, waited_for: &[bool]) -> Option<Vec<usize>> {
         let waited: Vec<usize> = (0..self.parts.len()).filter(|i| waited_for[*i]).collect();
         let due: Vec<usize> = waited.iter().copied().filter(|i| self.parts[*i].cut_at <= now).collect();
-        let up = |p: &Part| p.cut_at + granularity >= p.transaction.request.deadline;
-        let alone = !due.is_empty() && due.len() < waited.len() && due.iter().all(|i| up(&self.parts[*i]));
+        let alone = !due.is_empty() && due.len() < waited.len() && due.iter().all(|i| self.parts[*i].last);
         alone.then_some(due)
     }
 
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -1,5 +1,6 @@
 //! A message that was taken on, from its request to its end.
 
+use super::route_stats::RouteStats;
 use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, TenantId};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -34,6 +35,10 @@
     pub id: MessageId,
     /// As it was handed in.
     pub request: Request,
+    /// When it was handed in, on the program's clock; none if that was at an earlier process.
+    pub since: Option<Micros>,
+    /// Where it is counted by route.
+    pub stats: Option<Rc<RouteStats>>,
     attempts: Cell<u32>,
     over: Cell<bool>,
 }
@@ -41,11 +46,13 @@
 impl Transaction {
     /// A transaction that is under way, with the attempts that an earlier process made.
     pub fn new(id: MessageId, request: Request, attempts: u32) -> Self {
-        Transaction { id, request, attempts: Cell::new(attempts), over: Cell::new(false) }
+        let (attempts, over) = (Cell::new(attempts), Cell::new(false));
+        Transaction { id, request, since: None, stats: None, attempts, over }
     }
 
     /// The number of its next attempt, from 0; it counts as begun.
     pub fn next_attempt(&self) -> u32 {
+        self.stats.iter().for_each(|s| s.attempt());
         self.attempts.replace(self.attempts.get() + 1)
     }
 
--- /dev/null
+++ b/src/routes/check.rs
@@ -0,0 +1,320 @@
+//! What makes a file of routes unfit: each breach with the figures that collide and what would be right.
+
+use super::plan::{Plan, Route, Shape};
+use super::{worst_case, Entry, Match, Platform, Timing, MOST_ATTEMPTS};
+use crate::breach::{Breach, Code, Position};
+use crate::logic::longest_cut;
+use crate::site::written;
+use crate::{Class, ClassId, DestinationId, Effect, KindId, Micros};
+use std::collections::hash_map::{Entry as Place, HashMap};
+
+/// What can be accepted of an entry.
+struct Accepted {
+    route: Route,
+    destinations: Vec<DestinationId>,
+    at: Position,
+    overlaps: bool,
+}
+
+/// Notes every breach, and lays out the plan of the entries whose `match` can be read.
+pub fn check(entries: &[Entry], platform: Platform<'_>, breaches: &mut Vec<Breach>) -> Plan {
+    check_names(entries, breaches);
+    let mut accepted: Vec<Accepted> = Vec::with_capacity(entries.len());
+    for entry in entries {
+        let Some(shape) = resolve(&entry.matches, platform, breaches) else { continue };
+        let timing = figures(entry, breaches);
+        if entry.whole {
+            check_figures(entry, shape, &timing, platform, breaches);
+        }
+        let named = entry.matches.destinations.iter().flatten().map(|d| d.value).collect();
+        let route = Route { name: entry.name.value.clone(), line: entry.at.line, shape, timing };
+        accepted.push(Accepted { route, destinations: named, at: entry.matches.at, overlaps: false });
+    }
+    check_overlaps(&mut accepted, breaches);
+    let routes = accepted.iter().map(|a| a.route.clone()).collect();
+    let destinations: Vec<_> = accepted.iter().map(|a| a.destinations.clone()).collect();
+    let plan = Plan::lay_out(routes, &destinations, platform.names.kinds.len(), platform.names.classes.len());
+    for (a, wins) in accepted.iter().zip(plan.winners()) {
+        // One that names nothing that exists, or stands beside its double, was told of that already.
+        let told = a.overlaps || a.route.shape.destination && a.destinations.is_empty();
+        if !wins && !told {
+            let reason = format!(
+                "`{}` never wins: for every message that it matches, a more specific entry does; remove it or \
+                 them",
+                a.route.name
+            );
+            breaches.push(Breach::new(a.at, Code::Shadowed, reason));
+        }
+    }
+    plan
+}
+
+fn check_names(entries: &[Entry], breaches: &mut Vec<Breach>) {
+    let mut seen: HashMap<&str, Position> = HashMap::new();
+    for entry in entries {
+        match seen.entry(&entry.name.value) {
+            Place::Vacant(place) => drop(place.insert(entry.name.at)),
+            Place::Occupied(place) => {
+                let reason =
+                    format!("the name `{}` stands in line {} already", place.key(), place.get().line);
+                breaches.push(Breach::new(entry.name.at, Code::RepeatedName, reason));
+            }
+        }
+    }
+}
+
+fn resolve(m: &Match, platform: Platform<'_>, breaches: &mut Vec<Breach>) -> Option<Shape> {
+    let names = platform.names;
+    let mut find = |given: &Option<crate::breach::At<String>>, all: &[String], what: &str, code| {
+        let Some(given) = given else { return Some(None) };
+        let found = all.iter().position(|n| *n == given.value);
+        if found.is_none() {
+            let reason =
+                format!("the settings list no {what} `{}`; they list {}", given.value, all.join(", "));
+            breaches.push(Breach::new(given.at, code, reason));
+        }
+        found.map(Some)
+    };
+    let kind = find(&m.kind, &names.kinds, "kind", Code::UnknownKind);
+    let class = find(&m.class, &names.classes, "class", Code::UnknownClass);
+    let (kind, class) = (kind?.map(KindId), class?.map(ClassId));
+    Some(Shape { destination: m.destinations.is_some(), kind, class })
+}
+
+/// The figures of an entry, with those that stand on their own checked.
+fn figures(entry: &Entry, breaches: &mut Vec<Breach>) -> Timing {
+    if let Some(p) = entry.pause.filter(|p| p.longest.value < p.first.value) {
+        let (first, longest) = (written(p.first.value), written(p.longest.value));
+        let reason =
+            format!("the longest pause {longest} is under the first one {first}; it must be {first} or more");
+        breaches.push(Breach::new(p.longest.at, Code::Pause, reason));
+    }
+    Timing {
+        timeout: entry.timeout.map(|t| t.value),
+        attempts: entry.attempts.map(|a| u32::try_from(a.value).unwrap_or(u32::MAX)),
+        pause: entry.pause.map(|p| (p.first.value, p.longest.value)),
+        second_copy: entry.second_copy.map(|c| c.value),
+        give_up: entry.give_up.map(|g| g.value),
+    }
+}
+
+/// Holds the figures of an entry against each other, the settings and the classes that it is for.
+fn check_figures(
+    entry: &Entry,
+    shape: Shape,
+    timing: &Timing,
+    platform: Platform<'_>,
+    breaches: &mut Vec<Breach>,
+) {
+    let allowed = platform.settings.max_attempts.min(MOST_ATTEMPTS);
+    let mut countable = true;
+    if let Some(a) = entry.attempts.filter(|a| a.value == 0 || a.value > u64::from(allowed)) {
+        let why = match a.value {
+            0 => "0 attempts would send nothing".into(),
+            n if n > u64::from(MOST_ATTEMPTS) => format!("{n} attempts are more than any message may have"),
+            n => format!("{n} attempts are more than `max-attempts` of the settings allows"),
+        };
+        breaches.push(Breach::new(a.at, Code::Attempts, format!("{why}; 1 to {allowed} are right")));
+        countable = false;
+    }
+    let classes = platform.settings.classes.iter().zip(&platform.names.classes).enumerate();
+    let classes: Vec<Bound<'_>> = classes
+        .filter(|(at, _)| shape.class.is_none_or(|c| c.0 == *at))
+        .map(|(_, (class, name))| Bound { entry, timing, class, name, tick: platform.settings.granularity })
+        .collect();
+    check_second_copy(entry, timing, &classes, platform.settings.second_copies, breaches);
+    // Of several classes the one with the least room is told of.
+    let by_deadline = classes.iter().min_by_key(|b| b.class.deadline);
+    if let Some(b) = by_deadline {
+        b.check_give_up(breaches);
+    }
+    if !countable {
+        return;
+    }
+    let tightest = classes.iter().min_by_key(|b| b.class.deadline.saturating_sub(b.worst_end()));
+    tightest.into_iter().for_each(|b| b.check_end(breaches));
+    let keyed = classes.iter().filter(|b| b.class.effect == Effect::Keyed);
+    keyed.min_by_key(|b| b.class.memory_span).into_iter().for_each(|b| b.check_span(breaches));
+}
+
+fn check_second_copy(
+    entry: &Entry,
+    timing: &Timing,
+    classes: &[Bound<'_>],
+    allowed: bool,
+    breaches: &mut Vec<Breach>,
+) {
+    let Some(after) = entry.second_copy else { return };
+    let longest = classes.iter().map(Bound::timeout).max().unwrap_or(0);
+    if after.value < longest {
+        let (copy, cut) = (written(after.value), written(longest));
+        let mut reason = format!(
+            "a second copy after {copy} would go out while the first may be out for {cut}; `after` must be {cut} \
+             or more"
+        );
+        if timing.timeout.is_none() {
+            reason += ", or a `timeout` be set";
+        }
+        if allowed {
+            reason += " (that the settings allow two at once changes nothing: a message never has two out)";
+        }
+        breaches.push(Breach::new(after.at, Code::SecondCopy, reason));
+    }
+    if let Some(b) = classes.iter().find(|b| b.class.effect == Effect::Unsafe) {
+        let reason = format!(
+            "class `{}` allows one attempt that may have run, and a second copy would be another; leave it out, \
+             or match other classes only",
+            b.name
+        );
+        breaches.push(Breach::new(after.at, Code::SideEffect, reason));
+    }
+}
+
+/// An entry held against one class that it is for.
+struct Bound<'a> {
+    entry: &'a Entry,
+    timing: &'a Timing,
+    class: &'a Class,
+    name: &'a str,
+    tick: Micros,
+}
+
+impl Bound<'_> {
+    /// How long an attempt may be out.
+    fn timeout(&self) -> Micros {
+        self.timing.cut(longest_cut(self.class.effect))
+    }
+
+    /// The attempts that the entry promises: what it leaves to the module ends in time by itself.
+    fn attempts(&self) -> u32 {
+        let copies = 1 + u32::from(self.timing.second_copy.is_some());
+        self.timing.attempts.unwrap_or(if self.timing.timeout.is_some() { copies } else { copies - 1 })
+    }
+
+    /// The end of the worst case, counted from the hand-in.
+    fn worst_end(&self) -> Micros {
+        worst_case(self.timing, self.timeout(), self.attempts()).last().map_or(0, |s| s.ends)
+    }
+
+    /// Where the breach of a sum is shown.
+    fn place(&self) -> Position {
+        let attempts = self.entry.attempts.map(|a| a.at);
+        attempts.or(self.entry.timeout.map(|t| t.at)).unwrap_or(self.entry.at)
+    }
+
+    /// How the worst case comes about.
+    fn sum(&self) -> String {
+        let each = written(self.timeout());
+        let set =
+            if self.timing.timeout.is_some() { "" } else { ", the longest that is left to the module," };
+        let pauses = if self.timing.pause.is_some() || self.timing.second_copy.is_some() {
+            " with what lies between them"
+        } else {
+            ""
+        };
+        format!("{} attempts of {each}{set}{pauses} may take {}", self.attempts(), written(self.worst_end()))
+    }
+
+    /// How many attempts would end in time.
+    fn fitting(&self, limit: Micros) -> String {
+        let fits = |n: &u32| {
+            worst_case(self.timing, self.timeout(), *n).last().map_or(0, |s| s.ends) + self.tick <= limit
+        };
+        match (1..self.attempts()).rev().find(fits) {
+            Some(1) => "1 attempt would fit".into(),
+            Some(n) => format!("{n} attempts would fit"),
+            None => format!("a `timeout` under {} is needed", written(limit)),
+        }
+    }
+
+    fn check_give_up(&self, breaches: &mut Vec<Breach>) {
+        let Some(g) = self.entry.give_up.filter(|g| g.value > self.class.deadline) else { return };
+        let (given, deadline) = (written(g.value), written(self.class.deadline));
+        let reason = format!(
+            "give-up after {given} lies beyond the deadline {deadline} of class `{}`; {deadline} at most is right",
+            self.name
+        );
+        breaches.push(Breach::new(g.at, Code::Deadline, reason));
+    }
+
+    fn check_end(&self, breaches: &mut Vec<Breach>) {
+        let end = self.worst_end() + self.tick;
+        let (deadline, name) = (self.class.deadline, self.name);
+        if end > deadline {
+            let reason = format!(
+                "{}, which cannot end before the deadline {} of class `{name}`; {}",
+                self.sum(),
+                written(deadline),
+                self.fitting(deadline)
+            );
+            breaches.push(Breach::new(self.place(), Code::Deadline, reason));
+        }
+        if let Some(g) = self.entry.give_up.filter(|g| end > g.value) {
+            let reason = format!(
+                "{}, which cannot end before the give-up after {}; {}",
+                self.sum(),
+                written(g.value),
+                self.fitting(g.value)
+            );
+            breaches.push(Breach::new(g.at, Code::GiveUp, reason));
+        }
+    }
+
+    fn check_span(&self, breaches: &mut Vec<Breach>) {
+        let steps = worst_case(self.timing, self.timeout(), self.attempts());
+        let span = self.class.memory_span;
+        let Some(late) = steps.iter().skip(1).find(|s| s.begins + self.tick >= span) else { return };
+        let reason = format!(
+            "attempt {} could begin {} after the first that may have run, but repeats of class `{}` are dropped \
+             only for {}; {} at most are right",
+            late.attempt,
+            written(late.begins),
+            self.name,
+            written(span),
+            late.attempt - 1
+        );
+        breaches.push(Breach::new(self.place(), Code::MemorySpan, reason));
+    }
+}
+
+/// Entries of one shape exclude each other but for what their lists of destinations share.
+fn check_overlaps(accepted: &mut [Accepted], breaches: &mut Vec<Breach>) {
+    let mut first: HashMap<(Shape, Option<DestinationId>), usize> = HashMap::new();
+    for at in 0..accepted.len() {
+        let shape = accepted[at].route.shape;
+        let keys: Vec<Option<DestinationId>> = match shape.destination {
+            true => accepted[at].destinations.iter().map(|d| Some(*d)).collect(),
+            false => vec![None],
+        };
+        let mut shared: Vec<(usize, Option<DestinationId>, usize)> = Vec::new();
+        for key in keys {
+            match first.entry((shape, key)) {
+                Place::Vacant(place) => drop(place.insert(at)),
+                Place::Occupied(place) if *place.get() != at => {
+                    let other = *place.get();
+                    match shared.iter_mut().find(|s| s.0 == other) {
+                        Some(known) => known.2 += 1,
+                        None => shared.push((other, key, 1)),
+                    }
+                }
+                Place::Occupied(_) => {}
+            }
+        }
+        for (other, key, count) in shared {
+            let (this, that) = (&accepted[at], &accepted[other]);
+            let common = match (key, count) {
+                (Some(d), 1) => format!("destination {}", d.0),
+                (Some(d), n) => format!("destination {} and {} more", d.0, n - 1),
+                (None, _) => "all that they match".into(),
+            };
+            let reason = format!(
+                "`{}` and `{}` (line {}) are equally specific and could both win for {common}; make one of them \
+                 more specific, or give it to one only",
+                this.route.name, that.route.name, that.route.line
+            );
+            breaches.push(Breach::new(this.at, Code::Overlap, reason));
+            accepted[at].overlaps = true;
+            accepted[other].overlaps = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/site/fields.rs
@@ -0,0 +1,152 @@
+//! Typed reading of the tree: each reader returns the value or notes a breach, so that one pass finds them all.
+
+use super::node::{shortened, Node, Shape};
+use crate::breach::{At, Breach, Code, Position};
+use crate::Micros;
+
+/// No time in a settings file is longer.
+const DAY: Micros = 86_400_000_000;
+
+/// The keys of a map, each known and given once.
+pub struct Fields<'a> {
+    at: Position,
+    what: String,
+    all: &'a [(At<String>, Node)],
+}
+
+impl<'a> Fields<'a> {
+    /// Opens a map; notes keys that do not exist or are given twice.
+    pub fn open(node: &'a Node, what: &str, known: &[&str], breaches: &mut Vec<Breach>) -> Option<Self> {
+        let Shape::Map(all) = &node.shape else {
+            wrong(node, what, "a map", breaches);
+            return None;
+        };
+        for (at, (key, _)) in all.iter().enumerate() {
+            let name = shortened(&key.value);
+            if !known.contains(&key.value.as_str()) {
+                let reason = format!("{what} has no key `{name}`; its keys are {}", list(known));
+                breaches.push(Breach::new(key.at, Code::UnknownKey, reason));
+            } else if let Some((first, _)) = all[..at].iter().find(|f| f.0.value == key.value) {
+                let reason = format!("`{name}` stands in line {} already", first.at.line);
+                breaches.push(Breach::new(key.at, Code::RepeatedKey, reason));
+            }
+        }
+        Some(Fields { at: node.at, what: what.into(), all })
+    }
+
+    /// The value of a key that may be left out.
+    pub fn get(&self, key: &str) -> Option<&'a Node> {
+        self.all.iter().find(|f| f.0.value == key).map(|f| &f.1)
+    }
+
+    /// The value of a key that must be there.
+    pub fn needed(&self, key: &str, breaches: &mut Vec<Breach>) -> Option<&'a Node> {
+        let found = self.get(key);
+        if found.is_none() {
+            let reason = format!("{} needs a key `{key}`", self.what);
+            breaches.push(Breach::new(self.at, Code::MissingKey, reason));
+        }
+        found
+    }
+}
+
+fn list(words: &[&str]) -> String {
+    words.iter().map(|w| format!("`{w}`")).collect::<Vec<_>>().join(", ")
+}
+
+/// Notes that a value has another type than wanted.
+pub fn wrong(node: &Node, what: &str, wanted: &str, breaches: &mut Vec<Breach>) {
+    let reason = format!("{what} must be {wanted}, not {}", node.shape.name());
+    breaches.push(Breach::new(node.at, Code::Type, reason));
+}
+
+/// A text that is not empty.
+pub fn text(node: &Node, what: &str, breaches: &mut Vec<Breach>) -> Option<At<String>> {
+    match &node.shape {
+        Shape::Text(t) if !t.trim().is_empty() => Some(At { value: t.clone(), at: node.at }),
+        _ => {
+            wrong(node, what, "a text", breaches);
+            None
+        }
+    }
+}
+
+/// A whole number that is not negative.
+pub fn whole(node: &Node, what: &str, breaches: &mut Vec<Breach>) -> Option<u64> {
+    match node.shape {
+        Shape::Whole(n) => Some(n),
+        _ => {
+            wrong(node, what, "a whole number", breaches);
+            None
+        }
+    }
+}
+
+/// The items of a list.
+pub fn items<'a>(node: &'a Node, what: &str, breaches: &mut Vec<Breach>) -> Option<&'a [Node]> {
+    match &node.shape {
+        Shape::List(all) => Some(all),
+        _ => {
+            wrong(node, what, "a list", breaches);
+            None
+        }
+    }
+}
+
+/// A time: a number with `ms`, `s` or `m`, above zero and a day at most.
+pub fn span(node: &Node, what: &str, breaches: &mut Vec<Breach>) -> Option<At<Micros>> {
+    let read = match &node.shape {
+        Shape::Text(t) => time(t),
+        Shape::Whole(_) | Shape::Real(_) => {
+            Err((Code::Unit, "it has no unit; write it with `ms`, `s` or `m`".into()))
+        }
+        _ => {
+            wrong(node, what, "a time such as 200ms, 6s or 2m", breaches);
+            return None;
+        }
+    };
+    match read {
+        Ok(value) => Some(At { value, at: node.at }),
+        Err((code, reason)) => {
+            breaches.push(Breach::new(node.at, code, format!("{what}: {reason}")));
+            None
+        }
+    }
+}
+
+/// Reads a time such as `200ms`, `1.5s` or `2m`, in microseconds.
+pub fn time(text: &str) -> Result<Micros, (Code, String)> {
+    let unit_at = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let (number, unit) = text.split_at(unit_at);
+    let scale = match unit {
+        "ms" => 1e3,
+        "s" => 1e6,
+        "m" => 60e6,
+        _ => {
+            let what = format!("`{}` is not a time; the units are `ms`, `s` and `m`", shortened(text));
+            return Err((Code::Unit, what));
+        }
+    };
+    let plain = |c: char| c.is_ascii_digit() || c == '.' || c == '-';
+    let number = Some(number).filter(|n| n.chars().all(plain)).and_then(|n| n.parse::<f64>().ok());
+    let Some(number) = number else {
+        return Err((Code::Unit, format!("`{}` does not begin with a number", shortened(text))));
+    };
+    let micros = (number * scale).round();
+    if micros < 1.0 {
+        return Err((Code::Time, format!("`{text}` is no time; it must be above zero")));
+    }
+    if micros > DAY as f64 {
+        return Err((Code::Time, format!("`{text}` is over a day; a message lives for seconds")));
+    }
+    Ok(micros as Micros)
+}
+
+/// A time as a file would have it.
+pub fn written(t: Micros) -> String {
+    match t {
+        t if t % 60_000_000 == 0 && t > 0 => format!("{}m", t / 60_000_000),
+        t if t >= 1_000_000 => format!("{}s", t as f64 / 1e6),
+        t => format!("{}ms", t as f64 / 1e3),
+    }
+}
--- /dev/null
+++ b/src/site/routes.rs
@@ -0,0 +1,101 @@
+//! The section `routes`: its entries as they are written, before anything is made of them.
+
+use super::fields::{items, span, text, whole, wrong, Fields};
+use super::node::{Node, Shape};
+use crate::breach::{At, Breach, Code};
+use crate::routes::{Entry, Match, Pause};
+use crate::DestinationId;
+
+const ENTRY: &[&str] = &["name", "match", "timeout", "attempts", "pause", "second-copy", "give-up"];
+
+/// Reads the entries. One with a breach is kept, marked, so that the others can be held against it.
+pub fn read(node: &Node, breaches: &mut Vec<Breach>) -> Vec<Entry> {
+    let all = items(node, "`routes`", breaches).unwrap_or_default();
+    all.iter().filter_map(|n| entry(n, breaches)).collect()
+}
+
+fn entry(node: &Node, breaches: &mut Vec<Breach>) -> Option<Entry> {
+    let mut before = breaches.len();
+    let fields = Fields::open(node, "an entry", ENTRY, breaches)?;
+    let keys = breaches.len() - before;
+    let name = fields.needed("name", breaches).and_then(|n| text(n, "`name`", breaches));
+    let matches = fields.needed("match", breaches).and_then(|n| match_of(n, breaches));
+    before = breaches.len();
+    let timeout = fields.get("timeout").and_then(|n| span(n, "`timeout`", breaches));
+    let attempts = fields.get("attempts").and_then(|n| {
+        let value = whole(n, "`attempts`", breaches)?;
+        Some(At { value, at: n.at })
+    });
+    let pause = fields.get("pause").and_then(|n| {
+        let fields = Fields::open(n, "`pause`", &["first", "longest"], breaches)?;
+        let first = fields.needed("first", breaches).and_then(|n| span(n, "`first`", breaches));
+        let longest = fields.needed("longest", breaches).and_then(|n| span(n, "`longest`", breaches));
+        Some(Pause { first: first?, longest: longest? })
+    });
+    let second_copy = fields.get("second-copy").and_then(|n| {
+        let fields = Fields::open(n, "`second-copy`", &["after"], breaches)?;
+        fields.needed("after", breaches).and_then(|n| span(n, "`after`", breaches))
+    });
+    let give_up = fields.get("give-up").and_then(|n| span(n, "`give-up`", breaches));
+    // A figure that was misread or misnamed would collide with the others for no reason.
+    let whole = keys == 0 && breaches.len() == before;
+    Some(Entry {
+        at: node.at,
+        name: name?,
+        matches: matches?,
+        timeout,
+        attempts,
+        pause,
+        second_copy,
+        give_up,
+        whole,
+    })
+}
+
+fn match_of(node: &Node, breaches: &mut Vec<Breach>) -> Option<Match> {
+    let before = breaches.len();
+    let fields = Fields::open(node, "`match`", &["destination", "kind", "class"], breaches)?;
+    if breaches.len() > before {
+        // What it is for is not known.
+        return None;
+    }
+    let destinations = fields.get("destination").map(|n| destinations(n, breaches));
+    let kind = fields.get("kind").map(|n| text(n, "`kind`", breaches));
+    let class = fields.get("class").map(|n| text(n, "`class`", breaches));
+    // One that could not be read would seem to match more than it does.
+    let (kind, class) =
+        (kind.map_or(Some(None), |k| k.map(Some))?, class.map_or(Some(None), |c| c.map(Some))?);
+    Some(Match { at: node.at, destinations, kind, class })
+}
+
+fn destinations(node: &Node, breaches: &mut Vec<Breach>) -> Vec<At<DestinationId>> {
+    let one = |n: &Node| match n.shape {
+        Shape::Whole(d) => Some(At { value: DestinationId(d), at: n.at }),
+        _ => None,
+    };
+    if let Some(only) = one(node) {
+        return vec![only];
+    }
+    let Shape::List(all) = &node.shape else {
+        wrong(node, "`destination`", "a number or a list of numbers", breaches);
+        return Vec::new();
+    };
+    if all.is_empty() {
+        let reason =
+            "`destination` lists nothing, so the entry would match nothing; leave it out to match all";
+        breaches.push(Breach::new(node.at, Code::NoDestination, reason));
+    }
+    let mut seen = std::collections::HashMap::new();
+    for item in all {
+        match one(item) {
+            None => wrong(item, "a destination", "a whole number", breaches),
+            Some(d) => {
+                if let Some(first) = seen.insert(d.value, d.at) {
+                    let reason = format!("destination {} stands in line {} already", d.value.0, first.line);
+                    breaches.push(Breach::new(d.at, Code::RepeatedDestination, reason));
+                }
+            }
+        }
+    }
+    all.iter().filter_map(one).collect()
+}
--- a/src/words.rs
+++ b/src/words.rs
@@ -166,6 +166,7 @@
         marks_retry: v.get("callers").map_or(Ok(false), |c| maybe(c, "marks-retry", flag))?,
         probing: maybe(allow, "probing", flag)?,
         retry_after: maybe(allow, "retry-after", flag)?,
+        second_copies: maybe(allow, "second-copies", flag)?,
         max_retry_after: maybe(allow, "max-retry-after", micros)?,
         ask_for_list: match in_field(v, "discovery", text)?.as_str() {
             "pushed" => false,
@@ -179,6 +180,7 @@
         cold: in_field(rules, "cold", micros)?,
         cold_from: in_field(rules, "cold-from", number)?,
         key_rest: maybe(rules, "key-rest", micros)?,
+        routes: None,
     };
     let category_names = categories.iter().map(|c| in_field(c, "name", text)).collect::<Result<_, _>>()?;
     let tenants = realms.iter().map(|r| in_field(r, "name", text)).collect::<Result<_, _>>()?;
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,181 @@
+//! The site file in the running program, and the commands that read it.
+
+mod scenario;
+
+use scenario::{play, program};
+use std::process::Output;
+
+/// Guards against a slow partner and a fast one sharing a time-out, and against a repeat beyond the route's most.
+#[test]
+fn attempts_are_cut_and_counted_by_route() {
+    play(
+        "with e1=1 e2=2:many
+         site {version: 1, routes: [{name: fast, match: {kind: one}, timeout: 300ms, attempts: 2}, {name: slow, match: {kind: many}, timeout: 9s}]}
+         start
+         u1 send m1
+         u1 expect 202
+         u2 send m2 dest=2
+         u2 expect 202
+         e1 expect m1
+         e2 expect m2
+         e1 expect m1
+         p expect m1 failed
+         e2 send m2 200 m2=delivered
+         wait delivered=1 failed=1 timed_out=2 open=0
+         wait routes/fast/attempts=2 routes/fast/outcomes/timed_out=2 routes/fast/ends/failed=1 routes/fast/held=0
+         wait routes/slow/ends/delivered=1 routes/slow/delivery_ms/count=1 routes/slow/delivery_ms/p99.9>=300",
+    );
+}
+
+/// Guards against a call of many that is cut for all because one of them has a short time-out or give-up.
+#[test]
+fn messages_with_unlike_plans_are_not_cut_for_each_other() {
+    play(
+        "with e1=1:many tick=60
+         site {version: 1, routes: [{name: hasty, match: {class: free}, timeout: 400ms, attempts: 1}, {name: calm, match: {class: notice}, timeout: 8s, give-up: 9s}]}
+         start
+         stop
+         u1 send m1 class=notice
+         u2 send m2 class=free
+         u3 send m3 class=notice
+         continue
+         u1 expect 202
+         u2 expect 202
+         u3 expect 202
+         p expect m2 returned
+         wait routes/hasty/ends/returned=1 routes/calm/attempts=2 routes/calm/held=2 timed_out=1 passes=2",
+    );
+}
+
+/// Guards against a file reloaded in mid-traffic that reaches back to what is out, and against a broken one.
+#[test]
+fn a_reload_holds_for_the_next_attempt_and_a_broken_file_changes_nothing() {
+    play(
+        "with e1=1 e2=2
+         site {version: 1, routes: [{name: all, match: {}, timeout: 8s, attempts: 2}]}
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         u2 send m2 dest=2
+         u2 expect 202
+         e2 expect m2
+         site {version: 1, routes: [{name: all, match: {}, timeout: 200ms, attempts: 13}, {name: all, match: {kind: odd}}]}
+         reload open=8
+         log [attempts] 13 attempts are more than any message may have; 1 to 3 are right; 
+         log [unknown-kind] the settings list no kind `odd`
+         site {version: 1, routes: [{name: all, match: {}, timeout: 200ms, attempts: 1}]}
+         reload open=8
+         wait reloads=1
+         u3 send m3
+         u3 expect 202
+         e1 expect m3
+         p expect m3 failed
+         e1 send m1 200
+         e2 send m2 503
+         p expect m2 returned
+         wait routes/all/ends/delivered=1 routes/all/ends/failed=1 routes/all/ends/returned=1 routes/all/held=0 open=0",
+    );
+}
+
+/// Guards against a clump that is in flight, with another right behind it, being lost or cut by a reload.
+#[test]
+fn a_reload_between_two_clumps_loses_nothing() {
+    let clump = |from: usize| {
+        let hand_in = |i| format!("u{i} send m{i}\nu{i} expect 202\n");
+        (from..from + 4).map(hand_in).collect::<String>()
+    };
+    let answer = |from: usize| {
+        (from..from + 4).map(|i| format!("e1 expect m{i}\ne1 send m{i} 200\n")).collect::<String>()
+    };
+    let first = "with e1=1 open=40
+         site {version: 1, routes: [{name: all, match: {}, timeout: 5s}]}
+         start\n";
+    let reload = "site {version: 1, routes: [{name: other, match: {kind: one}, timeout: 4s, attempts: 3}]}
+         reload open=40
+         wait reloads=1\n";
+    // The calls of a clump may come in any order, one at a time here.
+    let script = [
+        first,
+        &clump(1),
+        reload,
+        &answer(1),
+        &clump(5),
+        &answer(5),
+        "wait delivered=8 open=0 timed_out=0\n",
+    ];
+    play(&script.concat());
+}
+
+#[test]
+fn attempts_used_up_under_another_plan_end_at_once_after_a_restart() {
+    play(
+        "with e1=1
+         site {version: 1, routes: [{name: all, match: {}, timeout: 9s, attempts: 2}]}
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         kill
+         start
+         e1 expect m1
+         site {version: 1, routes: [{name: all, match: {}, timeout: 9s, attempts: 1}]}
+         kill
+         start
+         p expect m1 failed
+         wait attempts=0 open=0",
+    );
+}
+
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let Output { status, stdout, stderr } = program().args(arguments).output().expect("it runs");
+    let text = |b: Vec<u8>| String::from_utf8(b).expect("text");
+    (status.code(), text(stdout), text(stderr))
+}
+
+#[test]
+fn the_commands_tell_apart_what_was_refused_and_what_was_called_wrongly() {
+    let config = "examples/config.json";
+    let (code, out, _) = run(&["check", "--config", config, "deploy/site.yaml"]);
+    assert_eq!((code, out.as_str()), (Some(0), "deploy/site.yaml: 2 routes, nothing against it\n"));
+    let folder = std::env::temp_dir().join(format!("cedarbridge-site-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("broken.yaml");
+    std::fs::write(&path, "version: 1\nroutes:\n- {name: a, match: {}, attempts: 13}\n").expect("written");
+    let broken = path.to_str().expect("text");
+    let line = format!(
+        "{broken}:3:34: [attempts] 13 attempts are more than any message may have; 1 to 12 are right\n"
+    );
+    assert_eq!(run(&["check", "--config", config, broken]).0, Some(1));
+    assert_eq!(run(&["check", "--config", config, broken]).1, line);
+    let (_, json, _) = run(&["check", "--json", "--config", config, broken]);
+    let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!((&json["ok"], &json["breaches"][0]["code"]), (&false.into(), &"attempts".into()));
+    // The daemon refuses by the same check, before it takes up anything.
+    let (code, _, told) = run(&["run", config, "--site", broken]);
+    assert_eq!((code, told), (Some(1), format!("cedarbridge: {line}")));
+    for wrong in [&["check", "--config", config][..], &["check", "--config", "none", broken], &["--odd"], &[]]
+    {
+        assert_eq!(run(wrong).0, Some(2), "{wrong:?}");
+    }
+    std::fs::remove_dir_all(folder).expect("removed");
+}
+
+#[test]
+fn explain_names_the_entry_that_wins_and_its_worst_case() {
+    let args =
+        ["explain", "--config", "examples/config.json", "deploy/site.yaml", "--kind", "cable-operator"];
+    let (code, out, _) = run(&args);
+    assert_eq!(code, Some(0));
+    for part in ["`cable-operators` (deploy/site.yaml:", "matches kind cable-operator, class notice", "25.4s"]
+    {
+        assert!(out.contains(part), "no {part} in {out}");
+    }
+    let (_, json, _) = run(&[&args[..], &["--json"]].concat());
+    let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(
+        (&json[0]["entry"]["name"], &json[0]["ends_ms"]),
+        (&"cable-operators".into(), &27000.0.into())
+    );
+    assert_eq!(json[0]["worst_case"].as_array().map(Vec::len), Some(4));
+}
