Play experiments in virtual time: partner models, emulator, audit, reports

Whether a time-out by route helps could only be guessed: nothing drove the decision module against unlike partners at a chosen load.

Neither is part of the forwarder.

--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,251 @@
+//! An experiment as it is written in YAML: what days to draw, what goes wrong, and which variants to hold against
+//! each other. It plays nothing.
+
+use cedarbridge::routes::{Plan, Platform};
+use cedarbridge::site::{time, Site};
+use cedarbridge::words::Names;
+use cedarbridge::{Micros, Settings};
+use cedarbridge_partners::Trouble;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// A span of time, written as in the site file.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Span(pub Micros);
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        time(&text).map(Span).map_err(|(_, reason)| D::Error::custom(reason))
+    }
+}
+
+/// A range that figures are drawn from, the ends included.
+pub type Range = (f64, f64);
+
+/// The whole file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// What it is called in the report.
+    pub title: String,
+    /// How long messages come; a day goes on until all have ended.
+    pub length: Span,
+    /// Forwarders that share the traffic.
+    pub forwarders: usize,
+    /// Days a load and variant.
+    pub seeds: u64,
+    /// Traffic as shares of full load, each from a range.
+    pub loads: Vec<Range>,
+    /// What partners are drawn from.
+    #[serde(default)]
+    pub partners: Partners,
+    /// Share of the messages that come in clumps, and their size in seconds of the partner's limit.
+    #[serde(default)]
+    pub clumps: Clumps,
+    /// What goes wrong.
+    #[serde(default)]
+    pub troubles: Vec<TroubleOf>,
+    /// What is held against each other.
+    pub variants: Vec<Variant>,
+}
+
+/// The ranges of the partners' figures.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Partners {
+    /// How many.
+    pub count: usize,
+    /// Messages a second for one at full load, in the mean.
+    pub rate: Range,
+    /// How unevenly traffic is spread: the exponent of the Zipf law.
+    pub zipf: Range,
+    /// The mean time of a message's work.
+    pub work_ms: Range,
+    /// How much slower or faster than that partners are, by a factor up to this either way.
+    pub unlike: f64,
+    /// Limit over the calls at full load.
+    pub headroom: Range,
+    /// Capacity over the limit.
+    pub spare: Range,
+    /// One-way time of the network.
+    pub network_ms: Range,
+    /// Partners, by their place in the traffic, whose work takes as long as this.
+    pub paces: Vec<PaceOf>,
+}
+
+/// A partner that works at a pace of its own.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PaceOf {
+    /// Its place by traffic, 1 for the busiest.
+    pub rank: usize,
+    /// The mean time of a message's work.
+    pub work: Span,
+}
+
+impl Default for Partners {
+    fn default() -> Self {
+        Partners {
+            count: 14,
+            rate: (4.6, 5.9),
+            zipf: (0.66, 0.96),
+            work_ms: (120.0, 200.0),
+            unlike: 2.0,
+            headroom: (1.2, 2.3),
+            spare: (1.2, 1.6),
+            network_ms: (7.0, 22.0),
+            paces: Vec::new(),
+        }
+    }
+}
+
+/// Messages that come in clumps for one partner.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clumps {
+    /// Their share of all.
+    pub share: Range,
+    /// As many as the partner takes in so many seconds.
+    pub seconds: Range,
+}
+
+impl Default for Clumps {
+    fn default() -> Self {
+        Clumps { share: (0.052, 0.15), seconds: (1.2, 3.5) }
+    }
+}
+
+/// The kinds of trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TroubleKind {
+    /// Answers so many times slower.
+    Slow,
+    /// Takes calls and answers none.
+    Hang,
+    /// Refuses connections.
+    Refuse,
+    /// Fails a share of its calls at once.
+    Fail,
+    /// Turns everything away as full.
+    Shut,
+    /// Says nothing at all.
+    Silent,
+}
+
+/// One trouble of a day.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TroubleOf {
+    /// Which.
+    pub kind: TroubleKind,
+    /// How bad: a factor for `slow`, a share for `fail`.
+    #[serde(default)]
+    pub size: Option<Range>,
+    /// The partner's place by traffic, 1 for the busiest.
+    pub rank: usize,
+    /// When it begins.
+    pub from: Span,
+    /// How long it lasts.
+    #[serde(rename = "for")]
+    pub lasts: Span,
+}
+
+impl TroubleOf {
+    /// The trouble, with its size drawn by a number from 0 to 1.
+    pub fn drawn(&self, draw: f64) -> Trouble {
+        let size = self.size.map_or(1.0, |r| r.0 + (r.1 - r.0) * draw);
+        match self.kind {
+            TroubleKind::Slow => Trouble::Slow(size),
+            TroubleKind::Hang => Trouble::Hang,
+            TroubleKind::Refuse => Trouble::Refuse,
+            TroubleKind::Fail => Trouble::Fail(size),
+            TroubleKind::Shut => Trouble::Shut,
+            TroubleKind::Silent => Trouble::Silent,
+        }
+    }
+}
+
+/// A way to run the forwarders.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Variant {
+    /// What it is called in the report.
+    pub name: String,
+    /// The site file that it runs with, from the experiment's folder; without one, none.
+    #[serde(default)]
+    pub site: Option<PathBuf>,
+}
+
+/// Why an experiment cannot be played.
+#[derive(Debug, thiserror::Error)]
+pub enum Unfit {
+    /// A file cannot be read.
+    #[error("cannot read `{0}`: {1}")]
+    Unread(PathBuf, std::io::Error),
+    /// The experiment's file is not in its form.
+    #[error("{0}:{1}")]
+    Form(PathBuf, String),
+    /// Its figures make no sense.
+    #[error("{0}: {1}")]
+    Figures(PathBuf, String),
+    /// A site file is refused, for these reasons.
+    #[error("{0}")]
+    Site(String),
+}
+
+impl Experiment {
+    /// Reads an experiment and checks its figures.
+    pub fn read(path: &Path) -> Result<Self, Unfit> {
+        let text = std::fs::read_to_string(path).map_err(|e| Unfit::Unread(path.into(), e))?;
+        let options = serde_saphyr::options! { with_snippet: false };
+        let experiment: Experiment = serde_saphyr::from_str_with_options(&text, options).map_err(|e| {
+            let at = e.location().map(|l| format!("{}:{}: ", l.line(), l.column())).unwrap_or_default();
+            Unfit::Form(path.into(), format!("{at}{e}"))
+        })?;
+        let unfit = |what: &str| Err(Unfit::Figures(path.into(), what.into()));
+        let partners = experiment.partners.count;
+        if experiment.forwarders == 0 || experiment.seeds == 0 || partners == 0 {
+            return unfit("forwarders, seeds and partners must be 1 at least");
+        }
+        if experiment.variants.is_empty() || experiment.loads.is_empty() {
+            return unfit("there must be a variant and a load");
+        }
+        let ranks = experiment.troubles.iter().map(|t| t.rank);
+        if ranks.chain(experiment.partners.paces.iter().map(|p| p.rank)).any(|r| r == 0 || r > partners) {
+            return unfit("a `rank` is a place among the partners, 1 for the busiest");
+        }
+        let needs_size = |t: &TroubleOf| matches!(t.kind, TroubleKind::Slow | TroubleKind::Fail);
+        if experiment.troubles.iter().any(|t| needs_size(t) != t.size.is_some()) {
+            return unfit("`slow` and `fail` need a `size`, the other troubles have none");
+        }
+        let p = &experiment.partners;
+        let ranges = [p.rate, p.zipf, p.work_ms, p.headroom, p.spare, p.network_ms, experiment.clumps.share];
+        let all = ranges.iter().chain(&experiment.loads).chain([&experiment.clumps.seconds]);
+        if all.into_iter().any(|r| !(r.0 > 0.0 && r.0 <= r.1 && r.1.is_finite())) {
+            return unfit("a range goes from a figure above zero to one that is no smaller");
+        }
+        Ok(experiment)
+    }
+
+    /// The plan of a variant, checked by the forwarder's own check.
+    pub fn plan(
+        &self,
+        of: &Variant,
+        folder: &Path,
+        as_of: &(Settings, Names),
+    ) -> Result<Option<Arc<Plan>>, Unfit> {
+        let Some(site) = &of.site else { return Ok(None) };
+        let path = folder.join(site);
+        let text = std::fs::read_to_string(&path).map_err(|e| Unfit::Unread(path.clone(), e))?;
+        let read = Site::read(&text, Platform { settings: &as_of.0, names: &as_of.1 });
+        let lines = |b: Vec<cedarbridge::breach::Breach>| {
+            let file = path.display().to_string();
+            Unfit::Site(b.iter().map(|b| b.line(&file)).collect::<Vec<_>>().join("\n"))
+        };
+        Ok(Some(Arc::new(read.map_err(lines)?.routes)))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! An emulator in virtual time: it drives the decision module through its interface against partner models, under
+//! a load with a few partners that carry much of it and with clumps, and audits every rule while it runs. It has
+//! no sockets; what the network code adds is outside of it.
+//!
+//! A day is drawn from a seed ([`world`]), played ([`play`]) under each variant of an experiment ([`experiment`]),
+//! measured ([`figures`]) and told ([`report`]). The same seed gives the same bytes.
+
+pub mod audit;
+pub mod experiment;
+pub mod figures;
+pub mod play;
+pub mod report;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,275 @@
+//! A day, drawn from a seed: partners, forwarders' settings, and every message that is handed in. The same day is
+//! played under each variant.
+
+use crate::experiment::Experiment;
+use cedarbridge::words::Names;
+use cedarbridge::{
+    Class, Decay, DedupScope, DestinationId, Effect, EndpointId, Entry, Kind, KindId, Lifecycle, Micros,
+    Settings, Tenant, WeightSource, ZoneId,
+};
+use cedarbridge_partners::{Model, Trouble};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+/// The clock of a day begins here, so that spans can be taken off early times.
+pub const START: Micros = 60 * SECOND;
+/// Shares of the channels, and how much of its share each may send.
+const TENANTS: [(&str, f64, (f64, f64)); 3] =
+    [("lounatv", 0.7, (0.69, 1.3)), ("emajogi-tv", 0.17, (0.54, 1.3)), ("valga-kanal", 0.13, (0.54, 1.4))];
+/// Worth of a message beyond its channel's share.
+const OVER_SHARE: f64 = 0.1;
+/// The quotas, as a share of the full load.
+const QUOTA: f64 = 0.87;
+
+/// From one message of a clump to the next, in seconds.
+const CLUMP_GAP: f64 = 0.004;
+
+/// A message as a client hands it in.
+#[derive(Clone, Copy, Debug)]
+pub struct Hand {
+    /// When.
+    pub at: Micros,
+    /// For which partner.
+    pub partner: usize,
+    /// From which channel.
+    pub tenant: usize,
+    /// To which forwarder.
+    pub forwarder: usize,
+    /// What it is worth if it is in time.
+    pub worth: f64,
+    /// A client that is refused comes again after so long, if at all.
+    pub again: Option<Micros>,
+}
+
+/// A day, before it is played.
+pub struct World {
+    /// By number; the busiest first.
+    pub partners: Vec<Model>,
+    /// The kind of each partner.
+    pub kinds: Vec<usize>,
+    /// Its share of the traffic.
+    pub traffic: Vec<f64>,
+    /// What a forwarder is told; all are told the same.
+    pub settings: Settings,
+    /// What the settings call classes and kinds.
+    pub names: Names,
+    /// The list of endpoints, and for each its partner and its place there.
+    pub list: Vec<(Entry, usize, usize)>,
+    /// All messages, in the order of time.
+    pub hands: Vec<Hand>,
+    /// What goes wrong: partner, begin, end, what.
+    pub troubles: Vec<(usize, Micros, Micros, Trouble)>,
+    /// An endpoint that drains for a while: which, and from when to when.
+    pub drain: Option<(usize, Micros, Micros)>,
+    /// One-way time of the network.
+    pub network: (Micros, Micros),
+    /// When the last message comes.
+    pub end: Micros,
+}
+
+fn pick(rng: &mut ChaCha8Rng, range: (f64, f64)) -> f64 {
+    range.0 + (range.1 - range.0) * rng.random::<f64>()
+}
+
+/// The settings and names that site files of an experiment are checked against.
+pub fn platform() -> (Settings, Names) {
+    let class = Class {
+        effect: Effect::Keyed,
+        dedup_scope: DedupScope::All,
+        memory_span: 30 * SECOND,
+        aim: 2500 * MS,
+        deadline: 28 * SECOND,
+        worth: 1.0,
+        late_worth: 0.3,
+        ordered: false,
+    };
+    let settings = Settings {
+        couriers: 1,
+        zone: ZoneId(0),
+        tolls: vec![0.0],
+        handshake_fee: 0.02,
+        classes: vec![class],
+        tenants: TENANTS.iter().map(|_| Tenant { quota_per_s: 0.0 }).collect(),
+        over_share_worth: OVER_SHARE,
+        kinds: vec![Kind { apart: false, per_call: 10 }, Kind { apart: false, per_call: 1 }],
+        decay: Decay::Halving,
+        weights: WeightSource::Rough,
+        slots: 1,
+        max_open: 1,
+        max_attempts: 12,
+        cancel: true,
+        marks_retry: true,
+        retry_after: true,
+        max_retry_after: 3 * SECOND,
+        granularity: 5 * MS,
+        fall_multiple: 2.0,
+        fall: 3 * SECOND,
+        cold: 9400 * MS,
+        cold_from: 0.23,
+        ..Settings::default()
+    };
+    let text = |all: &[&str]| all.iter().map(|n| n.to_string()).collect();
+    let names = Names {
+        classes: text(&["notice"]),
+        tenants: TENANTS.iter().map(|t| t.0.to_owned()).collect(),
+        zones: text(&["room"]),
+        kinds: text(&["cable-operator", "small-partner"]),
+    };
+    (settings, names)
+}
+
+impl World {
+    /// Draws a day at a load, which is a share of full load.
+    pub fn draw(experiment: &Experiment, load: (f64, f64), seed: u64) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let of = &experiment.partners;
+        let zipf = pick(&mut rng, of.zipf);
+        let weights: Vec<f64> = (0..of.count).map(|i| 1.0 / ((i + 1) as f64).powf(zipf)).collect();
+        let sum: f64 = weights.iter().sum();
+        let traffic: Vec<f64> = weights.iter().map(|w| w / sum).collect();
+        let full = pick(&mut rng, of.rate) * of.count as f64;
+        // The large ones are cable operators: a third of all, among the busiest.
+        let kinds: Vec<usize> =
+            (0..of.count).map(|i| usize::from(i % 2 == 1 || i >= of.count * 2 / 3)).collect();
+        let work = pick(&mut rng, of.work_ms) * 1000.0;
+        let mut partners: Vec<Model> = (0..of.count)
+            .map(|i| draw_partner(&mut rng, experiment, full * traffic[i], kinds[i], work))
+            .collect();
+        of.paces.iter().for_each(|p| partners[p.rank - 1].pace = p.work.0);
+        let mut settings = platform().0;
+        let load = pick(&mut rng, load);
+        settings.couriers = experiment.forwarders;
+        let each = full / experiment.forwarders as f64;
+        let busy: f64 =
+            partners.iter().zip(&traffic).map(|(p, t)| full * t * p.pace as f64 / SECOND as f64).sum();
+        let slots = busy / experiment.forwarders as f64 * pick(&mut rng, (1.8, 2.4));
+        settings.slots = (slots.ceil() as usize).max(3);
+        settings.max_open = ((each * pick(&mut rng, (7.1, 11.0))) as usize).max(8);
+        for (tenant, of) in settings.tenants.iter_mut().zip(TENANTS) {
+            tenant.quota_per_s = full * QUOTA * of.1;
+        }
+        let end = START + experiment.length.0;
+        let hands = draw_hands(&mut rng, experiment, &partners, &traffic, &settings, full * load);
+        let mut list = Vec::new();
+        for (i, p) in partners.iter().enumerate() {
+            // The list tells a rough figure for what the partner takes: up to half too high or too low.
+            let weight = p.limit.unwrap_or(p.capacity) * pick(&mut rng, (0.67, 1.5));
+            for e in 0..p.endpoints {
+                let entry = Entry {
+                    endpoint: EndpointId(list.len() as u32 + 1),
+                    destination: DestinationId(i as u64),
+                    zone: ZoneId(0),
+                    kind: KindId(kinds[i]),
+                    lifecycle: Lifecycle::Listed,
+                    weight,
+                };
+                list.push((entry, i, e));
+            }
+        }
+        let troubles = experiment.troubles.iter().map(|t| {
+            let from = START + t.from.0;
+            (t.rank - 1, from, from + t.lasts.0, t.drawn(rng.random()))
+        });
+        let troubles = troubles.collect();
+        // One endpoint of a partner with several leaves for a while, as in a restart.
+        let several = list.iter().position(|e| partners[e.1].endpoints > 1);
+        let drain = several.map(|e| (e, START + experiment.length.0 / 4, START + experiment.length.0 / 2));
+        let network = ((of.network_ms.0 * 1e3) as Micros, (of.network_ms.1 * 1e3) as Micros);
+        let names = platform().1;
+        World { partners, kinds, traffic, settings, names, list, hands, troubles, drain, network, end }
+    }
+}
+
+fn draw_partner(rng: &mut ChaCha8Rng, experiment: &Experiment, rate: f64, kind: usize, work: f64) -> Model {
+    let of = &experiment.partners;
+    let headroom = pick(rng, of.headroom);
+    let spare = pick(rng, of.spare);
+    let unlike = of.unlike.max(1.0).powf(pick(rng, (-1.0, 1.0)));
+    let least = if kind == 0 { pick(rng, (1.8, 4.6)) } else { pick(rng, (1.6, 4.5)) };
+    let limit = (rate * headroom).max(least);
+    let limited = kind == 0 || rng.random_bool(0.5);
+    let endpoints = if rate > 6.0 { rng.random_range(1..=4) } else { rng.random_range(1..=2) };
+    let capacity = limit * spare;
+    let depth = pick(rng, (0.44, 0.99));
+    Model {
+        endpoints,
+        pace: (work * unlike) as Micros,
+        spread: pick(rng, (0.36, 0.8)),
+        capacity,
+        limit: limited.then_some(limit),
+        refused_count: kind == 1,
+        tells_wait: None,
+        queue: ((capacity * depth / endpoints as f64).ceil() as usize).max(1),
+        per_call: if kind == 0 { (10, pick(rng, (0.074, 0.18))) } else { (1, 0.0) },
+        errors: pick(rng, (0.0, if kind == 0 { 0.01 } else { 0.005 })),
+        cold_from: pick(rng, (0.23, 0.33)),
+        cold: (pick(rng, (7.4, 9.4)) * SECOND as f64) as Micros,
+        fall_multiple: 2.0,
+        fall: 3 * SECOND,
+    }
+}
+
+/// All messages: an even stream for each partner, and clumps.
+fn draw_hands(
+    rng: &mut ChaCha8Rng,
+    experiment: &Experiment,
+    partners: &[Model],
+    traffic: &[f64],
+    settings: &Settings,
+    rate: f64,
+) -> Vec<Hand> {
+    let length = experiment.length.0 as f64 / SECOND as f64;
+    let clumped = pick(rng, experiment.clumps.share);
+    let usage: Vec<f64> = TENANTS.iter().map(|t| t.1 * pick(rng, t.2)).collect();
+    let all: f64 = usage.iter().sum();
+    let mut times: Vec<(Micros, usize)> = Vec::new();
+    let at = |s: f64| START + (s * SECOND as f64) as Micros;
+    for (i, share) in traffic.iter().enumerate() {
+        let each = rate * share * (1.0 - clumped);
+        let mut t = 0.0;
+        loop {
+            t += -(1.0 - rng.random::<f64>()).ln() / each;
+            if t >= length {
+                break;
+            }
+            times.push((at(t), i));
+        }
+    }
+    let mut left = rate * length * clumped;
+    while left >= 1.0 {
+        let mut draw = rng.random::<f64>();
+        let partner = traffic.iter().position(|t| {
+            draw -= t;
+            draw < 0.0
+        });
+        let partner = partner.unwrap_or(0);
+        let takes = partners[partner].limit.unwrap_or(partners[partner].capacity);
+        let size = (takes * pick(rng, experiment.clumps.seconds)).min(left).ceil();
+        // One in CLUMP_GAP seconds; all of it lies within the day.
+        let begin = rng.random::<f64>() * (length - size * CLUMP_GAP).max(0.0);
+        let hands = (0..size as usize).map(|n| begin + n as f64 * CLUMP_GAP).filter(|t| *t < length);
+        times.extend(hands.map(|t| (at(t), partner)));
+        left -= size;
+    }
+    times.sort();
+    let mut buckets: Vec<(f64, Micros)> = settings.tenants.iter().map(|t| (t.quota_per_s, START)).collect();
+    let hand = |(at, partner): (Micros, usize)| {
+        let mut draw = rng.random::<f64>() * all;
+        let tenant = usage.iter().position(|u| {
+            draw -= u;
+            draw < 0.0
+        });
+        let tenant = tenant.unwrap_or(0);
+        let quota = settings.tenants[tenant].quota_per_s;
+        let b = &mut buckets[tenant];
+        *b = ((b.0 + quota * (at - b.1) as f64 / SECOND as f64).min(quota.max(1.0)), at);
+        let within = b.0 >= 1.0;
+        b.0 -= f64::from(u8::from(within));
+        let again = rng.random_bool(0.75).then(|| (pick(rng, (0.53, 1.5)) * SECOND as f64) as Micros);
+        let forwarder = rng.random_range(0..settings.couriers);
+        Hand { at, partner, tenant, forwarder, worth: if within { 1.0 } else { OVER_SHARE }, again }
+    };
+    times.into_iter().map(hand).collect()
+}
--- /dev/null
+++ b/crates/lab/tests/experiments.rs
@@ -0,0 +1,64 @@
+//! The shipped experiments, on few days: they can be read, repeat themselves, and break no rule.
+
+use cedarbridge_lab::experiment::{Experiment, Unfit};
+use cedarbridge_lab::play::play;
+use cedarbridge_lab::report::{page, Row};
+use cedarbridge_lab::world::{platform, World};
+use std::path::{Path, PathBuf};
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments")
+}
+
+fn rows(experiment: &Experiment) -> Vec<Row> {
+    let load = experiment.loads[0];
+    let world = World::draw(experiment, load, 5);
+    let plays = experiment.variants.iter().map(|v| {
+        let plan = experiment.plan(v, &folder(), &platform()).expect("accepted");
+        let (figures, broken) = play(&world, plan, 5);
+        Row { load, variant: v.name.clone(), days: vec![figures], broken }
+    });
+    plays.collect()
+}
+
+#[test]
+fn the_shipped_experiments_break_no_rule_and_give_the_same_bytes_again() {
+    for file in ["slow-partner.yaml", "unlike-partners.yaml"] {
+        let mut experiment = Experiment::read(&folder().join(file)).expect("a shipped experiment");
+        experiment.loads.truncate(1);
+        experiment.length.0 /= 2;
+        let first = rows(&experiment);
+        for row in &first {
+            assert_eq!(row.broken, Vec::<String>::new(), "{file}, {}", row.variant);
+            // A day on which nothing is sent would break no rule either.
+            assert!(
+                row.days[0].delivered > 500 && row.days[0].worth().share() > 0.5,
+                "{file}, {}",
+                row.variant
+            );
+        }
+        let again = rows(&experiment);
+        assert_eq!(page(&experiment, &first).expect("drawn"), page(&experiment, &again).expect("drawn"));
+    }
+}
+
+#[test]
+fn an_experiment_that_makes_no_sense_is_refused_with_its_place() {
+    let good = std::fs::read_to_string(folder().join("slow-partner.yaml")).expect("shipped");
+    let path = std::env::temp_dir().join(format!("cedarbridge-lab-{}.yaml", std::process::id()));
+    for (from, to, wanted) in [
+        ("forwarders: 2", "forwarder: 2", ":5:"),
+        ("for: 20s", "for: 20", "unit"),
+        ("rank: 2", "rank: 99", "rank"),
+        ("kind: slow, size: [10, 24]", "kind: hang, size: [10, 24]", "size"),
+        ("[1.1, 1.1]", "[1.1, 1.0]", "range"),
+        ("seeds: 10", "seeds: 0", "1 at least"),
+    ] {
+        assert!(good.contains(from));
+        std::fs::write(&path, good.replace(from, to)).expect("written");
+        let told = Experiment::read(&path).expect_err(to).to_string();
+        assert!(told.contains(wanted), "{told}");
+    }
+    std::fs::remove_file(&path).expect("removed");
+    assert!(matches!(Experiment::read(&path), Err(Unfit::Unread(..))));
+}
