--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -101,6 +101,6 @@
             }
             Ok((config, settings))
         };
-        net::run(&load, logger(self.log_format, self.log_level)).map_err(Failed::Refused)
+        net::run(Arc::new(load), logger(self.log_format, self.log_level)).map_err(Failed::Refused)
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// The largest body of a message.
 pub const BODY_LIMIT: usize = 64 * 1024;
@@ -43,7 +43,7 @@
     /// The kinds of destination.
     pub kinds: Vec<Kind>,
     /// What classes, tenants, zones and kinds are called.
-    pub names: Rc<Names>,
+    pub names: Arc<Names>,
     /// Whether each class needs a key, by class.
     pub keyed: Vec<bool>,
     /// Whether a message of each class must never run twice, by class.
@@ -106,7 +106,7 @@
             max_open: settings.max_open,
             slots: settings.slots,
             kinds: settings.kinds.clone(),
-            names: Rc::new(names),
+            names: Arc::new(names),
             keyed: of(crate::Effect::Keyed),
             unsafe_twice: of(crate::Effect::Unsafe),
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -19,6 +19,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// What the module's actor can be told.
 pub enum ToDecider {
@@ -75,7 +76,7 @@
 /// The actor round the module.
 pub struct Decider {
     context: Rc<Context>,
-    names: Rc<Names>,
+    names: Arc<Names>,
     courier: Courier,
     notices: Sender<Notice>,
     farm: Sender<ToFarm>,
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -14,6 +14,7 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A watch that says nothing for so long, not even with an empty line, is opened anew.
@@ -53,7 +54,7 @@
 /// The list as this program holds it.
 pub struct Farm {
     context: Rc<Context>,
-    names: Rc<Names>,
+    names: Arc<Names>,
     own: Sender<ToFarm>,
     /// The watch that the list comes from.
     held: Option<Watch>,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -17,6 +17,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A user agent may leave its connection unused for so long once it has been served.
@@ -181,7 +182,7 @@
 
 struct UserAgent {
     context: Rc<Context>,
-    names: Rc<Names>,
+    names: Arc<Names>,
     lobby: Rc<Lobby>,
     wire: Wire,
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,6 +33,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How the program ends, from the signal on: connections are still taken for the first span, then the module
@@ -142,7 +143,9 @@
 
 /// Reads the configuration. At a reload the file's word on the platform's address goes before the variable's,
 /// which still tells what held at the start.
-pub type Load = dyn Fn(Reading) -> Result<(Config, Settings), String>;
+pub type Load = dyn Fn(Reading) -> Loaded + Send + Sync;
+/// A configuration, or why there is none.
+pub type Loaded = Result<(Config, Settings), String>;
 
 /// What the configuration is read for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,13 +157,13 @@
 }
 
 /// Runs the forwarder until it is told to end.
-pub fn run(load: &Load, log: Logger) -> Result<(), String> {
+pub fn run(load: Arc<Load>, log: Logger) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
     let running = executor.clone();
-    async_io::block_on(running.run(start(load, log, executor)))
+    async_io::block_on(running.run(start(&load, log, executor)))
 }
 
-async fn start(load: &Load, log: Logger, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+async fn start(load: &Arc<Load>, log: Logger, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let (config, settings) = load(Reading::Start)?;
@@ -222,9 +225,9 @@
 
 /// Reads the configuration again on each SIGHUP, up to the signal that ends the program. A SIGHUP that comes
 /// later finds it ending and changes nothing.
-async fn attend_signals(context: &Context, signals: &mut Signals, load: &Load, farm: &Sender<ToFarm>) {
+async fn attend_signals(context: &Context, signals: &mut Signals, load: &Arc<Load>, farm: &Sender<ToFarm>) {
     while let Some(Ok(Signal::Hup)) = signals.next().await {
-        match reload(context, load) {
+        match reload(context, load).await {
             Ok(settings) => {
                 let discovery = context.config().discovery;
                 info!(context.log, "configuration reloaded"; "discovery" => %discovery);
@@ -239,8 +242,14 @@
     }
 }
 
-fn reload(context: &Context, load: &Load) -> Result<Settings, String> {
-    let (config, settings) = load(Reading::Reload)?;
+/// A large file takes a while to check. Guards against news of the list that waits for it: what leaves must get
+/// nothing new 250 ms later.
+async fn reload(context: &Context, load: &Arc<Load>) -> Result<Settings, String> {
+    let (done, loaded) = async_channel::bounded(1);
+    let load = load.clone();
+    std::thread::spawn(move || drop(done.try_send(load(Reading::Reload))));
+    let loaded = loaded.recv().await.map_err(|_| "the check did not come to an end")?;
+    let (config, settings) = loaded?;
     if let Some(why) = config.needs_restart(&context.config()) {
         return Err(why.into());
     }
