--- /dev/null
+++ b/fuzz/fuzz_targets/json.rs
@@ -0,0 +1,6 @@
+//! The reader of a registry's answers in JSON takes any bytes.
+#![no_main]
+
+libfuzzer_sys::fuzz_target!(|data: &[u8]| {
+    let _ = cedarbridge::net::eureka::json::read(data);
+});
--- a/src/breach.rs
+++ b/src/breach.rs
@@ -52,6 +52,10 @@
     Unit = "unit",
     /// A time of zero, negative or over a day.
     Time = "time",
+    /// No address of a registry, or one given twice.
+    Address = "address",
+    /// A lease that ends before it is renewed.
+    Lease = "lease",
     /// The longest pause under the first.
     Pause = "pause",
     /// No attempts, or more than are allowed.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod explain;
+mod registry;
 mod run;
 
 use crate::breach::Breach;
@@ -43,6 +44,8 @@
     Check(check::CheckArgs),
     /// Tell which entry of a site file wins for which message, and its worst case
     Explain(explain::ExplainArgs),
+    /// Show what the forwarder would hold of a registry, and why
+    Registry(registry::RegistryArgs),
     /// Print completions for a shell
     Completions {
         /// Which shell
@@ -136,6 +139,7 @@
         Some(Command::Run(args)) => args.run(),
         Some(Command::Check(args)) => args.run(),
         Some(Command::Explain(args)) => args.run(),
+        Some(Command::Registry(args)) => args.run(),
         Some(Command::Completions { shell }) => {
             let mut out = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "cedarbridge", &mut out);
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -74,11 +74,12 @@
 }
 
 /// Puts what our own file says into the settings; all breaches come as lines of one text.
-fn with_site(path: &Path, config: &Config, settings: &mut Settings) -> Result<(), String> {
+fn with_site(path: &Path, config: &mut Config, settings: &mut Settings) -> Result<(), String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read `{}`: {e}", path.display()))?;
     let platform = Platform { settings, names: &config.names };
     let site = Site::read(&text, platform).map_err(|b| lines(path, &b))?;
     settings.routes = Some(Arc::new(site.routes));
+    config.registry = site.registry.map(Arc::new);
     Ok(())
 }
 
@@ -94,10 +95,10 @@
             let told = |name: &str| {
                 variable(name).filter(|_| reading == Reading::Start || name != "ROUTER_DISCOVERY")
             };
-            let (config, mut settings) =
+            let (mut config, mut settings) =
                 Config::read(&json, told).map_err(|e| format!("`{}`: {e}", path.display()))?;
             if let Some(site) = &site {
-                with_site(site, &config, &mut settings)?;
+                with_site(site, &mut config, &mut settings)?;
             }
             Ok((config, settings))
         };
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,368 @@
+//! The partner list, from several sources: what each says is kept as a view of its own, and the views are merged
+//! into the one list that the decision module and the board get. It decides what of an answer is believed and when
+//! something that comes back is used again. It does no I/O, takes time as an argument, and implies nothing about
+//! health.
+//!
+//! `docs/registry.md` weighs the ways; `docs/operating-registry.md` is for operators.
+
+mod poll;
+mod settings;
+mod view;
+
+use crate::{DestinationId, EndpointId, KindId, Lifecycle, Micros, ZoneId};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+pub use poll::{Poller, Question};
+pub use settings::{Address, Ask, MetadataNames, Registration, RegistrySettings};
+pub use view::{Counts, HoldDown, Shrink};
+use view::{Effective, View};
+
+/// What a source says of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// In service.
+    Up,
+    /// Nothing new should go there.
+    Leaving,
+    /// Removed.
+    Gone,
+    /// Not known: whatever held before still holds.
+    Unknown,
+}
+
+/// What an entry is called: within its source, by group (an application of the registry; empty where there are no
+/// groups) and id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// The group.
+    pub group: String,
+    /// The id.
+    pub id: String,
+}
+
+/// An entry, as its source tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// What it is called.
+    pub key: Key,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whose it is.
+    pub destination: DestinationId,
+    /// Its failure domain.
+    pub zone: ZoneId,
+    /// The kind of its destination.
+    pub kind: KindId,
+    /// What it takes, as far as the source tells.
+    pub weight: f64,
+    /// What its source says of it.
+    pub state: State,
+    /// When it last changed, by its source's own clock or count; never compared between entries of two sources.
+    pub stamp: u64,
+}
+
+/// What a source has told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// All that it has; what is missing is gone.
+    Whole {
+        /// Its version, where the source counts them.
+        version: Option<u64>,
+        /// The entries.
+        listings: Vec<Listing>,
+    },
+    /// Entries that changed, each named.
+    Patch {
+        /// As they are now.
+        listings: Vec<Listing>,
+        /// Those that are gone, with their stamps.
+        removed: Vec<(Key, u64)>,
+    },
+}
+
+/// How far a source is believed.
+#[derive(Clone, Debug, Default)]
+pub struct Policy {
+    /// What comes back waits, so that flapping costs neither late drains nor stampedes.
+    pub hold_down: Option<HoldDown>,
+    /// A full answer that lacks too much is not believed at once.
+    pub shrink: Option<Shrink>,
+    /// An entry is its id at its address: an id elsewhere, or another id there, is another endpoint. Without it an
+    /// id is one endpoint wherever it listens.
+    pub by_address: bool,
+}
+
+/// A source's place among the sources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SourceId(pub usize);
+
+/// A change of the merged list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// Which endpoint.
+    pub endpoint: EndpointId,
+    /// The entry that it comes from.
+    pub listing: Listing,
+    /// What holds for it now.
+    pub lifecycle: Lifecycle,
+    /// When it was learnt.
+    pub learnt: Micros,
+    /// From which source.
+    pub source: SourceId,
+    /// Why it is what it is.
+    pub why: &'static str,
+}
+
+/// What an endpoint goes by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Slot {
+    /// An id of a source, wherever it listens.
+    Named(SourceId, Key),
+    /// An id at an address.
+    Placed(SocketAddr, String),
+}
+
+/// The views and the list that they make.
+pub struct Membership {
+    views: Vec<View>,
+    names: Vec<&'static str>,
+    /// Entries of sources that go by address: who stands there.
+    places: HashMap<SocketAddr, BTreeSet<(SourceId, Key)>>,
+    /// Addresses that sources name that go by id.
+    named: HashMap<SocketAddr, BTreeSet<(SourceId, Key)>>,
+    ids: HashMap<Slot, EndpointId>,
+    last_id: u32,
+    /// What the list says now.
+    told: BTreeMap<Slot, Change>,
+    /// At each address, the slots there that were told and are not gone.
+    told_at: HashMap<SocketAddr, BTreeSet<Slot>>,
+}
+
+impl Membership {
+    /// No entries yet, from these sources, each with its name.
+    pub fn new(sources: Vec<(&'static str, Policy)>) -> Self {
+        let names = sources.iter().map(|s| s.0).collect();
+        let views = sources.into_iter().map(|s| View::new(s.1)).collect();
+        let (places, named, ids, told, told_at) = Default::default();
+        Membership { views, names, places, named, ids, last_id: 0, told, told_at }
+    }
+
+    /// What a source is called.
+    pub fn name(&self, source: SourceId) -> &'static str {
+        self.names[source.0]
+    }
+
+    /// Other figures hold for a source; what it has told stays.
+    pub fn set_policy(&mut self, source: SourceId, policy: Policy) {
+        self.views[source.0].policy = policy;
+    }
+
+    /// Takes in what a source has told and tells what changes by it, in the order in which it was told.
+    pub fn take(&mut self, now: Micros, source: SourceId, news: News) -> Vec<Change> {
+        let touched = self.views[source.0].take(now, news);
+        self.settle(now, source, touched)
+    }
+
+    /// What a source told long ago, as it was kept: held as its view until it says something itself.
+    pub fn restore(&mut self, now: Micros, source: SourceId, listings: Vec<Listing>) -> Vec<Change> {
+        let touched = self.views[source.0].restore(now, listings);
+        self.settle(now, source, touched)
+    }
+
+    /// Tells what changes by the mere passing of time.
+    pub fn tick(&mut self, now: Micros) -> Vec<Change> {
+        let sources = (0..self.views.len()).map(SourceId);
+        let due: Vec<_> = sources.map(|s| (s, self.views[s.0].due(now))).collect();
+        due.into_iter().flat_map(|(s, touched)| self.settle(now, s, touched)).collect()
+    }
+
+    /// When time alone changes something next.
+    pub fn next_tick(&self) -> Option<Micros> {
+        self.views.iter().filter_map(View::next_due).min()
+    }
+
+    /// A full answer of this source is wanted, whatever partial ones say: something is in doubt.
+    pub fn in_doubt(&self, source: SourceId) -> bool {
+        self.views[source.0].in_doubt()
+    }
+
+    /// What a source's answers have come to.
+    pub fn counts(&self, source: SourceId) -> Counts {
+        self.views[source.0].counts
+    }
+
+    /// The entries of a source that are held, as it told them.
+    pub fn view(&self, source: SourceId) -> impl Iterator<Item = &Listing> {
+        self.views[source.0].listings()
+    }
+
+    /// The merged list: every endpoint that is not gone.
+    pub fn list(&self) -> impl Iterator<Item = &Change> {
+        self.told.values()
+    }
+
+    /// Forgets the numbers of endpoints that nobody knows any more.
+    pub fn keep_ids(&mut self, known: impl Fn(EndpointId) -> bool) {
+        let told = &self.told;
+        self.ids.retain(|slot, id| told.contains_key(slot) || known(*id));
+    }
+
+    /// Works out what holds for the entries that a source's news touched.
+    fn settle(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        touched: Vec<(Key, Option<SocketAddr>)>,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if !self.views[source.0].policy.by_address {
+            for (key, before) in touched {
+                self.settle_named(now, source, key, before, &mut changes);
+            }
+            return changes;
+        }
+        let mut places: Vec<SocketAddr> = Vec::new();
+        for (key, before) in touched {
+            let after = self.views[source.0].get(&key).map(|l| l.address);
+            if let Some(old) = before.filter(|b| Some(*b) != after) {
+                leave(&mut self.places, old, &(source, key.clone()));
+                places.push(old);
+            }
+            if let Some(new) = after {
+                self.places.entry(new).or_default().insert((source, key));
+                places.push(new);
+            }
+        }
+        let mut seen = std::collections::HashSet::new();
+        places.retain(|p| seen.insert(*p));
+        places.into_iter().for_each(|p| self.settle_place(now, p, &mut changes));
+        changes
+    }
+
+    fn settle_named(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        key: Key,
+        before: Option<SocketAddr>,
+        changes: &mut Vec<Change>,
+    ) {
+        let slot = Slot::Named(source, key.clone());
+        let (after, effective) = {
+            let view = &self.views[source.0];
+            (view.get(&key).cloned(), view.effective(&key, now))
+        };
+        let at = after.as_ref().map(|l| l.address);
+        let left = before.filter(|b| Some(*b) != at);
+        if let Some(old) = left {
+            leave(&mut self.named, old, &(source, key.clone()));
+        }
+        match after.zip(effective) {
+            Some((listing, effective)) => {
+                self.named.entry(listing.address).or_default().insert((source, key));
+                self.tell(slot, listing, effective, source, changes);
+            }
+            None => self.tell_gone(now, &slot, source, "missing", changes),
+        }
+        // What other sources have at these addresses may hold again, or no longer.
+        left.into_iter().chain(at).for_each(|place| self.settle_place(now, place, changes));
+    }
+
+    /// Who stands at an address, of the sources that go by it: of several ids the one that changed last; of one
+    /// id in several groups the newest entry, and a drain if any of them says so. Where a source that goes by id
+    /// names the address, its word holds alone.
+    fn settle_place(&mut self, now: Micros, address: SocketAddr, changes: &mut Vec<Change>) {
+        let mut best: Option<(Listing, Effective, SourceId)> = None;
+        if !self.named.contains_key(&address) {
+            for (source, key) in self.places.get(&address).into_iter().flatten() {
+                let view = &self.views[source.0];
+                let Some((listing, effective)) = view.get(key).zip(view.effective(key, now)) else {
+                    continue;
+                };
+                let Some((held, state, from)) = &mut best else {
+                    best = Some((listing.clone(), effective, *source));
+                    continue;
+                };
+                let same = held.key.id == listing.key.id;
+                let severe = if same { effective.severest(*state) } else { effective };
+                if listing.stamp > held.stamp {
+                    (*held, *from) = (listing.clone(), *source);
+                    *state = severe;
+                } else if same {
+                    *state = severe;
+                }
+            }
+        }
+        let wins = best.as_ref().map(|b| Slot::Placed(address, b.0.key.id.clone()));
+        let others: Vec<Slot> = self.told_at.get(&address).into_iter().flatten().cloned().collect();
+        for slot in others.into_iter().filter(|s| matches!(s, Slot::Placed(..)) && Some(s) != wins.as_ref()) {
+            let source = self.told[&slot].source;
+            let why = if best.is_some() { "replaced at its address" } else { "missing" };
+            self.tell_gone(now, &slot, source, why, changes);
+        }
+        if let Some(((listing, effective, source), slot)) = best.zip(wins) {
+            // What drains and was never in service is not added.
+            if effective.lifecycle == Lifecycle::Listed || self.told.contains_key(&slot) {
+                self.tell(slot, listing, effective, source, changes);
+            }
+        }
+    }
+
+    fn tell(
+        &mut self,
+        slot: Slot,
+        listing: Listing,
+        effective: Effective,
+        source: SourceId,
+        changes: &mut Vec<Change>,
+    ) {
+        let last = &mut self.last_id;
+        let endpoint = *self.ids.entry(slot.clone()).or_insert_with(|| {
+            *last += 1;
+            EndpointId(*last)
+        });
+        let Effective { lifecycle, learnt, why } = effective;
+        let change = Change { endpoint, listing, lifecycle, learnt, source, why };
+        let known = self.told.get(&slot);
+        if known.is_some_and(|k| k.listing.address != change.listing.address) {
+            let old = known.expect("just seen").listing.address;
+            leave(&mut self.told_at, old, &slot);
+        }
+        // A source that goes by id is passed on as it tells; of the others only what changes.
+        let news = matches!(slot, Slot::Named(..))
+            || known.is_none_or(|k| {
+                let (a, b) = (&k.listing, &change.listing);
+                k.lifecycle != lifecycle
+                    || (a.destination, a.zone, a.kind, a.weight) != (b.destination, b.zone, b.kind, b.weight)
+            });
+        self.told_at.entry(change.listing.address).or_default().insert(slot.clone());
+        if news {
+            changes.push(change.clone());
+            self.told.insert(slot, change);
+        }
+    }
+
+    fn tell_gone(
+        &mut self,
+        now: Micros,
+        slot: &Slot,
+        source: SourceId,
+        why: &'static str,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(known) = self.told.remove(slot) else { return };
+        leave(&mut self.told_at, known.listing.address, slot);
+        changes.push(Change { lifecycle: Lifecycle::Gone, learnt: now, source, why, ..known });
+    }
+}
+
+/// Takes one out of a set at an address; an empty set is let go.
+fn leave<T: Ord>(sets: &mut HashMap<SocketAddr, BTreeSet<T>>, at: SocketAddr, one: &T) {
+    if let Some(set) = sets.get_mut(&at) {
+        set.remove(one);
+        if set.is_empty() {
+            sets.remove(&at);
+        }
+    }
+}
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -2,6 +2,8 @@
 
 use super::clock::Clock;
 use crate::{DestinationId, EndpointId, Lifecycle, Micros};
+use hdrhistogram::Histogram;
+use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,6 +22,17 @@
     pub apart: bool,
     /// When this program was told that nothing new should go there.
     pub leaving_since: Option<Micros>,
+    /// When the module took that in.
+    pub told: Option<Micros>,
+    /// When the last call's first byte was written.
+    pub last_byte: Option<Micros>,
+}
+
+impl Known {
+    /// An endpoint of which nothing has come or gone yet.
+    pub fn new(address: SocketAddr, destination: DestinationId, apart: bool) -> Self {
+        Known { address, destination, apart, leaving_since: None, told: None, last_byte: None }
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,13 +47,17 @@
     grace: Cell<Micros>,
     endpoints: RefCell<BTreeMap<EndpointId, Known>>,
     waits: RefCell<BTreeMap<Waiter, Micros>>,
+    /// From learning that an endpoint leaves to the last first byte there, in microseconds.
+    last_sends: RefCell<Histogram<u32>>,
 }
 
 impl Board {
     /// An empty board. Work may still go to an endpoint for most of the grace after it was told to leave.
     pub fn new(clock: Clock, grace: Micros) -> Self {
         let (endpoints, waits) = Default::default();
-        let board = Board { clock, grace: Cell::new(0), endpoints, waits };
+        let last_sends = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that are in order");
+        let last_sends = RefCell::new(last_sends);
+        let board = Board { clock, grace: Cell::new(0), endpoints, waits, last_sends };
         board.grace(grace);
         board
     }
@@ -51,15 +68,47 @@
         self.grace.set(grace * 4 / 5);
     }
 
-    /// Writes down an endpoint; the time of an earlier leave stays.
-    pub fn list(&self, endpoint: EndpointId, lifecycle: Lifecycle, mut known: Known) {
+    /// Writes down an endpoint, learnt at a time; the time of an earlier leave stays.
+    pub fn list(&self, endpoint: EndpointId, lifecycle: Lifecycle, learnt: Micros, mut known: Known) {
         let mut all = self.endpoints.borrow_mut();
-        let before = all.get(&endpoint).and_then(|k| k.leaving_since);
-        let leaves = lifecycle != Lifecycle::Listed;
-        known.leaving_since = leaves.then(|| before.unwrap_or_else(|| self.clock.now()));
+        let before = all.get(&endpoint);
+        if lifecycle != Lifecycle::Listed {
+            known.leaving_since = before.and_then(|k| k.leaving_since).or(Some(learnt));
+            known.told = before.and_then(|k| k.told);
+        }
+        known.last_byte = before.and_then(|k| k.last_byte);
         all.insert(endpoint, known);
     }
 
+    /// The module has taken in that an endpoint leaves.
+    pub fn told(&self, endpoint: EndpointId, now: Micros) {
+        if let Some(known) = self.endpoints.borrow_mut().get_mut(&endpoint) {
+            known.told.get_or_insert(now);
+        }
+    }
+
+    /// A call's first byte is about to be written.
+    pub fn first_byte(&self, endpoint: EndpointId) {
+        if let Some(known) = self.endpoints.borrow_mut().get_mut(&endpoint) {
+            known.last_byte = Some(self.clock.now());
+        }
+    }
+
+    /// How long after it was learnt that an endpoint leaves the last call went there; counted once the matter is
+    /// settled.
+    pub fn count_drain(&self, known: &Known) {
+        let after =
+            known.last_byte.zip(known.leaving_since).map_or(0, |(last, since)| last.saturating_sub(since));
+        self.last_sends.borrow_mut().saturating_record(after.max(1));
+    }
+
+    /// Those times: how many, median, p99 and largest.
+    pub fn drains(&self) -> Value {
+        let all = self.last_sends.borrow();
+        let at = |q| all.value_at_quantile(q) as f64 / 1e3;
+        json!({"count": all.len(), "p50_ms": at(0.5), "p99_ms": at(0.99), "largest_ms": all.max() as f64 / 1e3})
+    }
+
     /// All that are not among those named have left.
     pub fn keep_only(&self, named: &[EndpointId]) {
         for (id, known) in self.endpoints.borrow_mut().iter_mut() {
@@ -123,9 +172,9 @@
         let clock = Clock::start();
         let board = Board::new(clock, 250_000);
         let address = "127.0.0.1:1".parse().expect("an address");
-        let known = Known { address, destination: DestinationId(1), apart: false, leaving_since: None };
-        board.list(EndpointId(1), Lifecycle::Listed, known.clone());
-        board.list(EndpointId(2), Lifecycle::Gone, known);
+        let known = Known::new(address, DestinationId(1), false);
+        board.list(EndpointId(1), Lifecycle::Listed, clock.now(), known.clone());
+        board.list(EndpointId(2), Lifecycle::Gone, clock.now(), known);
         let still = |now| {
             board.prune(now);
             [1, 2].map(|e| board.get(EndpointId(e)).is_some())
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,7 @@
 //! What the program is told at its start.
 
+use super::eureka::snapshot::Snapshot;
+use crate::membership::RegistrySettings;
 use crate::words::{field, in_field, micros, settings, text, whole, Names};
 use crate::{Kind, Micros, Settings};
 use serde_json::Value;
@@ -48,6 +50,8 @@
     pub keyed: Vec<bool>,
     /// Whether a message of each class must never run twice, by class.
     pub unsafe_twice: Vec<bool>,
+    /// A registry that the list also comes from.
+    pub registry: Option<Arc<RegistrySettings>>,
     /// The longest time for which a message of each class is held, by class.
     pub deadlines: Vec<Micros>,
 }
@@ -109,6 +113,7 @@
             names: Arc::new(names),
             keyed: of(crate::Effect::Keyed),
             unsafe_twice: of(crate::Effect::Unsafe),
+            registry: None,
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
         };
         if config.sockets < 64 + 2 * config.slots {
@@ -125,9 +130,18 @@
         }
         let same = self.names == other.names && self.keyed == other.keyed;
         let same = same && self.unsafe_twice == other.unsafe_twice;
-        (!same).then_some(
-            "names of classes, tenants, zones and kinds, and what repeats do, change only at a start",
-        )
+        if !same {
+            return Some(
+                "names of classes, tenants, zones and kinds, and what repeats do, change only at a start",
+            );
+        }
+        let register = |c: &Config| c.registry.as_ref().and_then(|r| r.register.clone());
+        (register(self) != register(other)).then_some("`register` of the registry changes only at a start")
+    }
+
+    /// What the journal may take of the folder: a registry's last view is kept there too.
+    pub fn journal_disk(&self) -> u64 {
+        self.disk - if self.registry.is_some() { Snapshot::room(self.disk) } else { 0 }
     }
 
     /// Connections of user agents held at once.
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -381,6 +381,11 @@
         }
         let mut actions = Vec::new();
         self.courier.step(now, &events, &mut actions);
+        for event in &events {
+            let Event::List(ListNews::Patch(entries) | ListNews::Whole(entries)) = event else { continue };
+            let leave = entries.iter().filter(|e| e.lifecycle != Lifecycle::Listed);
+            leave.for_each(|e| self.context.board.told(e.endpoint, now));
+        }
         let mut passes: Vec<((u64, EndpointId), Vec<Part>)> = Vec::new();
         for action in actions {
             match action {
--- /dev/null
+++ b/src/net/eureka/model.rs
@@ -0,0 +1,104 @@
+//! What a registry's answers hold, as far as it matters here, and the hash that it takes over them. Source: the
+//! published REST operations of Eureka (application/instance documents, `/apps`, `/apps/delta`). It reads nothing.
+
+use std::collections::BTreeMap;
+
+/// The longest name or value that is taken; no registry has longer ones.
+pub const LONGEST_NAME: usize = 4 * 1024;
+
+/// A status of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Status {
+    /// Takes traffic.
+    Up,
+    /// Does not work.
+    Down,
+    /// Not ready yet.
+    Starting,
+    /// Taken out on purpose.
+    OutOfService,
+    /// Nothing is known.
+    Unknown,
+}
+
+impl Status {
+    /// From the protocol's word; what is no word of it is unknown.
+    pub fn read(word: &str) -> Status {
+        match word.to_ascii_uppercase().as_str() {
+            "UP" => Status::Up,
+            "DOWN" => Status::Down,
+            "STARTING" => Status::Starting,
+            "OUT_OF_SERVICE" => Status::OutOfService,
+            _ => Status::Unknown,
+        }
+    }
+
+    /// The protocol's word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Status::Up => "UP",
+            Status::Down => "DOWN",
+            Status::Starting => "STARTING",
+            Status::OutOfService => "OUT_OF_SERVICE",
+            Status::Unknown => "UNKNOWN",
+        }
+    }
+}
+
+/// What a delta says of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// It is there, new or changed.
+    Put,
+    /// It is gone.
+    Delete,
+}
+
+/// An instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Its application.
+    pub app: String,
+    /// Its id: `instanceId`, or the host's name where a server sends none.
+    pub id: String,
+    /// Its address, as text.
+    pub ip: String,
+    /// Its port, if one is enabled.
+    pub port: Option<u16>,
+    /// Its status.
+    pub status: Status,
+    /// The later of `lastUpdatedTimestamp` and `lastDirtyTimestamp`, in milliseconds.
+    pub stamp: u64,
+    /// Its metadata.
+    pub metadata: BTreeMap<String, String>,
+    /// In a delta, what became of it.
+    pub act: Act,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Applications {
+    /// `versions__delta`, if it is a number.
+    pub version: Option<u64>,
+    /// `apps__hashcode`; that of an empty registry is empty.
+    pub hash: Option<String>,
+    /// All instances.
+    pub instances: Vec<Instance>,
+}
+
+/// The hash over the statuses of all instances: each status that occurs, in the order of its name, with its count,
+/// as `DOWN_1_UP_2_`.
+pub fn hash_code(statuses: impl Iterator<Item = Status>) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    statuses.for_each(|s| *counts.entry(s.word()).or_default() += 1);
+    counts.iter().map(|(word, count)| format!("{word}_{count}_")).collect()
+}
+
+/// Checks that no text of an instance is longer than any is.
+pub fn check_names(i: &Instance) -> Result<(), String> {
+    let texts = [&i.app, &i.id, &i.ip].into_iter().chain(i.metadata.iter().flat_map(|(k, v)| [k, v]));
+    match texts.map(String::len).find(|l| *l > LONGEST_NAME) {
+        Some(long) => Err(format!("a name of {long} bytes")),
+        None => Ok(()),
+    }
+}
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -1,17 +1,20 @@
 //! The farm: the platform's list of endpoints, watched as long as the program runs.
 
 use super::board::Known;
+use super::clock::wall;
+use super::eureka::snapshot::Snapshot;
 use super::http::{Broken, Wire};
-use super::{Context, ToDecider};
+use super::{in_time, Context, ToDecider};
+use crate::membership::{Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State};
 use crate::words::{in_field, index, text, whole, Names};
-use crate::{DestinationId, EndpointId, Entry, KindId, Lifecycle, ListNews, ZoneId};
+use crate::{DestinationId, EndpointId, Entry, KindId, Lifecycle, ListNews, Micros, ZoneId};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use serde_json::Value;
+use serde_json::{json, Value};
 use slog::{info, warn};
-use std::collections::HashMap;
+use std::collections::{HashSet, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,7 +31,7 @@
 pub enum ToFarm {
     /// To watch now, without a pause.
     Watch,
-    /// To look where the platform's agent listens: the configuration was read again.
+    /// To look where the platform's agent and the registry listen: the configuration was read again.
     Look,
     /// A watch has a line.
     Line {
@@ -42,8 +45,27 @@
         /// Which watch.
         watch: u64,
     },
+    /// The registry has answered.
+    Registry {
+        /// What it says.
+        news: News,
+        /// When that came.
+        learnt: Micros,
+        /// Where to say whether something of it is in doubt.
+        doubt: Sender<bool>,
+    },
 }
 
+/// The sources of the list.
+const PUSHED: SourceId = SourceId(0);
+const REGISTRY: SourceId = SourceId(1);
+/// The registry's view is written no more often than this.
+const KEEP_EVERY: Micros = 2_000_000;
+/// So long after an endpoint left, its last call is looked up.
+const SETTLED: Micros = 1_000_000;
+/// So many that left are looked at again; in a storm the rest is not.
+const LEFT: usize = 10_000;
+
 /// A watch: dropped, it closes its connection.
 struct Watch {
     number: u64,
@@ -51,11 +73,33 @@
     _task: Task<()>,
 }
 
+/// The registry as a source: who asks it, and its last view on the disk.
+struct Asked {
+    settings: Arc<RegistrySettings>,
+    _task: Task<()>,
+    snapshot: Snapshot,
+    /// While nothing has come from it: when the view that was kept is served.
+    serve_at: Option<Micros>,
+    /// The view that is served was kept by an earlier process.
+    stale: bool,
+    /// When the view is to be written next.
+    keep_at: Option<Micros>,
+}
+
+/// How a change of the list is told to the module.
+#[derive(Clone, Copy, PartialEq)]
+enum Telling {
+    Patch,
+    Whole,
+    Stale,
+}
+
 /// The list as this program holds it.
 pub struct Farm {
     context: Rc<Context>,
     names: Arc<Names>,
     own: Sender<ToFarm>,
+    membership: Membership,
     /// The watch that the list comes from.
     held: Option<Watch>,
     /// The one that is to take its place once it has told its first list.
@@ -64,96 +108,265 @@
     generation: Option<u64>,
     /// Where that version comes from; not known of the list that the configuration brings.
     source: Option<SocketAddr>,
-    ids: HashMap<String, EndpointId>,
-    last_id: u32,
+    registry: Option<Asked>,
+    /// Endpoints that left, and when that was learnt; looked at once more when it is settled.
+    left: VecDeque<(Micros, Change)>,
 }
 
 impl Farm {
     /// A farm that holds nothing; its mailbox is for its watches.
     pub fn new(context: Rc<Context>, own: Sender<ToFarm>) -> Self {
         let names = context.config().names.clone();
-        let (held, next, generation, source, ids) = Default::default();
-        Farm { context, names, own, held, next, watches: 0, generation, source, ids, last_id: 0 }
+        let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
+        let membership = Membership::new(sources);
+        let (held, next, generation, source, registry, left) = Default::default();
+        Farm { context, names, own, membership, held, next, watches: 0, generation, source, registry, left }
     }
 
     /// Takes in the list that the configuration brings; it may be old.
     pub async fn take_known(&mut self, known: &Value) {
         match self.read(known) {
-            Ok((_, entries)) => self.tell(ListNews::Stale(entries)).await,
+            Ok((_, listings)) => {
+                let changes = self.membership.restore(self.context.clock.now(), PUSHED, listings);
+                self.tell(Telling::Stale, changes).await;
+            }
             Err(e) => warn!(self.context.log, "the known list makes no sense"; "error" => e),
         }
     }
 
-    async fn tell(&mut self, news: ListNews) {
+    /// Writes changes on the board, then tells the module.
+    async fn tell(&mut self, how: Telling, changes: Vec<Change>) {
+        let board = &self.context.board;
+        let mut entries = Vec::with_capacity(changes.len());
+        let mut write = |change: &Change| {
+            let Change { endpoint, listing: l, lifecycle, learnt, .. } = change;
+            let (endpoint, lifecycle) = (*endpoint, *lifecycle);
+            let apart = self.context.config().kinds[l.kind.0].apart;
+            board.list(endpoint, lifecycle, *learnt, Known::new(l.address, l.destination, apart));
+            let (destination, zone, kind, weight) = (l.destination, l.zone, l.kind, l.weight);
+            entries.push(Entry { endpoint, destination, zone, kind, lifecycle, weight });
+        };
+        for change in &changes {
+            // What a complete list does not name is gone by that.
+            if how == Telling::Patch || change.lifecycle != Lifecycle::Gone {
+                write(change);
+            }
+        }
+        if how != Telling::Patch {
+            let told: HashSet<EndpointId> = changes.iter().map(|c| c.endpoint).collect();
+            self.membership.list().filter(|c| !told.contains(&c.endpoint)).for_each(&mut write);
+            let named: Vec<_> = entries.iter().map(|e| e.endpoint).collect();
+            board.keep_only(&named);
+        }
+        board.prune(self.context.clock.now());
+        self.membership.keep_ids(|id| board.get(id).is_some());
+        if self.registry.is_some() {
+            self.note(&changes);
+        }
         self.context.holds_list.set(true);
+        let news = match how {
+            Telling::Patch => ListNews::Patch(entries),
+            Telling::Whole => ListNews::Whole(entries),
+            Telling::Stale => ListNews::Stale(entries),
+        };
         let _ = self.context.decider.send(ToDecider::List(news)).await;
     }
 
-    /// Reads a version of the list and writes it on the board.
-    fn read(&mut self, v: &Value) -> Result<(bool, Vec<Entry>), String> {
+    /// One line a change, and for what leaves a second look later.
+    fn note(&mut self, changes: &[Change]) {
+        for change in changes {
+            let source = self.membership.name(change.source);
+            info!(self.context.log, "list changed"; "endpoint" => change.endpoint.0, "id" => &change.listing.key.id,
+                "address" => %change.listing.address, "lifecycle" => ?change.lifecycle, "why" => change.why,
+                "source" => source, "learnt" => change.learnt);
+            if change.lifecycle != Lifecycle::Listed && self.left.len() < LEFT {
+                self.left.push_back((change.learnt, change.clone()));
+            }
+        }
+    }
+
+    /// Tells of endpoints that left a while ago: learnt, told to the module, last first byte.
+    fn settle_left(&mut self, now: Micros) {
+        while self.left.front().is_some_and(|l| l.0 + SETTLED <= now) {
+            let (learnt, change) = self.left.pop_front().expect("just seen");
+            let Some(known) = self.context.board.get(change.endpoint) else { continue };
+            // One that is back, or that drained before it went, is told of at its own time.
+            if known.leaving_since != Some(learnt) {
+                continue;
+            }
+            self.context.board.count_drain(&known);
+            let ms = |t: Option<Micros>| t.map(|t| (t as f64 - learnt as f64) / 1e3);
+            info!(self.context.log, "endpoint left"; "endpoint" => change.endpoint.0,
+                "id" => &change.listing.key.id, "lifecycle" => ?change.lifecycle, "learnt" => learnt,
+                "told_ms" => ms(known.told), "last_byte_ms" => ms(known.last_byte));
+        }
+    }
+
+    /// Reads a version of the list.
+    fn read(&mut self, v: &Value) -> Result<(bool, Vec<Listing>), String> {
         let generation = in_field(v, "generation", whole)?;
         let complete = v.get("reset").and_then(Value::as_bool).unwrap_or(false);
         let instances = v.get("instances").and_then(Value::as_array).ok_or("no `instances`")?;
-        let mut entries = Vec::new();
+        let mut listings = Vec::new();
         for instance in instances {
-            match self.entry(instance) {
-                Ok(entry) => entries.push(entry),
+            match self.listing(instance) {
+                Ok(listing) => listings.push(listing),
                 // One odd entry must not hide the others.
                 Err(e) => warn!(self.context.log, "entry passed over"; "error" => e),
             }
         }
-        if complete {
-            let named: Vec<_> = entries.iter().map(|e| e.endpoint).collect();
-            self.context.board.keep_only(&named);
-        }
         self.generation = Some(generation);
-        self.context.board.prune(self.context.clock.now());
-        self.ids.retain(|_, id| self.context.board.get(*id).is_some());
-        Ok((complete, entries))
+        Ok((complete, listings))
     }
 
-    fn entry(&mut self, v: &Value) -> Result<Entry, String> {
-        let name = in_field(v, "instanceId", text)?;
+    fn listing(&self, v: &Value) -> Result<Listing, String> {
+        let id = in_field(v, "instanceId", text)?;
         let address: SocketAddr =
-            in_field(v, "hostPort", text)?.parse().map_err(|_| format!("`{name}` has no address"))?;
-        let lifecycle = match in_field(v, "lifecycle", text)?.as_str() {
-            "active" => Lifecycle::Listed,
-            "leaving" => Lifecycle::Draining,
-            "left" => Lifecycle::Gone,
-            other => return Err(format!("`{name}` has the unknown lifecycle `{other}`")),
+            in_field(v, "hostPort", text)?.parse().map_err(|_| format!("`{id}` has no address"))?;
+        let state = match in_field(v, "lifecycle", text)?.as_str() {
+            "active" => State::Up,
+            "leaving" => State::Leaving,
+            "left" => State::Gone,
+            other => return Err(format!("`{id}` has the unknown lifecycle `{other}`")),
         };
         let kind = index(&self.names.kinds, &in_field(v, "machineType", text)?, "kind")?;
         let zone = index(&self.names.zones, &in_field(v, "zone", text)?, "zone")?;
         let destination = DestinationId(in_field(v, "cell", whole)?);
         let weight = v.get("weight").and_then(Value::as_f64).unwrap_or(1.0);
-        let last = &mut self.last_id;
-        let endpoint = *self.ids.entry(name).or_insert_with(|| {
-            *last += 1;
-            EndpointId(*last)
-        });
-        let of = &self.context.config().kinds[kind];
-        let apart = of.apart;
-        let known = Known { address, destination, apart, leaving_since: None };
-        self.context.board.list(endpoint, lifecycle, known);
-        Ok(Entry { endpoint, destination, zone: ZoneId(zone), kind: KindId(kind), lifecycle, weight })
+        let (key, kind, zone) = (Key { group: String::new(), id }, KindId(kind), ZoneId(zone));
+        Ok(Listing { key, address, destination, zone, kind, weight, state, stamp: 0 })
     }
 
-    /// Keeps the list, by one watch after another, without end.
+    /// Keeps the list, by one watch after another and by the registry's answers, without end.
     pub async fn run(mut self, mail: Receiver<ToFarm>) {
-        self.look();
-        while let Ok(news) = mail.recv().await {
-            match news {
-                ToFarm::Look => self.look(),
-                ToFarm::Watch if self.held.is_none() => self.open(Duration::ZERO),
-                ToFarm::Watch => {}
-                ToFarm::Line { watch, line } => self.take_line(watch, &line).await,
-                ToFarm::Ended { watch } => self.ended(watch),
+        self.look().await;
+        loop {
+            let clock = self.context.clock;
+            let asked = self.registry.as_ref();
+            let times = [
+                self.membership.next_tick(),
+                asked.and_then(|a| a.serve_at),
+                asked.and_then(|a| a.keep_at),
+                self.left.front().map(|l| l.0 + SETTLED),
+            ];
+            let due = async {
+                match times.into_iter().flatten().min() {
+                    Some(at) => Timer::at(clock.at(at)).await,
+                    None => future::pending().await,
+                };
+                None
+            };
+            match future::or(async { Some(mail.recv().await) }, due).await {
+                Some(Ok(news)) => self.take(news).await,
+                Some(Err(_)) => return,
+                None => {}
             }
+            self.pass_time().await;
         }
     }
 
+    async fn take(&mut self, news: ToFarm) {
+        match news {
+            ToFarm::Look => self.look().await,
+            ToFarm::Watch if self.held.is_none() => self.open(Duration::ZERO),
+            ToFarm::Watch => {}
+            ToFarm::Line { watch, line } => self.take_line(watch, &line).await,
+            ToFarm::Ended { watch } => self.ended(watch),
+            ToFarm::Registry { news, learnt, doubt } => {
+                let changes = self.membership.take(learnt, REGISTRY, news);
+                if let Some(asked) = &mut self.registry {
+                    if !changes.is_empty() {
+                        asked.keep_at.get_or_insert(learnt + KEEP_EVERY);
+                    }
+                    (asked.serve_at, asked.stale) = (None, false);
+                }
+                self.tell(Telling::Patch, changes).await;
+                let _ = doubt.try_send(self.membership.in_doubt(REGISTRY));
+                self.show();
+            }
+        }
+    }
+
+    /// What falls due by time alone.
+    async fn pass_time(&mut self) {
+        let now = self.context.clock.now();
+        let changes = self.membership.tick(now);
+        if !changes.is_empty() {
+            self.tell(Telling::Patch, changes).await;
+        }
+        self.settle_left(now);
+        let Some(asked) = &mut self.registry else { return };
+        if asked.serve_at.take_if(|t| *t <= now).is_some() {
+            match asked.snapshot.read() {
+                Ok(Some(kept)) => {
+                    asked.stale = true;
+                    let age = wall().saturating_sub(kept.at) / 1000;
+                    warn!(self.context.log, "the registry is silent, its last view is served";
+                        "entries" => kept.listings.len(), "age_ms" => age);
+                    let changes = self.membership.restore(now, REGISTRY, kept.listings);
+                    self.tell(Telling::Patch, changes).await;
+                    self.show();
+                }
+                Ok(None) => warn!(self.context.log, "the registry is silent, and no view of it was kept"),
+                Err(e) => {
+                    warn!(self.context.log, "the registry is silent, its last view is damaged"; "error" => %e)
+                }
+            }
+            return;
+        }
+        if asked.keep_at.take_if(|t| *t <= now).is_some() {
+            let limit = self.context.config().disk;
+            match asked.snapshot.write(wall(), self.membership.view(REGISTRY), limit) {
+                Ok(Some(_)) => {}
+                Ok(None) => warn!(self.context.log, "the registry's view is too large to be kept"),
+                Err(e) => warn!(self.context.log, "the registry's view is not kept"; "error" => %e),
+            }
+        }
+    }
+
+    /// Shows operators what of the list comes from the registry.
+    fn show(&self) {
+        let counts = self.membership.counts(REGISTRY);
+        let stale = self.registry.as_ref().is_some_and(|a| a.stale);
+        let view = json!({
+            "entries": self.membership.view(REGISTRY).count(), "stale_entries": counts.stale, "flaps": counts.flaps,
+            "held_down": counts.held_down, "shrinks_not_believed": counts.doubted, "heard": counts.heard,
+            "serves_kept_view": stale,
+        });
+        *self.context.registry_view.borrow_mut() = Some(view);
+    }
+
+    /// Asks the registry that the site file names; what it has told stands while another is asked. With none named
+    /// any more its entries go.
+    async fn look_at_registry(&mut self) {
+        let wanted = self.context.config().registry.clone();
+        let same = self.registry.as_ref().map(|a| &a.settings) == wanted.as_ref();
+        if same {
+            return;
+        }
+        let Some(settings) = wanted else {
+            self.membership.set_policy(REGISTRY, by_address());
+            let nothing = News::Whole { version: None, listings: Vec::new() };
+            let changes = self.membership.take(self.context.clock.now(), REGISTRY, nothing);
+            self.tell(Telling::Patch, changes).await;
+            self.registry = None;
+            *self.context.registry_view.borrow_mut() = None;
+            return;
+        };
+        self.membership.set_policy(REGISTRY, settings.policy());
+        let asking = super::eureka::run(self.context.clone(), settings.clone(), self.own.clone());
+        let heard = self.membership.counts(REGISTRY).heard.is_some();
+        let serve_at = (!heard).then(|| self.context.clock.now() + settings.snapshot_after);
+        let snapshot = Snapshot::new(&self.context.config().state);
+        let task = self.context.executor.spawn(asking);
+        self.registry =
+            Some(Asked { settings, _task: task, snapshot, serve_at, stale: false, keep_at: None });
+        self.show();
+    }
+
     /// Opens a watch where the platform's agent listens, unless one is there or on its way.
-    fn look(&mut self) {
+    async fn look(&mut self) {
+        self.look_at_registry().await;
         let wanted = Some(self.context.config().discovery);
         let leads = |w: &Option<Watch>| w.as_ref().map(|w| w.address) == wanted;
         if leads(&self.held) {
@@ -195,7 +408,7 @@
             return;
         }
         let read = serde_json::from_slice(line).map_err(|e| e.to_string());
-        let (complete, entries) = match read.and_then(|v| self.read(&v)) {
+        let (complete, listings) = match read.and_then(|v| self.read(&v)) {
             Ok(read) => read,
             Err(e) => {
                 warn!(self.context.log, "the list makes no sense"; "error" => e);
@@ -209,12 +422,21 @@
             }
         }
         self.source = self.held.as_ref().map(|w| w.address);
-        info!(self.context.log, "list"; "generation" => self.generation, "complete" => complete, "entries" => entries.len());
+        info!(self.context.log, "list"; "generation" => self.generation, "complete" => complete, "entries" => listings.len());
         self.context.counters.lists.add();
-        self.tell(if complete { ListNews::Whole(entries) } else { ListNews::Patch(entries) }).await;
+        let news = match complete {
+            true => News::Whole { version: None, listings },
+            false => News::Patch { listings, removed: Vec::new() },
+        };
+        let changes = self.membership.take(self.context.clock.now(), PUSHED, news);
+        self.tell(if complete { Telling::Whole } else { Telling::Patch }, changes).await;
     }
 }
 
+fn by_address() -> Policy {
+    Policy { by_address: true, ..Policy::default() }
+}
+
 /// Hands on line after line until the connection ends; why it did.
 async fn watch(address: SocketAddr, after: Option<u64>, number: u64, farm: &Sender<ToFarm>) -> Broken {
     let opening = async {
@@ -252,14 +474,3 @@
         }
     }
 }
-
-async fn in_time<T>(
-    what: impl std::future::Future<Output = Result<T, Broken>>,
-    span: Duration,
-) -> Result<T, Broken> {
-    let late = async {
-        Timer::after(span).await;
-        Err(Broken::Malformed("silent"))
-    };
-    future::or(what, late).await
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod counters;
 pub mod decider;
+pub mod eureka;
 pub mod farm;
 pub mod front;
 pub mod http;
@@ -32,6 +33,7 @@
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +63,11 @@
     pub counters: Counters,
     /// Counts by the entries of the site file.
     pub routes: route_stats::Routes,
+    /// Counts of what the registry was asked.
+    pub registry: eureka::Counts,
+    /// What of the list comes from the registry, as far as counters show it.
+    pub registry_view: RefCell<Option<Value>>,
+    listen: SocketAddr,
     /// The module's mailbox.
     pub decider: Sender<ToDecider>,
     /// Idle connections to endpoints that are kept.
@@ -86,6 +93,11 @@
         self.config.borrow().clone()
     }
 
+    /// Where user agents connect, with the port that the system gave.
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
     /// The program is ending.
     pub fn closing(&self) -> bool {
         self.closing.is_closed()
@@ -107,6 +119,10 @@
         if let Some(routes) = self.routes.report() {
             report["routes"] = routes;
         }
+        if let Some(view) = self.registry_view.borrow().as_ref() {
+            report["registry"] = self.registry.report(view, self.clock.now());
+            report["drains"] = self.board.drains();
+        }
         report["open"] = self.open.get().into();
         report["notices_owed"] = self.notices_owed.get().into();
         report["journal_bytes"] = self.journal.borrow().disk().into();
@@ -169,8 +185,8 @@
     let (config, settings) = load(Reading::Start)?;
     let clock = Clock::start();
     let state = config.state.display().to_string();
-    let (journal, restored) =
-        Journal::open(&config.state, config.disk).map_err(|e| format!("state folder `{state}`: {e}"))?;
+    let (journal, restored) = Journal::open(&config.state, config.journal_disk())
+        .map_err(|e| format!("state folder `{state}`: {e}"))?;
     for damage in &restored.damage {
         warn!(log, "journal damaged"; "what" => damage);
     }
@@ -195,6 +211,9 @@
         config: RefCell::new(Rc::new(config)),
         counters: Counters::default(),
         routes: route_stats::Routes::default(),
+        registry: eureka::Counts::default(),
+        registry_view: RefCell::default(),
+        listen,
         passes_out: Cell::new(0),
         open: Cell::new(0),
         notices_owed: Cell::new(0),
@@ -214,15 +233,54 @@
     decider.restore(restored.kept).await;
     context.executor.spawn(decider.run(mail)).detach();
     context.executor.spawn(farm.run(farm_mail)).detach();
+    let registration = register(&context);
     let front = context.executor.spawn(front::serve(context.clone(), listener));
     info!(context.log, "serving"; "name" => &config.name, "listen" => %listen, "restored" => context.open.get());
     drop(config);
     attend_signals(&context, &mut signals, load, &farm_box).await;
     end(&context, close, front).await;
+    if let Some((end, gone)) = registration {
+        drop(end);
+        within(eureka::register::LAST_WORD, gone.recv()).await;
+    }
     info!(context.log, "counters"; "report" => %context.report());
     Ok(())
 }
 
+/// Registers this forwarder, where the site file says so: dropping the first ends it, the second closes then.
+fn register(context: &Rc<Context>) -> Option<(Sender<()>, Receiver<()>)> {
+    let settings = context.config().registry.clone().filter(|r| r.register.is_some())?;
+    let (end, ending) = async_channel::bounded(1);
+    let (going, gone) = async_channel::bounded(1);
+    let keeping = eureka::register::run(context.clone(), settings, ending, going);
+    context.executor.spawn(keeping).detach();
+    Some((end, gone))
+}
+
+/// Does what would hold up the actors in a thread beside them; nothing if it does not come to an end.
+pub async fn beside<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> Option<T> {
+    let (done, result) = async_channel::bounded(1);
+    std::thread::spawn(move || drop(done.try_send(work())));
+    result.recv().await.ok()
+}
+
+/// What comes within a span; nothing if it takes longer.
+pub async fn within<T>(span: Duration, what: impl std::future::Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(span).await;
+        None
+    };
+    future::or(async { Some(what.await) }, late).await
+}
+
+/// What comes within a span; silence is a broken connection.
+pub async fn in_time<T, E: From<http::Broken>>(
+    what: impl std::future::Future<Output = Result<T, E>>,
+    span: Duration,
+) -> Result<T, E> {
+    within(span, what).await.unwrap_or_else(|| Err(http::Broken::Malformed("silent").into()))
+}
+
 /// Reads the configuration again on each SIGHUP, up to the signal that ends the program. A SIGHUP that comes
 /// later finds it ending and changes nothing.
 async fn attend_signals(context: &Context, signals: &mut Signals, load: &Arc<Load>, farm: &Sender<ToFarm>) {
@@ -245,15 +303,13 @@
 /// A large file takes a while to check. Guards against news of the list that waits for it: what leaves must get
 /// nothing new 250 ms later.
 async fn reload(context: &Context, load: &Arc<Load>) -> Result<Settings, String> {
-    let (done, loaded) = async_channel::bounded(1);
     let load = load.clone();
-    std::thread::spawn(move || drop(done.try_send(load(Reading::Reload))));
-    let loaded = loaded.recv().await.map_err(|_| "the check did not come to an end")?;
-    let (config, settings) = loaded?;
+    let loaded = beside(move || load(Reading::Reload)).await;
+    let (config, settings) = loaded.ok_or("the check did not come to an end")??;
     if let Some(why) = config.needs_restart(&context.config()) {
         return Err(why.into());
     }
-    context.journal.borrow_mut().limit(config.disk);
+    context.journal.borrow_mut().limit(config.journal_disk());
     context.board.grace(config.drain_grace);
     context.routes.apply(settings.routes.clone());
     *context.config.borrow_mut() = Rc::new(config);
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -317,6 +317,7 @@
         }
     }
     stage.set(Stage::Writing);
+    context.board.first_byte(pass.endpoint);
     context.counters.passes.add();
     context.counters.attempts.more(pass.parts.len());
     if let Err(e) = wire.write(&request(pass, now)).await {
--- a/src/site/mod.rs
+++ b/src/site/mod.rs
@@ -5,9 +5,11 @@
 
 mod fields;
 mod node;
+mod registry;
 mod routes;
 
 use crate::breach::{Breach, Code};
+use crate::membership::RegistrySettings;
 use crate::routes::{Plan, Platform};
 use fields::Fields;
 
@@ -17,13 +19,15 @@
 const VERSION: u64 = 1;
 /// No settings file is larger; 10,000 entries come to about 2 MB.
 const LARGEST: usize = 16 * 1024 * 1024;
-const SECTIONS: &[&str] = &["version", "routes"];
+const SECTIONS: &[&str] = &["version", "routes", "registry"];
 
 /// A site file, checked: what each subsystem goes by.
 #[derive(Clone, Debug, Default)]
 pub struct Site {
     /// Time-outs, attempts, pauses and ends by route.
     pub routes: Plan,
+    /// A registry that the partner list also comes from.
+    pub registry: Option<RegistrySettings>,
 }
 
 impl Site {
@@ -58,5 +62,6 @@
         }
     }
     let entries = top.get("routes").map_or_else(Vec::new, |n| routes::read(n, breaches));
-    Some(Site { routes: Plan::check(&entries, platform, breaches) })
+    let registry = top.get("registry").and_then(|n| registry::read(n, breaches));
+    Some(Site { routes: Plan::check(&entries, platform, breaches), registry })
 }
--- /dev/null
+++ b/src/site/registry.rs
@@ -0,0 +1,217 @@
+//! The section `registry`: read and checked.
+
+use super::fields::{items, span, text, whole, written, wrong, Fields};
+use super::node::{Node, Shape};
+use crate::breach::{At, Breach, Code};
+use crate::membership::{Address, Ask, HoldDown, MetadataNames, Registration, RegistrySettings, Shrink};
+use crate::Micros;
+use std::collections::BTreeMap;
+
+const KEYS: &[&str] = &[
+    "addresses",
+    "apps",
+    "vip",
+    "poll",
+    "timeout",
+    "back-off",
+    "prefer-after",
+    "largest-mb",
+    "metadata",
+    "hold-down",
+    "shrink",
+    "snapshot-after",
+    "register",
+];
+/// Polled more often than this, a registry is harmed.
+const LEAST_POLL: Micros = 100_000;
+const MB: u64 = 1_000_000;
+
+/// A time, or what holds where none is given.
+fn time(fields: &Fields<'_>, key: &str, otherwise: Micros, breaches: &mut Vec<Breach>) -> Micros {
+    let read = fields.get(key).and_then(|n| span(n, &format!("`{key}`"), breaches));
+    read.map_or(otherwise, |t| t.value)
+}
+
+/// A first time and a longest one.
+fn pair(
+    section: &Fields<'_>,
+    key: &str,
+    otherwise: (Micros, Micros),
+    more: &[&str],
+    breaches: &mut Vec<Breach>,
+) -> (Micros, Micros) {
+    let Some(node) = section.get(key) else { return otherwise };
+    let keys = [&["first", "longest"], more].concat();
+    let Some(fields) = Fields::open(node, &format!("`{key}`"), &keys, breaches) else { return otherwise };
+    let first = fields.get("first").and_then(|n| span(n, "`first`", breaches));
+    let longest = fields.get("longest").and_then(|n| span(n, "`longest`", breaches));
+    let (a, b) = (first.map_or(otherwise.0, |t| t.value), longest.map_or(otherwise.1, |t| t.value));
+    if b < a {
+        let at = longest.or(first).map_or(node.at, |t| t.at);
+        let reason = format!("the longest, {}, is under the first, {}", written(b), written(a));
+        breaches.push(Breach::new(at, Code::Pause, reason));
+    }
+    (a, b)
+}
+
+fn address(node: &Node, breaches: &mut Vec<Breach>) -> Option<At<Address>> {
+    let given = text(node, "an address", breaches)?;
+    let read = || {
+        let rest = given.value.strip_prefix("http://")?;
+        let (place, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let (host, port) = place.rsplit_once(':')?;
+        let host = host.trim_start_matches('[').trim_end_matches(']');
+        let path = path.trim_end_matches('/');
+        let plain = |s: &str| s.chars().all(|c| c.is_ascii_graphic());
+        let prefix = if path.is_empty() { String::new() } else { format!("/{path}") };
+        let address = Address { host: host.to_owned(), port: port.parse().ok()?, prefix };
+        (!host.is_empty() && plain(host) && plain(path)).then_some(address)
+    };
+    let read = read();
+    if read.is_none() {
+        let reason = format!(
+            "`{}` is no address of a registry; write it as http://HOST:PORT/PREFIX, such as \
+             http://10.0.0.5:8761/eureka/v2",
+            given.value
+        );
+        breaches.push(Breach::new(given.at, Code::Address, reason));
+    }
+    read.map(|value| At { value, at: given.at })
+}
+
+fn addresses(section: &Fields<'_>, breaches: &mut Vec<Breach>) -> Vec<Address> {
+    let Some(node) = section.needed("addresses", breaches) else { return Vec::new() };
+    let Some(all) = items(node, "`addresses`", breaches) else { return Vec::new() };
+    if all.is_empty() {
+        breaches.push(Breach::new(node.at, Code::Address, "`addresses` lists no registry"));
+    }
+    let read: Vec<At<Address>> = all.iter().filter_map(|n| address(n, breaches)).collect();
+    for (n, a) in read.iter().enumerate() {
+        if let Some(first) = read[..n].iter().find(|b| b.value == a.value) {
+            let reason = format!("this address stands in line {} already", first.at.line);
+            breaches.push(Breach::new(a.at, Code::Address, reason));
+        }
+    }
+    read.into_iter().map(|a| a.value).collect()
+}
+
+fn ask(section: &Fields<'_>, breaches: &mut Vec<Breach>) -> Ask {
+    let apps = section.get("apps").and_then(|n| items(n, "`apps`", breaches));
+    let apps: Vec<String> = apps
+        .unwrap_or_default()
+        .iter()
+        .filter_map(|n| text(n, "an application", breaches).map(|t| t.value))
+        .collect();
+    let vip = section.get("vip").and_then(|n| text(n, "`vip`", breaches));
+    if let Some(vip) = vip {
+        if !apps.is_empty() {
+            let reason = "`vip` and `apps` cannot both be asked for; leave one out";
+            breaches.push(Breach::new(vip.at, Code::Type, reason));
+        }
+        return Ask::Vip(vip.value);
+    }
+    if apps.is_empty() {
+        Ask::All
+    } else {
+        Ask::Apps(apps)
+    }
+}
+
+fn metadata(section: &Fields<'_>, breaches: &mut Vec<Breach>) -> MetadataNames {
+    let mut names = MetadataNames {
+        destination: "partner".into(),
+        kind: "kind".into(),
+        zone: "zone".into(),
+        weight: "weight".into(),
+    };
+    let Some(node) = section.get("metadata") else { return names };
+    let keys = ["destination", "kind", "zone", "weight"];
+    let Some(fields) = Fields::open(node, "`metadata`", &keys, breaches) else { return names };
+    let into = [&mut names.destination, &mut names.kind, &mut names.zone, &mut names.weight];
+    for (key, name) in keys.into_iter().zip(into) {
+        let read = fields.get(key).and_then(|n| text(n, &format!("`{key}`"), breaches));
+        read.into_iter().for_each(|t| *name = t.value);
+    }
+    names
+}
+
+fn shrink(section: &Fields<'_>, breaches: &mut Vec<Breach>) -> Shrink {
+    let mut shrink = Shrink { share: 0.3, confirm: 10_000_000 };
+    let Some(node) = section.get("shrink") else { return shrink };
+    let Some(fields) = Fields::open(node, "`shrink`", &["share", "confirm"], breaches) else { return shrink };
+    if let Some(share) = fields.get("share") {
+        match share.shape {
+            Shape::Real(x) if x > 0.0 && x < 1.0 => shrink.share = x,
+            _ => wrong(share, "`share`", "a share between 0 and 1", breaches),
+        }
+    }
+    shrink.confirm = time(&fields, "confirm", shrink.confirm, breaches);
+    shrink
+}
+
+fn register(section: &Fields<'_>, breaches: &mut Vec<Breach>) -> Option<Registration> {
+    let node = section.get("register")?;
+    let fields = Fields::open(node, "`register`", &["app", "renew", "lease", "metadata"], breaches)?;
+    let app = fields.needed("app", breaches).and_then(|n| text(n, "`app`", breaches));
+    let renew = time(&fields, "renew", 30_000_000, breaches);
+    let lease = time(&fields, "lease", 90_000_000, breaches);
+    if lease <= renew {
+        let at = fields.get("lease").or(fields.get("renew")).map_or(node.at, |n| n.at);
+        let (a, b) = (written(lease), written(renew));
+        let reason = format!("a lease of {a} ends before it is renewed after {b}; it must be longer");
+        breaches.push(Breach::new(at, Code::Lease, reason));
+    }
+    let mut told = BTreeMap::new();
+    if let Some(node) = fields.get("metadata") {
+        match &node.shape {
+            Shape::Map(all) => {
+                for (key, value) in all {
+                    if let Some(v) = text(value, &format!("`{}`", key.value), breaches) {
+                        told.insert(key.value.clone(), v.value);
+                    }
+                }
+            }
+            _ => wrong(node, "`metadata`", "a map", breaches),
+        }
+    }
+    Some(Registration { app: app?.value, renew, lease, metadata: told })
+}
+
+/// Reads the section; what it leaves out has the figures that Eureka's own clients use, or milder ones.
+pub fn read(node: &Node, breaches: &mut Vec<Breach>) -> Option<RegistrySettings> {
+    let section = Fields::open(node, "`registry`", KEYS, breaches)?;
+    let poll = time(&section, "poll", 1_000_000, breaches);
+    if poll < LEAST_POLL {
+        let at = section.get("poll").map_or(node.at, |n| n.at);
+        let reason =
+            format!("polls every {} harm a registry; {} at least", written(poll), written(LEAST_POLL));
+        breaches.push(Breach::new(at, Code::Time, reason));
+    }
+    let largest = section.get("largest-mb").and_then(|n| {
+        let mb = whole(n, "`largest-mb`", breaches)?;
+        if !(1..=1024).contains(&mb) {
+            breaches.push(Breach::new(n.at, Code::Type, "`largest-mb` must be 1 to 1024"));
+        }
+        Some(mb)
+    });
+    let hold = pair(&section, "hold-down", (1_000_000, 30_000_000), &["forget"], breaches);
+    let forget = section.get("hold-down").and_then(|n| match &n.shape {
+        Shape::Map(all) => all.iter().find(|f| f.0.value == "forget").map(|f| &f.1),
+        _ => None,
+    });
+    let forget = forget.and_then(|n| span(n, "`forget`", breaches)).map_or(60_000_000, |t| t.value);
+    Some(RegistrySettings {
+        addresses: addresses(&section, breaches),
+        ask: ask(&section, breaches),
+        poll,
+        timeout: time(&section, "timeout", 2_000_000, breaches),
+        back_off: pair(&section, "back-off", (200_000, 10_000_000), &[], breaches),
+        prefer_after: time(&section, "prefer-after", 60_000_000, breaches),
+        largest: (largest.unwrap_or(32) * MB) as usize,
+        metadata: metadata(&section, breaches),
+        hold_down: HoldDown { first: hold.0, longest: hold.1, forget },
+        shrink: shrink(&section, breaches),
+        snapshot_after: time(&section, "snapshot-after", 3_000_000, breaches),
+        register: register(&section, breaches),
+    })
+}
--- /dev/null
+++ b/tests/eureka.rs
@@ -0,0 +1,131 @@
+//! The readers of a registry's answers, on what real servers write and on what nobody should.
+
+use cedarbridge::membership::{MetadataNames, News, State};
+use cedarbridge::net::eureka::held::Held;
+use cedarbridge::net::eureka::model::{hash_code, Act, Status};
+use cedarbridge::net::eureka::{json, xml};
+use cedarbridge::words::Names;
+use proptest::prelude::*;
+
+const JSON: &str = r#"{"applications":{"versions__delta":"3","apps__hashcode":"DOWN_1_UP_1_","application":[
+ {"name":"PARTNERS","instance":{"instanceId":"a:1","hostName":"a","app":"PARTNERS","ipAddr":"10.0.0.1","status":"UP",
+  "overriddenStatus":"UNKNOWN","port":{"$":8080,"@enabled":"true"},"securePort":{"$":"443","@enabled":"false"},
+  "countryId":1,"dataCenterInfo":{"@class":"x","name":"MyOwn"},"leaseInfo":{"durationInSecs":90},
+  "metadata":{"@class":"y","partner":"7","kind":"plain","zone":"room","weight":2.5},"isCoordinatingDiscoveryServer":"false",
+  "lastUpdatedTimestamp":"1500","lastDirtyTimestamp":1499,"actionType":"ADDED"}},
+ {"name":"OTHER","instance":[{"hostName":"b","ipAddr":"10.0.0.2","status":"DOWN","port":{"@enabled":"false","$":"1"},
+  "securePort":{"$":8443,"@enabled":"true"},"metadata":null,"lastUpdatedTimestamp":"9","actionType":"DELETED"}]}]}}"#;
+
+const XML: &str = r#"<?xml version="1.0"?><applications><versions__delta>3</versions__delta>
+ <apps__hashcode>DOWN_1_UP_1_</apps__hashcode><application><name>PARTNERS</name><instance><instanceId>a:1</instanceId>
+ <hostName>a</hostName><app>PARTNERS</app><ipAddr>10.0.0.1</ipAddr><status>UP</status><port enabled="true">8080</port>
+ <securePort enabled="false">443</securePort><leaseInfo><durationInSecs>90</durationInSecs></leaseInfo>
+ <metadata><partner>7</partner><kind>plain</kind><zone>room</zone><weight>2.5</weight></metadata>
+ <lastUpdatedTimestamp>1500</lastUpdatedTimestamp><lastDirtyTimestamp>1499</lastDirtyTimestamp>
+ <actionType>ADDED</actionType></instance></application><application><name>OTHER</name><instance><hostName>b</hostName>
+ <ipAddr>10.0.0.2</ipAddr><status>DOWN</status><port enabled="false">1</port><securePort enabled="true">8443</securePort>
+ <metadata/><lastUpdatedTimestamp>9</lastUpdatedTimestamp><actionType>DELETED</actionType></instance></application>
+ </applications>"#;
+
+#[test]
+fn json_and_xml_say_the_same() {
+    let (a, b) = (json::read(JSON.as_bytes()).expect("JSON"), xml::read(XML.as_bytes()).expect("XML"));
+    assert_eq!(a, b);
+    assert_eq!((a.version, a.hash.as_deref()), (Some(3), Some("DOWN_1_UP_1_")));
+    let [one, other] = a.instances.as_slice() else { panic!("two") };
+    assert_eq!((one.id.as_str(), one.port, one.stamp, one.status), ("a:1", Some(8080), 1500, Status::Up));
+    assert_eq!((other.app.as_str(), other.id.as_str(), other.port), ("OTHER", "b", Some(8443)));
+    assert_eq!((other.status, other.act, other.metadata.len()), (Status::Down, Act::Delete, 0));
+    assert_eq!(one.metadata["weight"], "2.5");
+    assert_eq!(Some(hash_code(a.instances.iter().map(|i| i.status))), a.hash);
+}
+
+#[test]
+fn entries_without_their_figures_are_passed_over_once_and_never_guessed() {
+    let words = |w: &str| w.to_owned();
+    let by = MetadataNames {
+        destination: words("partner"),
+        kind: words("kind"),
+        zone: words("zone"),
+        weight: words("weight"),
+    };
+    let names = Names { kinds: vec![words("plain")], zones: vec![words("room")], ..Names::default() };
+    let mut held = Held::default();
+    let read = |from: &str, to: &str| json::read(JSON.replace(from, to).as_bytes()).expect("JSON");
+    let taken = held.take(read("\"ADDED\"", "\"\""), true, &by, &names);
+    let News::Whole { version: Some(3), listings } = taken.news else { panic!("whole") };
+    assert_eq!((listings.len(), listings[0].destination.0, listings[0].state), (1, 7, State::Up));
+    assert_eq!((listings[0].weight, listings[0].address.to_string()), (2.5, "10.0.0.1:8080".into()));
+    assert!(taken.fits);
+    for (from, to, why) in [
+        ("\"partner\":\"7\",", "", "its metadata has no `partner`"),
+        ("\"partner\":\"7\"", "\"partner\":\"seven\"", "`partner` is no number: `seven`"),
+        ("\"plain\"", "\"odd\"", "unknown kind `odd`"),
+        ("\"weight\":2.5", "\"weight\":\"0\"", "`weight` is no rate: `0`"),
+        ("\"ipAddr\":\"10.0.0.1\"", "\"ipAddr\":\"a.example\"", "`a.example` is no address"),
+        (
+            "{\"$\":8080,\"@enabled\":\"true\"}",
+            "{\"$\":8080,\"@enabled\":\"false\"}",
+            "it has no port that is enabled",
+        ),
+    ] {
+        let mut held = Held::default();
+        let taken = held.take(read(from, to), false, &by, &names);
+        assert!(taken.passed_over.iter().any(|p| p.1 == why), "{why}: {:?}", taken.passed_over);
+        let News::Patch { listings, removed } = taken.news else { panic!("a patch") };
+        assert_eq!((listings.len(), removed.len()), (0, 2), "what was held under its name goes");
+        assert!(held.take(read(from, to), false, &by, &names).passed_over.is_empty(), "told of once");
+    }
+    // The hash counts every instance, also those that are no partners.
+    assert!(!held.take(read("DOWN_1_UP_1_", "UP_9_"), false, &by, &names).fits);
+}
+
+#[test]
+fn what_is_no_answer_is_refused() {
+    let deep = format!("{}{}", "<applications>".repeat(100), "</applications>".repeat(100));
+    for text in [
+        "",
+        "{",
+        "[]",
+        "{}",
+        "null",
+        "{\"applications\":[[[[]]]]}",
+        "<",
+        "<a>",
+        "<applications>",
+        "<a/>",
+        &deep,
+    ] {
+        assert!(json::read(text.as_bytes()).is_err(), "{text}");
+        assert!(xml::read(text.as_bytes()).is_err(), "{text}");
+    }
+    assert!(json::read("[".repeat(1_000_000).as_bytes()).is_err());
+    let bomb = "<!DOCTYPE x [<!ENTITY a \"aaaa\">]><applications><application><name>&a;</name></application></applications>";
+    assert!(xml::read(bomb.as_bytes()).is_err());
+    assert!(xml::read(XML.replace(">a:1<", &format!(">{}<", "x".repeat(5000))).as_bytes()).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// The bounded run of what `fuzz/` does without end: no bytes make a reader panic.
+    #[test]
+    fn any_bytes_are_read_or_refused(
+        changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0u8..4), 0..12),
+        xml_too in any::<bool>(),
+    ) {
+        let mut bytes = if xml_too { XML } else { JSON }.as_bytes().to_vec();
+        for (place, byte, how) in changes {
+            let at = place.index(bytes.len().max(1)).min(bytes.len().saturating_sub(1));
+            match how {
+                _ if bytes.is_empty() => {}
+                0 => bytes[at] = byte,
+                1 => bytes.insert(at, byte),
+                2 => drop(bytes.remove(at)),
+                _ => bytes.truncate(at.max(bytes.len() / 2)),
+            }
+        }
+        let _ = json::read(&bytes);
+        let _ = xml::read(&bytes);
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -14,10 +14,15 @@
 //! | `p send e1=leaving`, `p expect m1 failed`, `p expect-watch 1`, `p mute`, `p speak`, `p quiet` | the platform |
 //! | `p move`, `p hold`, `p unhold`, `p let-go` | it listens elsewhere; holds lists back; closes what leads to the old address |
 //! | `site YAML` | writes our own settings file, in one line; `start` names it from then on |
+//! | `registry` | starts a registry and a replica; a site file may name them as `{registry}` and `{replica}` |
+//! | `r put e1 e2`, `r status e1 DOWN`, `r delete e1`, `r empty`, `r lose-deltas` | what the registry holds |
+//! | `r silent`, `r speak`, `r half`, `r xml`, `r gzip`, `r huge`, `r bomb`, `r deep`, `r long-name`, `r freeze-replica` | how it answers |
+//! | `r holds n0=UP`, `r holds n0=`, `r asked GET /apps` | waits for what it holds of an instance, for a question |
 //! | `reload open=4 …`, `reload TEXT` | writes the configuration anew and sends SIGHUP |
 //! | `wait name=value routes/NAME/held=1 …`, `log TEXT` | waits for counters, for a line in the log |
-//! | `state-under N`, `damage cut N`, `damage flip N` | the folder that lasts |
+//! | `state-under N`, `state-holds FILE`, `damage cut N`, `damage flip N`, `damage-view` | the folder that lasts |
 
+use cedarbridge_standin::{Instance, Mode, StandIn};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
@@ -222,6 +227,7 @@
     notices: Receiver<Value>,
     watched: Receiver<String>,
     senders: (Sender<Value>, Sender<String>),
+    registry: Option<(StandIn, StandIn)>,
     endpoints: BTreeMap<String, Endpoint>,
     agents: BTreeMap<String, BufReader<TcpStream>>,
     crowd: Vec<TcpStream>,
@@ -289,6 +295,7 @@
             notices,
             watched,
             senders,
+            registry: None,
             endpoints,
             agents,
             crowd,
@@ -308,7 +315,19 @@
         match words[0] {
             "with" => words[1..].iter().for_each(|w| self.set(w)),
             "start" => self.start(),
-            "site" => fs::write(self.folder.join("site.yaml"), rest).expect("written"),
+            "site" => {
+                let mut text = rest.to_owned();
+                if let Some((registry, replica)) = &self.registry {
+                    text = text.replace("{registry}", &registry.url()).replace("{replica}", &replica.url());
+                }
+                fs::write(self.folder.join("site.yaml"), text).expect("written");
+            }
+            "registry" => {
+                let registry = StandIn::start().expect("a port");
+                let replica = registry.replica().expect("a port");
+                self.registry = Some((registry, replica));
+            }
+            "r" => self.registry_step(&words[1..], rest.trim_start_matches("asked ")),
             "reload" => {
                 match words[1..].iter().all(|w| w.contains('=')) {
                     true => {
@@ -350,6 +369,16 @@
                 let connect = |_| TcpStream::connect(self.listen.expect("started")).expect("it listens");
                 self.crowd.extend((0..count).map(connect));
             }
+            "state-holds" => {
+                let path = self.folder.join("state").join(words[1]);
+                soon(rest, || path.exists().then_some(()));
+            }
+            "damage-view" => {
+                let path = self.folder.join("state/registry.view");
+                let mut bytes = fs::read(&path).expect("kept");
+                bytes[5] ^= 0xff;
+                fs::write(path, bytes).expect("written");
+            }
             "damage" => self.damage(words[1], words[2].parse().expect("a number")),
             "p" => self.platform(&words[1..]),
             name if self.endpoints.contains_key(name) => self.endpoint(name, &words[1..], rest),
@@ -461,14 +490,16 @@
 
     fn wait(&self, condition: &str) {
         let (name, wanted) = condition.split_once('=').expect("name=value");
-        let wanted = wanted.parse::<u64>().expect("a number");
+        let flag = |w: &str| u64::from(w == "true");
+        let wanted = wanted.parse::<u64>().unwrap_or_else(|_| flag(wanted));
         let mut last = Value::Null;
         let look = || {
             let answer = self.get("/_counters");
             last = serde_json::from_str(answer.split("\r\n\r\n").nth(1)?).expect("JSON");
             let path = name.trim_end_matches('>').split('/');
             // A route is not in the counters before it is used.
-            let value = path.fold(&last, |v, key| &v[key]).as_u64().unwrap_or(0);
+            let value = path.fold(&last, |v, key| &v[key]);
+            let value = value.as_u64().unwrap_or(u64::from(value == &Value::Bool(true)));
             (value == wanted || name.ends_with('>') && value > wanted).then_some(())
         };
         soon(condition, look);
@@ -520,6 +551,47 @@
         }
     }
 
+    fn registry_step(&mut self, words: &[&str], rest: &str) {
+        let (registry, replica) = self.registry.as_ref().expect("started");
+        match words {
+            ["put", names @ ..] => {
+                for name in names {
+                    let e = &self.endpoints[*name];
+                    registry.put(Instance::partner(name, e.address, e.destination, &e.kind, "east", 50.0));
+                }
+            }
+            ["status", name, status] => registry.set_status(name, status),
+            ["delete", name] => registry.delete(name),
+            ["empty"] => registry.restart_empty(),
+            ["lose-deltas"] => registry.lose_deltas(),
+            ["silent"] => registry.set(|m| m.silent = true),
+            ["speak"] => registry.set(|m| *m = Mode::default()),
+            ["half"] => registry.set(|m| m.half = true),
+            ["xml"] => registry.set(|m| m.xml = true),
+            ["gzip"] => registry.set(|m| m.gzip = true),
+            ["freeze-replica"] => replica.freeze(true),
+            ["huge"] => registry.set(|m| m.instead = Some(vec![b' '; 100_000_000])),
+            ["bomb"] => registry.set(|m| (m.gzip, m.instead) = (true, Some(vec![b' '; 3_000_000]))),
+            ["deep"] => registry.set(|m| m.instead = Some(vec![b'['; 1_000_000])),
+            ["long-name"] => {
+                let name = "x".repeat(500_000);
+                let app = json!({"name": "A", "instance": [{"instanceId": name, "status": "UP"}]});
+                let all = json!({"applications": {"application": [app]}});
+                registry.set(|m| m.instead = Some(all.to_string().into_bytes()));
+            }
+            ["holds", wanted] => {
+                let (id, status) = wanted.split_once('=').expect("id=status");
+                let look = || registry.statuses("CEDARBRIDGE").get(id).map_or("", String::as_str) == status;
+                soon(wanted, || look().then_some(()));
+            }
+            ["asked", ..] => {
+                let asked = |r: &StandIn| r.asked().iter().any(|a| a.replace("/eureka/v2", "") == rest);
+                soon(rest, || (asked(registry) || asked(replica)).then_some(()));
+            }
+            _ => panic!("no such step of a registry"),
+        }
+    }
+
     fn endpoint(&mut self, name: &str, words: &[&str], rest: &str) {
         let e = self.endpoints.get_mut(name).expect("known");
         match words {
