Make an endpoint's actor at its first call, and skip what a delta repeats

With 10,000 entries of a registry the forwarder took 410 MB: each endpoint had an actor with a mailbox for all calls at once. A delta repeats for three minutes what changed, and each repeat was worked through again (11 s of CPU in 22 s, a drain told to the module up to 398 ms after it was learnt).

Actors are made at the first call; an entry that is told as it is held is passed over; a large list is one log line. A show measures memory, CPU and the timings of each change; the commands and the section have their tests.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -101,6 +101,8 @@
 
     fn note(&mut self, instance: Instance, action: &'static str) {
         self.version += 1;
+        // A delta has each instance once, as it is now.
+        self.recent.retain(|r| (&r.1.app, &r.1.id) != (&instance.app, &instance.id));
         self.recent.push_back((Instant::now(), instance, action));
         while self.recent.front().is_some_and(|r| r.0.elapsed() > RETAINED) {
             self.recent.pop_front();
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -38,6 +38,9 @@
     /// How long the registry then says nothing, under load
     #[arg(long, default_value_t = 0)]
     silent: u64,
+    /// Instances that the registry holds beside these, ten an application, for partners that get nothing
+    #[arg(long, default_value_t = 0)]
+    idle: usize,
     /// Print only the summary
     #[arg(long)]
     brief: bool,
@@ -227,6 +230,22 @@
     Err(format!("never came: {what}").into())
 }
 
+/// Memory of a process now and at its peak, as the system tells it.
+fn memory(pid: u32) -> Result<String, Failure> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let of =
+        |key: &str| text.lines().find_map(|l| l.strip_prefix(key)).map(str::trim).unwrap_or("?").to_owned();
+    Ok(format!("{} now, {} at its peak", of("VmRSS:"), of("VmHWM:")))
+}
+
+/// CPU seconds that a process has used, at the usual 100 ticks a second.
+fn cpu(pid: u32) -> Result<f64, Failure> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let fields: Vec<&str> = text.rsplit(") ").next().ok_or("no fields")?.split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    Ok((ticks(11) + ticks(12)) / 100.0)
+}
+
 fn row(v: &Value) -> String {
     let text = |key: &str| v[key].as_str().map_or_else(|| v[key].to_string(), str::to_owned);
     format!(
@@ -257,6 +276,15 @@
         registry.put(partner(n, 0, address));
         addresses.push(address);
     }
+    for n in 0..args.idle {
+        let address = SocketAddr::from(([127, 1 + (n >> 16) as u8, (n >> 8) as u8, n as u8], 9));
+        let partner = 1_000_000 + n as u64 / 10;
+        let mut idle = Instance::partner(&format!("idle-{n}"), address, partner, "plain", "room", 5.0);
+        idle.app = format!("IDLE{}", n / 10);
+        registry.put(idle);
+    }
+    // All of this came long ago.
+    registry.lose_deltas();
     let notices = Arc::new(AtomicU64::new(0));
     write_files(&folder, platform(notices.clone())?, &registry)?;
     let mut command = Command::new(&args.daemon);
@@ -269,10 +297,13 @@
     let (listen, left) = (Arc::default(), Arc::default());
     read_log(daemon.0.stderr.take().ok_or("no log")?, Arc::clone(&listen), Arc::clone(&left));
     let to = soon("the forwarder's address", || *listen.lock().expect("sound"))?;
-    let wanted = args.endpoints as u64;
+    let wanted = (args.endpoints + args.idle) as u64;
     soon("the registry's entries", || {
         counters(to).ok().filter(|c| c["registry"]["entries"].as_u64() == Some(wanted))
     })?;
+    let pid = daemon.0.id();
+    println!("{wanted} entries held; the forwarder's memory: {}", memory(pid)?);
+    let (cpu_before, since) = (cpu(pid)?, Instant::now());
     let stop = Arc::new(AtomicBool::new(false));
     let threads = 8;
     let loads: Vec<_> = (0..threads)
@@ -315,6 +346,8 @@
     stop.store(true, Ordering::SeqCst);
     let sums = loads.into_iter().map(|l| l.join().unwrap_or_default());
     let (taken, refused) = sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+    let (used, span) = (cpu(pid)? - cpu_before, since.elapsed().as_secs_f64());
+    println!("CPU of the forwarder: {used:.2} s in {span:.0} s; its memory: {}", memory(pid)?);
     let after =
         soon("the end of all messages", || counters(to).ok().filter(|c| c["open"].as_u64() == Some(0)))?;
     let ended = Command::new("kill").arg(daemon.0.id().to_string()).status()?;
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -237,7 +237,16 @@
             return;
         }
         let key = listing.key.clone();
-        let held = self.entries.get(&key).map(|h| h.listing.stamp);
+        let known = self.entries.get(&key);
+        if known.is_none() && listing.state == State::Gone {
+            return;
+        }
+        // A delta says the same again for minutes. Who goes by id is passed on as it is told.
+        if self.policy.by_address && known.is_some_and(|h| h.listing == listing) {
+            self.missing.remove(&key);
+            return;
+        }
+        let held = known.map(|h| h.listing.stamp);
         let buried = self.tombs.get(&key).map(|t| t.0);
         // A stamp of nothing tells nothing; what was buried comes back only with a newer one.
         let stale = listing.stamp > 0
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -17,7 +17,7 @@
 use futures_lite::future;
 use slog::{info, warn};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -80,6 +80,8 @@
     courier: Courier,
     notices: Sender<Notice>,
     farm: Sender<ToFarm>,
+    /// Endpoints that may be called, and the actors of those that were.
+    listed: BTreeSet<EndpointId>,
     peers: BTreeMap<EndpointId, Sender<ToPeer>>,
     held: BTreeMap<MessageId, Held>,
     /// The kind of each destination that the list names.
@@ -107,6 +109,7 @@
             courier,
             notices,
             farm,
+            listed: BTreeSet::new(),
             peers: BTreeMap::new(),
             held: BTreeMap::new(),
             kinds: BTreeMap::new(),
@@ -289,7 +292,9 @@
         match &news {
             ListNews::Patch(entries) | ListNews::Whole(entries) | ListNews::Stale(entries) => {
                 if !matches!(news, ListNews::Patch(_)) {
-                    self.peers.retain(|e, _| entries.iter().any(|n| n.endpoint == *e));
+                    let named: BTreeSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
+                    self.peers.retain(|e, _| named.contains(e));
+                    self.listed.retain(|e| named.contains(e));
                 }
                 if !matches!(news, ListNews::Patch(_)) {
                     self.kinds.clear();
@@ -298,13 +303,9 @@
                 for entry in entries {
                     if entry.lifecycle == Lifecycle::Gone {
                         self.peers.remove(&entry.endpoint);
-                    } else if !self.peers.contains_key(&entry.endpoint) {
-                        // All calls at once, all of their connections coming back, and a few words more.
-                        let room = 2 * self.context.config().slots + 16;
-                        let (send, mail) = async_channel::bounded(room);
-                        let actor = peer::run(self.context.clone(), entry.endpoint, mail, send.downgrade());
-                        self.context.executor.spawn(actor).detach();
-                        self.peers.insert(entry.endpoint, send);
+                        self.listed.remove(&entry.endpoint);
+                    } else {
+                        self.listed.insert(entry.endpoint);
                     }
                 }
             }
@@ -453,7 +454,7 @@
                 }
             }
             let pass = Pass { endpoint, parts, sent: now, called_off };
-            let Some(peer) = self.peers.get(&endpoint) else {
+            let Some(peer) = self.peer(endpoint) else {
                 warn!(self.context.log, "no such peer"; "endpoint" => endpoint.0);
                 self.not_sent(pass);
                 continue;
@@ -467,6 +468,22 @@
         }
     }
 
+    /// The actor of an endpoint; made at its first call, as most of a large list never get one.
+    fn peer(&mut self, endpoint: EndpointId) -> Option<&Sender<ToPeer>> {
+        if !self.listed.contains(&endpoint) {
+            return None;
+        }
+        let context = &self.context;
+        Some(self.peers.entry(endpoint).or_insert_with(|| {
+            // All calls at once, all of their connections coming back, and a few words more.
+            let room = 2 * context.config().slots + 16;
+            let (send, mail) = async_channel::bounded(room);
+            let actor = peer::run(context.clone(), endpoint, mail, send.downgrade());
+            context.executor.spawn(actor).detach();
+            send
+        }))
+    }
+
     /// A call that could not even be handed to its peer comes back by the mailbox, as any other.
     fn not_sent(&self, pass: Pass) {
         let ended = Ended::alike(pass.parts.len(), super::proxy_pass::End::of(Outcome::Moot));
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -63,6 +63,8 @@
 const KEEP_EVERY: Micros = 2_000_000;
 /// So long after an endpoint left, its last call is looked up.
 const SETTLED: Micros = 1_000_000;
+/// More changes at once are not told of one by one.
+const LINES: usize = 100;
 /// So many that left are looked at again; in a storm the rest is not.
 const LEFT: usize = 10_000;
 
@@ -136,6 +138,14 @@
 
     /// Writes changes on the board, then tells the module.
     async fn tell(&mut self, how: Telling, changes: Vec<Change>) {
+        // One that is back before it was looked at again is looked at now: the board forgets that it left.
+        if !self.left.is_empty() {
+            let named: HashSet<EndpointId> = changes.iter().map(|c| c.endpoint).collect();
+            let all = std::mem::take(&mut self.left).into_iter();
+            let (back, rest): (VecDeque<_>, _) = all.partition(|l| named.contains(&l.1.endpoint));
+            self.left = rest;
+            back.into_iter().for_each(|(learnt, change)| self.settle(learnt, &change));
+        }
         let board = &self.context.board;
         let mut entries = Vec::with_capacity(changes.len());
         let mut write = |change: &Change| {
@@ -174,7 +184,12 @@
 
     /// One line a change, and for what leaves a second look later.
     fn note(&mut self, changes: &[Change]) {
-        for change in changes {
+        // A whole registry that comes at once is one line, but for what leaves.
+        let many = changes.len() > LINES;
+        if many {
+            info!(self.context.log, "list changed"; "entries" => changes.len());
+        }
+        for change in changes.iter().filter(|c| !many || c.lifecycle != Lifecycle::Listed) {
             let source = self.membership.name(change.source);
             info!(self.context.log, "list changed"; "endpoint" => change.endpoint.0, "id" => &change.listing.key.id,
                 "address" => %change.listing.address, "lifecycle" => ?change.lifecycle, "why" => change.why,
@@ -189,19 +204,21 @@
     fn settle_left(&mut self, now: Micros) {
         while self.left.front().is_some_and(|l| l.0 + SETTLED <= now) {
             let (learnt, change) = self.left.pop_front().expect("just seen");
-            let Some(known) = self.context.board.get(change.endpoint) else { continue };
-            // One that is back, or that drained before it went, is told of at its own time.
-            if known.leaving_since != Some(learnt) {
-                continue;
-            }
-            self.context.board.count_drain(&known);
-            let ms = |t: Option<Micros>| t.map(|t| (t as f64 - learnt as f64) / 1e3);
-            info!(self.context.log, "endpoint left"; "endpoint" => change.endpoint.0,
-                "id" => &change.listing.key.id, "lifecycle" => ?change.lifecycle, "learnt" => learnt,
-                "told_ms" => ms(known.told), "last_byte_ms" => ms(known.last_byte));
+            self.settle(learnt, &change);
         }
     }
 
+    fn settle(&self, learnt: Micros, change: &Change) {
+        let known = self.context.board.get(change.endpoint);
+        // One that drained before it went is told of once.
+        let Some(known) = known.filter(|k| k.leaving_since == Some(learnt)) else { return };
+        self.context.board.count_drain(&known);
+        let ms = |t: Option<Micros>| t.map(|t| (t as f64 - learnt as f64) / 1e3);
+        info!(self.context.log, "endpoint left"; "endpoint" => change.endpoint.0,
+            "id" => &change.listing.key.id, "lifecycle" => ?change.lifecycle, "learnt" => learnt,
+            "told_ms" => ms(known.told), "last_byte_ms" => ms(known.last_byte));
+    }
+
     /// Reads a version of the list.
     fn read(&mut self, v: &Value) -> Result<(bool, Vec<Listing>), String> {
         let generation = in_field(v, "generation", whole)?;
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -2,7 +2,9 @@
 
 mod scenario;
 
-use scenario::play;
+use cedarbridge_standin::{Instance, StandIn};
+use scenario::{play, program};
+use std::process::Output;
 
 const SITE: &str = "site {version: 1, registry: {addresses: [\"{registry}\"], poll: 100ms, timeout: 400ms, largest-mb: 1, \
     hold-down: {first: 300ms, longest: 1s, forget: 5s}, shrink: {share: 0.4, confirm: 1s}, snapshot-after: 300ms, \
@@ -268,3 +270,107 @@
          r asked DELETE /apps/CEDARBRIDGE/n0",
     );
 }
+
+fn command(arguments: &[&str]) -> (Option<i32>, String) {
+    let Output { status, stdout, .. } = program().args(arguments).output().expect("it runs");
+    (status.code(), String::from_utf8(stdout).expect("text"))
+}
+
+#[test]
+fn the_commands_show_what_would_be_held_and_why() {
+    let registry = StandIn::start().expect("a port");
+    let replica = registry.replica().expect("a port");
+    let put = |id: &str, port: u16, partner, kind| {
+        let address = ([127, 0, 0, 1], port).into();
+        registry.put(Instance::partner(id, address, partner, kind, "room", 5.0));
+    };
+    put("a", 1001, 7, "cable-operator");
+    put("b", 1002, 8, "small-partner");
+    put("c", 1003, 9, "unheard-of");
+    registry.set_status("b", "STARTING");
+    replica.freeze(true);
+    registry.set_status("a", "DOWN");
+    registry.set_status("a", "UP");
+    let folder = std::env::temp_dir().join(format!("cedarbridge-registry-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("site.yaml");
+    let text = format!(
+        "version: 1\nregistry: {{addresses: [{}, {}], poll: 100ms}}\n",
+        registry.url(),
+        replica.url()
+    );
+    std::fs::write(&path, text).expect("written");
+    let site = path.to_str().expect("text");
+    let of = |what: &str, more: &[&str]| {
+        command(&[&["registry", what, "--config", "examples/config.json", site], more].concat())
+    };
+    let (code, list) = of("list", &[]);
+    assert_eq!(code, Some(0));
+    assert!(list.contains("a  127.0.0.1:1001  7  cable-operator  room  5.0  listed  (up)"), "{list}");
+    assert!(
+        list.contains("b  127.0.0.1:1002") && list.contains("gone  (not in service, so not added)"),
+        "{list}"
+    );
+    assert!(list.contains("c  passed over: unknown kind `unheard-of`"), "{list}");
+    let (_, json) = of("list", &["--json"]);
+    assert!(json.lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()), "{json}");
+    let (_, watched) = of("watch", &["--for", "300ms"]);
+    assert!(watched.contains("a  127.0.0.1:1001") && !watched.contains("b  127"), "{watched}");
+    let (code, diff) = of("diff", &[]);
+    assert_eq!((code, diff.lines().count()), (Some(0), 2), "{diff}");
+    assert!(diff.lines().all(|l| l.starts_with("PARTNERS/a  127.0.0.1:")), "{diff}");
+    registry.set(|m| m.half = true);
+    assert_eq!(of("diff", &[]).0, Some(1));
+    replica.set(|m| m.half = true);
+    assert_eq!(of("list", &[]).0, Some(1));
+    std::fs::remove_dir_all(folder).expect("removed");
+}
+
+#[test]
+fn a_section_that_makes_no_sense_is_refused_with_its_code_and_place() {
+    let config = include_str!("../examples/config.json");
+    let (settings, names) = cedarbridge::net::config::platform(config).expect("the example's settings");
+    let read = |rest: &str| {
+        let text = format!("version: 1\nregistry: {{addresses: [\"http://h:1/p\"], {rest}}}\n");
+        let platform = cedarbridge::routes::Platform { settings: &settings, names: &names };
+        cedarbridge::site::Site::read(&text, platform).map(|s| s.registry.expect("there"))
+    };
+    let shipped = include_str!("../deploy/registry.yaml");
+    let platform = cedarbridge::routes::Platform { settings: &settings, names: &names };
+    let shipped =
+        cedarbridge::site::Site::read(shipped, platform).expect("accepted").registry.expect("there");
+    // What the operators' page says holds where a key is left out.
+    let bare = read("poll: 1s").expect("accepted");
+    assert_eq!(
+        (&bare.hold_down, &bare.shrink, bare.back_off),
+        (&shipped.hold_down, &shipped.shrink, shipped.back_off)
+    );
+    assert_eq!((bare.addresses[0].host.as_str(), bare.addresses[0].prefix.as_str()), ("h", "/p"));
+    for (rest, wanted) in [
+        ("poll: 50ms", "time"),
+        ("poll: 1", "unit"),
+        ("polls: 1s", "unknown-key"),
+        ("hold-down: {first: 2s, longest: 1s}", "pause"),
+        ("hold-down: {first: 2s, longest: 3s, forgets: 1s}", "unknown-key"),
+        ("back-off: {first: 20s}", "pause"),
+        ("shrink: {share: 1.5}", "type"),
+        ("shrink: {share: 0}", "type"),
+        ("largest-mb: 0", "type"),
+        ("vip: a, apps: [b]", "type"),
+        ("metadata: {partner: x}", "unknown-key"),
+        ("register: {renew: 1s}", "missing-key"),
+        ("register: {app: A, renew: 2s, lease: 2s}", "lease"),
+    ] {
+        let found = read(rest).expect_err(rest);
+        assert_eq!(found.iter().map(|b| b.code.word()).collect::<Vec<_>>(), [wanted], "{rest}: {found:?}");
+        assert!(found[0].at.line == 2 && found[0].at.column > 38, "{rest}: {found:?}");
+    }
+    for addresses in
+        ["[]", "[h]", "[\"https://h:1\"]", "[\"http://h\"]", "[\"http://h:1/a\", \"http://h:1/a/\"]"]
+    {
+        let text = format!("version: 1\nregistry: {{addresses: {addresses}}}\n");
+        let platform = cedarbridge::routes::Platform { settings: &settings, names: &names };
+        let found = cedarbridge::site::Site::read(&text, platform).expect_err(addresses);
+        assert_eq!(found.iter().map(|b| b.code.word()).collect::<Vec<_>>(), ["address"], "{addresses}");
+    }
+}
