--- a/src/net/eureka/model.rs
+++ b/src/net/eureka/model.rs
@@ -89,9 +89,12 @@
 /// The hash over the statuses of all instances: each status that occurs, in the order of its name, with its count,
 /// as `DOWN_1_UP_2_`.
 pub fn hash_code(statuses: impl Iterator<Item = Status>) -> String {
-    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    statuses.for_each(|s| *counts.entry(s.word()).or_default() += 1);
-    counts.iter().map(|(word, count)| format!("{word}_{count}_")).collect()
+    const BY_NAME: [Status; 5] =
+        [Status::Down, Status::OutOfService, Status::Starting, Status::Unknown, Status::Up];
+    let mut counts = [0usize; 5];
+    statuses.for_each(|s| counts[BY_NAME.iter().position(|b| *b == s).expect("one of all")] += 1);
+    let occurring = BY_NAME.iter().zip(counts).filter(|(_, count)| *count > 0);
+    occurring.map(|(status, count)| format!("{}_{count}_", status.word())).collect()
 }
 
 /// Checks that no text of an instance is longer than any is.
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -113,6 +113,8 @@
     registry: Option<Asked>,
     /// Endpoints that left, and when that was learnt; looked at once more when it is settled.
     left: VecDeque<(Micros, Change)>,
+    /// When what is forgotten was last gone through.
+    pruned: Micros,
 }
 
 impl Farm {
@@ -122,7 +124,20 @@
         let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
         let membership = Membership::new(sources);
         let (held, next, generation, source, registry, left) = Default::default();
-        Farm { context, names, own, membership, held, next, watches: 0, generation, source, registry, left }
+        Farm {
+            context,
+            names,
+            own,
+            membership,
+            held,
+            next,
+            watches: 0,
+            generation,
+            source,
+            registry,
+            left,
+            pruned: 0,
+        }
     }
 
     /// Takes in the list that the configuration brings; it may be old.
@@ -168,8 +183,13 @@
             let named: Vec<_> = entries.iter().map(|e| e.endpoint).collect();
             board.keep_only(&named);
         }
-        board.prune(self.context.clock.now());
-        self.membership.keep_ids(|id| board.get(id).is_some());
+        // A large list is not gone through at each change of it.
+        let now = self.context.clock.now();
+        if now >= self.pruned + SETTLED {
+            self.pruned = now;
+            board.prune(now);
+            self.membership.keep_ids(|id| board.get(id).is_some());
+        }
         if self.registry.is_some() {
             self.note(&changes);
         }
@@ -297,7 +317,10 @@
                     }
                     (asked.serve_at, asked.stale) = (None, false);
                 }
-                self.tell(Telling::Patch, changes).await;
+                // A registry that has nothing is a list to go by as well; after that only changes are news.
+                if !changes.is_empty() || !self.context.holds_list.get() {
+                    self.tell(Telling::Patch, changes).await;
+                }
                 let _ = doubt.try_send(self.membership.in_doubt(REGISTRY));
                 self.show();
             }
