--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -80,12 +80,12 @@
     courier: Courier,
     notices: Sender<Notice>,
     farm: Sender<ToFarm>,
-    /// Endpoints that may be called, and the actors of those that were.
-    listed: BTreeSet<EndpointId>,
+    /// Endpoints that may be called, with whose they are, and the actors of those that were.
+    listed: BTreeMap<EndpointId, DestinationId>,
     peers: BTreeMap<EndpointId, Sender<ToPeer>>,
     held: BTreeMap<MessageId, Held>,
-    /// The kind of each destination that the list names.
-    kinds: BTreeMap<DestinationId, KindId>,
+    /// The kind of each destination that the list names, and how many endpoints it names for it.
+    kinds: BTreeMap<DestinationId, (KindId, usize)>,
     open: usize,
     next: u64,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
@@ -109,7 +109,7 @@
             courier,
             notices,
             farm,
-            listed: BTreeSet::new(),
+            listed: BTreeMap::new(),
             peers: BTreeMap::new(),
             held: BTreeMap::new(),
             kinds: BTreeMap::new(),
@@ -160,7 +160,7 @@
 
     fn hold(&mut self, mut transaction: Transaction, reply: Option<Sender<Reply>>) {
         let (to, class) = (transaction.request.destination, transaction.request.class);
-        transaction.stats = self.context.routes.of(to, self.kinds.get(&to).copied(), class);
+        transaction.stats = self.context.routes.of(to, self.kinds.get(&to).map(|k| k.0), class);
         transaction.stats.iter().for_each(|s| s.take());
         let message = transaction.message(self.context.clock.now());
         let id = transaction.id;
@@ -293,19 +293,20 @@
             ListNews::Patch(entries) | ListNews::Whole(entries) | ListNews::Stale(entries) => {
                 if !matches!(news, ListNews::Patch(_)) {
                     let named: BTreeSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
-                    self.peers.retain(|e, _| named.contains(e));
-                    self.listed.retain(|e| named.contains(e));
+                    let gone: Vec<_> = self.listed.keys().copied().filter(|e| !named.contains(e)).collect();
+                    gone.into_iter().for_each(|e| self.unlist(e));
                 }
-                if !matches!(news, ListNews::Patch(_)) {
-                    self.kinds.clear();
-                }
-                self.kinds.extend(entries.iter().map(|e| (e.destination, e.kind)));
                 for entry in entries {
-                    if entry.lifecycle == Lifecycle::Gone {
-                        self.peers.remove(&entry.endpoint);
-                        self.listed.remove(&entry.endpoint);
-                    } else {
-                        self.listed.insert(entry.endpoint);
+                    // It may have another owner than before.
+                    if self.listed.get(&entry.endpoint).is_some_and(|d| *d != entry.destination)
+                        || entry.lifecycle == Lifecycle::Gone
+                    {
+                        self.unlist(entry.endpoint);
+                    }
+                    if entry.lifecycle != Lifecycle::Gone {
+                        let new = self.listed.insert(entry.endpoint, entry.destination).is_none();
+                        let kind = self.kinds.entry(entry.destination).or_insert((entry.kind, 0));
+                        *kind = (entry.kind, kind.1 + usize::from(new));
                     }
                 }
             }
@@ -314,6 +315,18 @@
         self.events.push(Event::List(news));
     }
 
+    /// Lets go of an endpoint, and of the kind of a destination that has none left.
+    fn unlist(&mut self, endpoint: EndpointId) {
+        self.peers.remove(&endpoint);
+        let Some(destination) = self.listed.remove(&endpoint) else { return };
+        if let Some(kind) = self.kinds.get_mut(&destination) {
+            kind.1 -= 1;
+            if kind.1 == 0 {
+                self.kinds.remove(&destination);
+            }
+        }
+    }
+
     fn take_passed(&mut self, pass: Pass, ended: &Ended) {
         let elapsed = self.context.clock.now().saturating_sub(pass.sent);
         let told = ended.ends.iter().any(|e| matches!(e.outcome, Outcome::Full(Some(_))));
@@ -470,7 +483,7 @@
 
     /// The actor of an endpoint; made at its first call, as most of a large list never get one.
     fn peer(&mut self, endpoint: EndpointId) -> Option<&Sender<ToPeer>> {
-        if !self.listed.contains(&endpoint) {
+        if !self.listed.contains_key(&endpoint) {
             return None;
         }
         let context = &self.context;
--- a/src/net/eureka/client.rs
+++ b/src/net/eureka/client.rs
@@ -134,6 +134,12 @@
     }
 }
 
+/// A name as a part of a path (RFC 3986, section 2.3: what is not unreserved is written as octets).
+pub fn path_part(name: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~:".contains(&b);
+    name.bytes().map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
 /// Reads an answer, JSON or XML.
 pub fn read(body: &[u8]) -> Result<Applications, String> {
     match body.iter().find(|b| !b.is_ascii_whitespace()) {
--- a/src/net/eureka/mod.rs
+++ b/src/net/eureka/mod.rs
@@ -16,7 +16,7 @@
 use crate::Micros;
 use async_channel::Sender;
 use async_io::Timer;
-use client::{Client, Failed};
+use client::{path_part, Client, Failed};
 use held::{Held, Taken};
 use model::Applications;
 use serde_json::{json, Value};
@@ -91,11 +91,13 @@
         let answer = match (question, &self.settings.ask) {
             (Question::Delta, _) => client.applications("/apps/delta").await?,
             (Question::Whole, Ask::All) => client.applications("/apps").await?,
-            (Question::Whole, Ask::Vip(vip)) => client.applications(&format!("/vips/{vip}")).await?,
+            (Question::Whole, Ask::Vip(vip)) => {
+                client.applications(&format!("/vips/{}", path_part(vip))).await?
+            }
             (Question::Whole, Ask::Apps(apps)) => {
                 let mut all = Applications::default();
                 for app in apps {
-                    match client.applications(&format!("/apps/{app}")).await {
+                    match client.applications(&format!("/apps/{}", path_part(app))).await {
                         Ok(one) => all.instances.extend(one.instances),
                         // An application without instances is no failure.
                         Err(Failed::Status(404)) => {}
--- a/src/net/eureka/register.rs
+++ b/src/net/eureka/register.rs
@@ -1,7 +1,7 @@
 //! This forwarder as an entry of the registry: registered, renewed, taken out of service when it starts to end, and
 //! cancelled at its end. Nothing that it decides depends on it.
 
-use super::client::{Client, Failed};
+use super::client::{path_part, Client, Failed};
 use crate::membership::{Registration, RegistrySettings};
 use crate::net::{within, Context};
 use async_channel::{Receiver, Sender};
@@ -29,7 +29,7 @@
 
 impl Entry<'_> {
     fn path(&self) -> String {
-        format!("/apps/{}/{}", self.registration.app, self.name)
+        format!("/apps/{}/{}", path_part(&self.registration.app), path_part(&self.name))
     }
 
     fn document(&self, status: &str) -> String {
@@ -54,7 +54,7 @@
     }
 
     async fn register(&mut self, context: &Context) -> bool {
-        let (app, document) = (format!("/apps/{}", self.registration.app), self.document("UP"));
+        let (app, document) = (format!("/apps/{}", path_part(&self.registration.app)), self.document("UP"));
         let told = match self.ask("POST", &app, Some(&document)).await {
             Ok(200..=299) => return true,
             Ok(status) => format!("status {status}"),
--- a/tests/eureka.rs
+++ b/tests/eureka.rs
@@ -1,6 +1,7 @@
 //! The readers of a registry's answers, on what real servers write and on what nobody should.
 
 use cedarbridge::membership::{MetadataNames, News, State};
+use cedarbridge::net::eureka::client::path_part;
 use cedarbridge::net::eureka::held::Held;
 use cedarbridge::net::eureka::model::{hash_code, Act, Status};
 use cedarbridge::net::eureka::{json, xml};
@@ -80,6 +81,13 @@
     assert!(!held.take(read("DOWN_1_UP_1_", "UP_9_"), false, &by, &names).fits);
 }
 
+/// Guards against a name that ends the request's first line, or leads to another path.
+#[test]
+fn a_name_in_a_path_is_written_so_that_it_stays_one_part() {
+    assert_eq!(path_part("host-1.example:app:8080"), "host-1.example:app:8080");
+    assert_eq!(path_part("a b/c?d\r\n%"), "a%20b%2Fc%3Fd%0D%0A%25");
+}
+
 #[test]
 fn what_is_no_answer_is_refused() {
     let deep = format!("{}{}", "<applications>".repeat(100), "</applications>".repeat(100));
