--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -136,6 +136,31 @@
     );
 }
 
+/// Guards against calls and waits of an endpoint that is gone being taken for those of the one at its address.
+#[test]
+fn an_instance_that_is_replaced_at_its_address_is_another_endpoint() {
+    with(
+        "with e1=1:one:hidden",
+        "r put e1
+         start
+         wait registry/entries=1
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         r replace e1 successor
+         log id: successor
+         e1 send m1 429 X-RateLimit-Wait-Ms:100
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u2 send m2
+         u2 expect 202
+         e1 expect m2
+         e1 send m2 200
+         wait delivered=2 registry/entries=1 opened=2",
+    );
+}
+
 /// Guards against a lost delta: the hash of what is held shows it.
 #[test]
 fn a_lost_delta_is_caught_by_its_hash() {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -15,7 +15,7 @@
 //! | `p move`, `p hold`, `p unhold`, `p let-go` | it listens elsewhere; holds lists back; closes what leads to the old address |
 //! | `site YAML` | writes our own settings file, in one line; `start` names it from then on |
 //! | `registry` | starts a registry and a replica; a site file may name them as `{registry}` and `{replica}` |
-//! | `r put e1 e2`, `r status e1 DOWN`, `r delete e1`, `r empty`, `r lose-deltas` | what the registry holds |
+//! | `r put e1 e2`, `r status e1 DOWN`, `r delete e1`, `r replace e1 ID`, `r empty`, `r lose-deltas` | what the registry holds |
 //! | `r silent`, `r speak`, `r half`, `r xml`, `r gzip`, `r huge`, `r bomb`, `r deep`, `r long-name`, `r freeze-replica` | how it answers |
 //! | `r holds n0=UP`, `r holds n0=`, `r asked GET /apps` | waits for what it holds of an instance, for a question |
 //! | `reload open=4 …`, `reload TEXT` | writes the configuration anew and sends SIGHUP |
@@ -562,6 +562,11 @@
             }
             ["status", name, status] => registry.set_status(name, status),
             ["delete", name] => registry.delete(name),
+            ["replace", name, other] => {
+                let e = &self.endpoints[*name];
+                registry.delete(name);
+                registry.put(Instance::partner(other, e.address, e.destination, &e.kind, "east", 50.0));
+            }
             ["empty"] => registry.restart_empty(),
             ["lose-deltas"] => registry.lose_deltas(),
             ["silent"] => registry.set(|m| m.silent = true),
