Let a partner's troubles overlap, break answers and take calls under way

A rehearsal needs two troubles on one partner, breaks in place of answers and connections that go half-open; the model knew one trouble at a time. It now holds a set, the gravest shows and slowness adds to any, and a returning partner is cold only once the last outage has ended. The scenario's form (YAML, strict, each refusal with its place) is read and checked; nothing plays it yet.

--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -327,6 +327,7 @@
         let answer = match fate.answer {
             Some((_, Answer::Refused)) => Some((self.now + back, Outcome::ConnectFailed)),
             Some((at, Answer::Ok)) => Some((at + back, Outcome::Ok)),
+            Some((at, Answer::Broken)) => Some((at + back, Outcome::Reset)),
             Some((at, Answer::Error)) => Some((at + back, Outcome::Error)),
             Some((at, Answer::Full(wait))) => Some((at + back, Outcome::Full(wait))),
             None if fate.unconnected => Some((sent + DIAL, Outcome::ConnectFailed)),
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,637 @@
+//! A rehearsal as it is written in YAML: partners by name, traffic by phases, clumps, troubles, forwarders that are
+//! ended and come back, and what is expected. It reads and checks strictly, with the place of what is wrong, and
+//! plays nothing; [`crate::draw`] makes a day of it.
+
+use crate::experiment::Span;
+use cedarbridge::Micros;
+use cedarbridge_partners::Trouble;
+use serde::Deserialize;
+use serde_saphyr::{Location, Spanned};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+/// No rehearsal has more partners.
+const MOST_PARTNERS: usize = 10_000;
+/// No rehearsal has more forwarders.
+const MOST_FORWARDERS: usize = 100;
+/// No phase asks for more than so many times full load.
+const MOST_LOAD: f64 = 5.0;
+
+/// A text with its place.
+pub type Word = Spanned<String>;
+
+/// The whole file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What it is called in the report.
+    pub title: String,
+    /// The day's seed unless another is given.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// Messages a second at full load, for all partners together.
+    pub rate: Spanned<f64>,
+    /// The forwarders.
+    #[serde(default)]
+    pub forwarders: Forwarders,
+    /// What user agents do.
+    #[serde(default)]
+    pub clients: Clients,
+    /// The channels that share the traffic; without any, three as at our platform.
+    #[serde(default)]
+    pub channels: Vec<Channel>,
+    /// The partners.
+    pub partners: Vec<PartnerOf>,
+    /// The day, part by part.
+    pub phases: Vec<Phase>,
+    /// Messages for one partner that come at once.
+    #[serde(default)]
+    pub clumps: Vec<Clump>,
+    /// What goes wrong.
+    #[serde(default)]
+    pub troubles: Vec<TroubleOf>,
+    /// Forwarders that are ended.
+    #[serde(default)]
+    pub stops: Vec<Stop>,
+    /// Endpoints that are drained and replaced by others.
+    #[serde(default)]
+    pub replacements: Vec<Replacement>,
+    /// What must come of it.
+    #[serde(default)]
+    pub expect: Expect,
+    /// A live run is broken off after this.
+    #[serde(default = "limit")]
+    pub limit: Span,
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn limit() -> Span {
+    Span(540_000_000)
+}
+
+/// The forwarders, all alike.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Forwarders {
+    /// How many.
+    pub count: usize,
+    /// Calls out at once for each; by default twice what full load needs.
+    pub slots: Option<usize>,
+    /// Messages held at once by each; by default nine seconds of full load.
+    pub held: Option<usize>,
+    /// A site file to run with, from the scenario's folder.
+    pub site: Option<PathBuf>,
+}
+
+impl Default for Forwarders {
+    fn default() -> Self {
+        Forwarders { count: 2, slots: None, held: None, site: None }
+    }
+}
+
+/// What user agents do.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// The share of them that come again after a refusal.
+    pub again: f64,
+    /// How long they wait at least before.
+    pub after: (Span, Span),
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Clients { again: 0.75, after: (Span(530_000), Span(1_500_000)) }
+    }
+}
+
+/// A channel.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Channel {
+    /// Its name.
+    pub name: Word,
+    /// Its agreed share of full load.
+    pub share: f64,
+    /// What it sends of its share.
+    #[serde(default = "whole")]
+    pub uses: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+/// The kinds of partner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KindOf {
+    /// Takes up to ten messages a call.
+    CableOperator,
+    /// Takes one a call.
+    SmallPartner,
+}
+
+/// A partner, or several alike.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartnerOf {
+    /// Its name; of several, the name with a number from 1 on.
+    pub name: Word,
+    /// How many.
+    #[serde(default = "single")]
+    pub count: usize,
+    /// Its kind.
+    pub kind: KindOf,
+    /// Its part of the traffic, against the others'.
+    pub share: f64,
+    /// The mean time of a message's work.
+    pub work: Span,
+    /// Its spread: standard deviation over mean.
+    #[serde(default = "spread")]
+    pub spread: f64,
+    /// Its limit over what it gets at full load; 0 for a partner without a limit.
+    #[serde(default = "headroom")]
+    pub headroom: f64,
+    /// What it can work off over its limit.
+    #[serde(default = "spare")]
+    pub spare: f64,
+    /// Addresses that take calls.
+    #[serde(default = "single")]
+    pub endpoints: usize,
+    /// Calls that may queue at an endpoint; by default as many as it works off in 0.7 s.
+    pub queue: Option<usize>,
+    /// Connections that an endpoint holds.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// What a refusal tells to wait.
+    pub tells_wait: Option<Span>,
+    /// Share of calls that fail on a good day.
+    #[serde(default)]
+    pub errors: f64,
+    /// Its share of strength as it comes back, and when it has all of it.
+    #[serde(default = "cold")]
+    pub cold: (f64, Span),
+}
+
+fn single() -> usize {
+    1
+}
+fn spread() -> f64 {
+    0.5
+}
+fn headroom() -> f64 {
+    1.5
+}
+fn spare() -> f64 {
+    1.4
+}
+fn connections() -> usize {
+    64
+}
+fn cold() -> (f64, Span) {
+    (0.28, Span(8_500_000))
+}
+
+/// A part of the day.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Phase {
+    /// Its name.
+    pub name: Word,
+    /// How long it lasts.
+    #[serde(rename = "for")]
+    pub lasts: Span,
+    /// Its traffic, as a share of full load.
+    pub load: Spanned<f64>,
+    /// Share of it that comes in clumps, beside those that are named.
+    #[serde(default)]
+    pub clumps: Spanned<f64>,
+}
+
+/// When something happens: from the day's begin, a phase's or a clump's.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Moment {
+    /// A phase's name.
+    pub phase: Option<Word>,
+    /// A clump's name: while it is in flight.
+    pub clump: Option<Word>,
+    /// So long after its begin.
+    pub after: Option<Span>,
+}
+
+/// Messages for one partner that come at once.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clump {
+    /// Its name.
+    pub name: Word,
+    /// For which partner.
+    pub partner: Word,
+    /// When it begins.
+    pub at: Moment,
+    /// How many.
+    pub messages: Spanned<usize>,
+    /// Within which time.
+    pub within: Span,
+}
+
+/// The kinds of trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TroubleKind {
+    /// Works so many times slower.
+    Slow,
+    /// Takes calls and answers none.
+    Hang,
+    /// Refuses connections, and breaks those it has.
+    Refuse,
+    /// Fails a share of its calls at once.
+    Fail,
+    /// Turns everything away as full.
+    Shut,
+    /// Says nothing at all, not even to a new connection.
+    Silent,
+    /// Does the work and breaks the connection in place of an answer.
+    Reset,
+    /// Leaves the connections it has silent; new ones are as ever.
+    HalfOpen,
+}
+
+/// One trouble.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TroubleOf {
+    /// Which.
+    pub kind: Spanned<TroubleKind>,
+    /// How bad: a factor for `slow`, a share for `fail`.
+    pub size: Option<f64>,
+    /// Whose.
+    pub partner: Word,
+    /// When it begins.
+    pub at: Moment,
+    /// How long it lasts.
+    #[serde(rename = "for")]
+    pub lasts: Span,
+}
+
+impl TroubleOf {
+    /// What the partner model knows it as.
+    pub fn trouble(&self) -> Trouble {
+        let size = self.size.unwrap_or(1.0);
+        match self.kind.value {
+            TroubleKind::Slow => Trouble::Slow(size),
+            TroubleKind::Hang => Trouble::Hang,
+            TroubleKind::Refuse => Trouble::Refuse,
+            TroubleKind::Fail => Trouble::Fail(size),
+            TroubleKind::Shut => Trouble::Shut,
+            TroubleKind::Silent => Trouble::Silent,
+            TroubleKind::Reset => Trouble::Reset,
+            TroubleKind::HalfOpen => Trouble::HalfOpen,
+        }
+    }
+}
+
+/// How a forwarder is ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Signal {
+    /// In order: it ends what it has read.
+    Term,
+    /// At once.
+    Kill,
+    /// Not at all: it reads its configuration again.
+    Hup,
+}
+
+/// A forwarder that is ended, or told to read its files again.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stop {
+    /// Which, from 1.
+    pub forwarder: Spanned<usize>,
+    /// How.
+    pub signal: Signal,
+    /// When.
+    pub at: Moment,
+    /// It is started again so long after it has ended.
+    #[serde(default = "back")]
+    pub back: Span,
+}
+
+fn back() -> Span {
+    Span(600_000)
+}
+
+/// An endpoint that drains, leaves, and another in its place.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replacement {
+    /// Whose: its first endpoint.
+    pub partner: Word,
+    /// When it begins to drain.
+    pub at: Moment,
+    /// How long it drains before it is gone; the other is listed as it begins.
+    pub drains: Span,
+}
+
+/// What must come of it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Expect {
+    /// The share of the worth that is delivered, at least.
+    pub worth: Option<Spanned<f64>>,
+    /// Messages refused, at most.
+    pub refused: Option<u64>,
+    /// Messages failed, at most.
+    pub failed: Option<u64>,
+    /// Rules broken, at most.
+    pub broken: usize,
+}
+
+impl Default for Expect {
+    fn default() -> Self {
+        Expect { worth: None, refused: None, failed: None, broken: 0 }
+    }
+}
+
+/// What is wrong with a scenario, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The line, from 1; 0 for the whole file.
+    pub line: u64,
+    /// The column, from 1.
+    pub column: u64,
+    /// What is wrong, and what would be right.
+    pub reason: String,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.reason)
+    }
+}
+
+impl Refusal {
+    fn at(at: Location, reason: impl Into<String>) -> Self {
+        Refusal { line: at.line(), column: at.column(), reason: reason.into() }
+    }
+}
+
+impl Scenario {
+    /// Reads a file; what is wrong comes in one go.
+    pub fn read(path: &Path) -> Result<Self, Vec<Refusal>> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| vec![Refusal { line: 0, column: 0, reason: format!("cannot be read: {e}") }])?;
+        Scenario::parse(&text)
+    }
+
+    /// Reads a text.
+    pub fn parse(text: &str) -> Result<Self, Vec<Refusal>> {
+        let options = serde_saphyr::options! { with_snippet: false };
+        let read = serde_saphyr::from_str_with_options::<Scenario>(text, options).map_err(|e| {
+            let at = e.location().map_or((1, 1), |l| (l.line(), l.column()));
+            let reason = e.to_string().lines().next().unwrap_or("not YAML").to_owned();
+            vec![Refusal { line: at.0, column: at.1, reason }]
+        })?;
+        let mut found = Vec::new();
+        read.check(&mut found);
+        found.sort_by_key(|r| (r.line, r.column));
+        if found.is_empty() {
+            Ok(read)
+        } else {
+            Err(found)
+        }
+    }
+
+    /// How many partners there are, groups counted out.
+    pub fn partner_count(&self) -> usize {
+        self.partners.iter().map(|p| p.count).sum()
+    }
+
+    /// The partners' names, groups counted out, each with its place in the file's list.
+    pub fn partner_names(&self) -> Vec<(String, usize)> {
+        let mut names = Vec::with_capacity(self.partner_count());
+        for (n, p) in self.partners.iter().enumerate() {
+            match p.count {
+                1 => names.push((p.name.value.clone(), n)),
+                count => names.extend((1..=count).map(|i| (format!("{}-{i}", p.name.value), n))),
+            }
+        }
+        names
+    }
+
+    /// When the day ends: its last message comes before.
+    pub fn length(&self) -> Micros {
+        self.phases.iter().map(|p| p.lasts.0).sum()
+    }
+
+    /// When a phase begins and ends, from the day's begin.
+    pub fn phase(&self, name: &str) -> Option<(Micros, Micros)> {
+        let mut begin = 0;
+        for p in &self.phases {
+            if p.name.value == name {
+                return Some((begin, begin + p.lasts.0));
+            }
+            begin += p.lasts.0;
+        }
+        None
+    }
+
+    /// A moment, from the day's begin; none if it goes by a name that does not exist.
+    pub fn moment(&self, of: &Moment) -> Option<Micros> {
+        let begin = match (&of.phase, &of.clump) {
+            (Some(phase), _) => self.phase(&phase.value)?.0,
+            (None, Some(clump)) => {
+                let c = self.clumps.iter().find(|c| c.name.value == clump.value)?;
+                // A clump does not go by another.
+                self.moment(&Moment { clump: None, ..c.at.clone() })?
+            }
+            (None, None) => 0,
+        };
+        Some(begin + of.after.map_or(0, |s| s.0))
+    }
+
+    fn check(&self, found: &mut Vec<Refusal>) {
+        if !(self.rate.value > 0.0 && self.rate.value <= 1e6) {
+            found.push(Refusal::at(
+                self.rate.referenced,
+                "`rate` is above 0 and at most 1000000 messages a second",
+            ));
+        }
+        let whole_file = |reason: &str| Refusal { line: 1, column: 1, reason: reason.into() };
+        if !(1..=MOST_FORWARDERS).contains(&self.forwarders.count) {
+            found
+                .push(whole_file(&format!("`forwarders` has a `count` from 1 to {MOST_FORWARDERS}")));
+        }
+        if self.partners.is_empty() || self.phases.is_empty() {
+            found.push(whole_file("there must be a partner and a phase"));
+        }
+        if self.partner_count() > MOST_PARTNERS {
+            found.push(whole_file(&format!("there are more than {MOST_PARTNERS} partners")));
+        }
+        let c = &self.clients;
+        if !(0.0..=1.0).contains(&c.again) || c.after.0 .0 > c.after.1 .0 {
+            found.push(whole_file("`clients`: `again` is a share, `after` goes from a time to one no shorter"));
+        }
+        unlike("channel", self.channels.iter().map(|c| &c.name), found);
+        unlike("partner", self.partners.iter().map(|p| &p.name), found);
+        unlike("phase", self.phases.iter().map(|p| &p.name), found);
+        unlike("clump", self.clumps.iter().map(|c| &c.name), found);
+        for c in self.channels.iter().filter(|c| !(c.share > 0.0 && c.uses > 0.0)) {
+            found.push(Refusal::at(c.name.referenced, "a channel's `share` and `uses` are above 0"));
+        }
+        self.partners.iter().for_each(|p| check_partner(p, found));
+        self.check_phases(found);
+        let names: BTreeSet<String> = self.partner_names().into_iter().map(|n| n.0).collect();
+        let named = |word: &Word, found: &mut Vec<Refusal>| {
+            if !names.contains(&word.value) {
+                let some: Vec<&str> = names.iter().take(6).map(String::as_str).collect();
+                let reason = format!("there is no partner `{}`; there are {}", word.value, some.join(", "));
+                found.push(Refusal::at(word.referenced, reason));
+            }
+        };
+        for c in &self.clumps {
+            named(&c.partner, found);
+            self.check_moment(&c.at, &c.name, c.within.0, found);
+            if let Some(clump) = &c.at.clump {
+                found.push(Refusal::at(clump.referenced, "a clump does not go by another clump"));
+            }
+        }
+        for t in &self.troubles {
+            named(&t.partner, found);
+            self.check_moment(&t.at, &t.partner, t.lasts.0, found);
+            let fits = match (t.kind.value, t.size) {
+                (TroubleKind::Slow, Some(factor)) => factor > 1.0 && factor.is_finite(),
+                (TroubleKind::Fail, Some(share)) => share > 0.0 && share <= 1.0,
+                (TroubleKind::Slow | TroubleKind::Fail, None) => false,
+                (_, size) => size.is_none(),
+            };
+            if !fits {
+                let reason =
+                    "`slow` needs a `size` above 1, `fail` one above 0 and up to 1; the others have none";
+                found.push(Refusal::at(t.kind.referenced, reason));
+            }
+        }
+        for r in &self.replacements {
+            named(&r.partner, found);
+            self.check_moment(&r.at, &r.partner, r.drains.0, found);
+        }
+        self.check_stops(found);
+        if let Some(worth) = self.expect.worth.filter(|w| !(0.0..=1.0).contains(&w.value)) {
+            found.push(Refusal::at(worth.referenced, "the expected `worth` is a share from 0 to 1"));
+        }
+    }
+
+    /// Clumps must leave room for each other: what they bring is within the phase's traffic.
+    fn check_phases(&self, found: &mut Vec<Refusal>) {
+        for p in &self.phases {
+            let (load, share) = (p.load.value, p.clumps.value);
+            if !(load > 0.0 && load <= MOST_LOAD) {
+                found.push(Refusal::at(
+                    p.load.referenced,
+                    format!("`load` is above 0 and at most {MOST_LOAD}"),
+                ));
+            }
+            if !(0.0..=1.0).contains(&share) {
+                found.push(Refusal::at(p.clumps.referenced, "`clumps` is a share from 0 to 1"));
+            }
+            let Some((begin, end)) = self.phase(&p.name.value) else { continue };
+            let all = self.rate.value * load * (end - begin) as f64 / 1e6;
+            let mut room = all * (1.0 - share);
+            for c in &self.clumps {
+                let at = self.moment(&c.at);
+                if at.is_some_and(|at| (begin..end).contains(&at)) {
+                    room -= c.messages.value as f64;
+                    if room < 0.0 {
+                        let reason = format!(
+                            "with this clump, clumps come to more than 100% of the {all:.0} messages of phase `{}`",
+                            p.name.value
+                        );
+                        found.push(Refusal::at(c.messages.referenced, reason));
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn check_moment(&self, of: &Moment, by: &Word, lasts: Micros, found: &mut Vec<Refusal>) {
+        if let (Some(phase), Some(_)) = (&of.phase, &of.clump) {
+            found.push(Refusal::at(phase.referenced, "a moment goes by a phase or by a clump, not by both"));
+        }
+        match self.moment(of) {
+            None => {
+                let word = of.phase.as_ref().or(of.clump.as_ref()).unwrap_or(by);
+                let reason = format!("there is no phase or clump `{}`", word.value);
+                found.push(Refusal::at(word.referenced, reason));
+            }
+            Some(at) if at + lasts > self.length() => {
+                let s = |t: Micros| t as f64 / 1e6;
+                let reason = format!(
+                    "it lasts from {} s to {} s, and the day ends at {} s",
+                    s(at),
+                    s(at + lasts),
+                    s(self.length())
+                );
+                found.push(Refusal::at(by.referenced, reason));
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn check_stops(&self, found: &mut Vec<Refusal>) {
+        // In order it takes up to 3.7 s to end; a second stop must find the forwarder running.
+        let away = |s: &Stop| match s.signal {
+            Signal::Hup => 0,
+            Signal::Term => 3_700_000 + s.back.0,
+            Signal::Kill => s.back.0,
+        };
+        for (n, s) in self.stops.iter().enumerate() {
+            let place = s.forwarder.referenced;
+            if !(1..=self.forwarders.count).contains(&s.forwarder.value) {
+                let reason = format!("forwarders are numbered from 1 to {}", self.forwarders.count);
+                found.push(Refusal::at(place, reason));
+            }
+            let word = Spanned { value: String::from("stop"), referenced: place, defined: s.forwarder.defined };
+            self.check_moment(&s.at, &word, 0, found);
+            let at = self.moment(&s.at);
+            let hits = |o: &Stop| {
+                let (Some(a), Some(b)) = (at, self.moment(&o.at)) else { return false };
+                o.forwarder.value == s.forwarder.value && a < b + away(o) && b < a + away(s)
+            };
+            if self.stops[..n].iter().any(hits) {
+                found.push(Refusal::at(place, "this forwarder is not back yet from its stop before"));
+            }
+        }
+    }
+}
+
+fn unlike<'a>(what: &str, names: impl Iterator<Item = &'a Word>, found: &mut Vec<Refusal>) {
+    let mut seen = BTreeSet::new();
+    for name in names {
+        if !seen.insert(&name.value) {
+            found.push(Refusal::at(name.referenced, format!("another {what} is called `{}`", name.value)));
+        }
+    }
+}
+
+fn check_partner(p: &PartnerOf, found: &mut Vec<Refusal>) {
+    let at = p.name.referenced;
+    let positive = |x: f64| x > 0.0 && x.is_finite();
+    let rules = [
+        (p.count >= 1 && p.endpoints >= 1 && p.connections >= 1, "`count`, `endpoints` and `connections` are 1 at least"),
+        (positive(p.share), "`share` is above 0"),
+        (p.spread >= 0.0 && p.spread <= 5.0, "`spread` is from 0 to 5"),
+        (p.headroom >= 0.0 && p.headroom.is_finite(), "`headroom` is 0 or above"),
+        (p.spare >= 1.0 && p.spare.is_finite(), "`spare` is 1 at least"),
+        ((0.0..=1.0).contains(&p.errors), "`errors` is a share from 0 to 1"),
+        (p.cold.0 > 0.0 && p.cold.0 <= 1.0, "`cold` begins with a share above 0"),
+    ];
+    found.extend(rules.iter().filter(|r| !r.0).map(|r| Refusal::at(at, r.1)));
+}
--- a/crates/partners/src/lib.rs
+++ b/crates/partners/src/lib.rs
@@ -68,15 +68,51 @@
     Shut,
     /// Nothing comes back, not even for a connection.
     Silent,
+    /// It does the work and then breaks the connection in place of an answer.
+    Reset,
+    /// Connections from before it lead nowhere; new ones are as ever.
+    HalfOpen,
 }
 
 impl Trouble {
     /// After it, the partner is cold.
     fn cools(self) -> bool {
-        !matches!(self, Trouble::Slow(_))
+        !matches!(self, Trouble::Slow(_) | Trouble::Reset | Trouble::HalfOpen)
+    }
+
+    /// What of a call that is under way as this begins: none if it goes on.
+    pub fn takes_under_way(self) -> Option<Taken> {
+        match self {
+            Trouble::Refuse => Some(Taken::Broken),
+            Trouble::Hang | Trouble::Silent | Trouble::HalfOpen => Some(Taken::Silent),
+            Trouble::Slow(_) | Trouble::Fail(_) | Trouble::Shut | Trouble::Reset => None,
+        }
+    }
+
+    /// Of several that hold at once, the one with the highest rank shows; slowness adds to any.
+    fn rank(self) -> u8 {
+        match self {
+            Trouble::Silent => 7,
+            Trouble::Refuse => 6,
+            Trouble::Hang => 5,
+            Trouble::Shut => 4,
+            Trouble::Reset => 3,
+            Trouble::Fail(_) => 2,
+            Trouble::HalfOpen => 1,
+            Trouble::Slow(_) => 0,
+        }
     }
 }
 
+/// How a call that was under way as a trouble began ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Its connection is broken at once.
+    Broken,
+    /// Its answer never comes.
+    Silent,
+}
+
 /// How a call comes back.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
@@ -88,6 +124,8 @@
     Full(Option<Micros>),
     /// No connection.
     Refused,
+    /// The connection breaks after the work was done.
+    Broken,
 }
 
 /// The fate of a call: how it comes back and when, if ever, and what it tells of the limit (share left, rate).
@@ -117,7 +155,7 @@
     tokens: f64,
     refilled: Micros,
     told: Option<(Micros, f64)>,
-    trouble: Option<Trouble>,
+    troubles: Vec<Trouble>,
     cold_since: Option<Micros>,
     /// While it is cold: when messages came, and how many.
     pushes: VecDeque<(Micros, usize)>,
@@ -143,7 +181,7 @@
             work,
             refilled: 0,
             told: None,
-            trouble: None,
+            troubles: Vec::new(),
             cold_since: None,
             pushes: VecDeque::new(),
             fallen: None,
@@ -160,9 +198,15 @@
         self.fallen
     }
 
-    /// A trouble begins, or the one that held ends.
+    /// The one trouble that holds from now on, if any.
     pub fn set_trouble(&mut self, now: Micros, trouble: Option<Trouble>) {
-        if trouble.is_none() && self.trouble.is_some_and(Trouble::cools) {
+        self.set_troubles(now, trouble.into_iter().collect());
+    }
+
+    /// The troubles that hold from now on, which may be several at once.
+    pub fn set_troubles(&mut self, now: Micros, troubles: Vec<Trouble>) {
+        let cools = |all: &[Trouble]| all.iter().any(|t| t.cools());
+        if cools(&self.troubles) && !cools(&troubles) && self.fallen.is_none() {
             self.cold_since = Some(now);
             self.pushes.clear();
             for e in &mut self.endpoints {
@@ -170,7 +214,18 @@
                 e.starts.clear();
             }
         }
-        self.trouble = trouble;
+        self.troubles = troubles;
+    }
+
+    /// The trouble that shows now.
+    pub fn trouble(&self) -> Option<Trouble> {
+        let fallen = self.fallen.map(|_| Trouble::Refuse);
+        self.troubles.iter().copied().chain(fallen).max_by_key(|t| t.rank())
+    }
+
+    /// It is back from an outage and does not have all its strength yet.
+    pub fn cold(&mut self, now: Micros) -> bool {
+        self.strength(now) < 1.0
     }
 
     /// The share of its capacity that it has.
@@ -200,7 +255,6 @@
         let sent: f64 = self.pushes.iter().map(weight).sum();
         if sent > able * self.model.fall as f64 / SECOND as f64 + CHANCE {
             self.fallen.get_or_insert(now);
-            self.trouble = Some(Trouble::Refuse);
         }
     }
 
@@ -232,7 +286,8 @@
     pub fn call(&mut self, now: Micros, endpoint: usize, messages: usize) -> Fate {
         self.push(now, messages);
         let at_once = |answer| Fate { answer: Some((now, answer)), report: None, unconnected: false };
-        match self.trouble {
+        let trouble = self.trouble();
+        match trouble {
             Some(Trouble::Refuse) => return Fate { unconnected: true, ..at_once(Answer::Refused) },
             Some(Trouble::Silent) => return Fate { answer: None, report: None, unconnected: true },
             Some(Trouble::Hang) => return Fate { answer: None, report: None, unconnected: false },
@@ -242,7 +297,8 @@
         }
         let within = self.within_limit(now);
         let report = self.limit_report(now);
-        let slower = if let Some(Trouble::Slow(factor)) = self.trouble { factor } else { 1.0 };
+        let slow = |t: &Trouble| if let Trouble::Slow(factor) = t { *factor } else { 1.0 };
+        let slower: f64 = self.troubles.iter().map(slow).product();
         let strength = self.strength(now);
         let size = 1.0 + self.model.per_call.1 * (messages.max(1) - 1) as f64;
         let took = self.work.sample(&mut self.rng) * size * slower / strength;
@@ -262,11 +318,13 @@
         }
         let done = start + (took * SECOND as f64) as Micros;
         *worker = done;
-        Fate {
-            answer: Some((done, if errs { Answer::Error } else { Answer::Ok })),
-            report,
-            unconnected: false,
-        }
+        let answer = match trouble {
+            Some(Trouble::Reset) => Answer::Broken,
+            _ if errs => Answer::Error,
+            _ => Answer::Ok,
+        };
+        let report = report.filter(|_| answer != Answer::Broken);
+        Fate { answer: Some((done, answer)), report, unconnected: false }
     }
 }
 
@@ -337,6 +395,28 @@
         assert!(slow.abs_diff(10 * usual) < 100, "{slow} {usual}");
     }
 
+    /// Guards against the end of one trouble ending another that still holds.
+    #[test]
+    fn troubles_that_overlap_each_hold_to_their_own_end() {
+        let free = Model { limit: None, queue: 1000, ..model() };
+        let took = |troubles: Vec<Trouble>| {
+            let mut p = Partner::new(free.clone(), 1);
+            p.set_troubles(0, troubles);
+            p.call(SECOND, 0, 1).answer
+        };
+        let usual = took(vec![]).expect("an answer").0 - SECOND;
+        let both = took(vec![Trouble::Slow(3.0), Trouble::Reset]).expect("a break");
+        assert_eq!(both.1, Answer::Broken);
+        assert!((both.0 - SECOND).abs_diff(3 * usual) < 100, "slow as well: {both:?}");
+        assert_eq!(took(vec![Trouble::Slow(3.0), Trouble::Hang]), None);
+        let mut p = Partner::new(free.clone(), 1);
+        p.set_troubles(0, vec![Trouble::Hang, Trouble::Refuse]);
+        p.set_troubles(SECOND, vec![Trouble::Refuse]);
+        assert!(!p.cold(SECOND), "not back yet");
+        p.set_troubles(2 * SECOND, vec![]);
+        assert!(p.cold(2 * SECOND));
+    }
+
     #[test]
     fn a_partner_that_returns_is_cold_and_falls_over_only_when_pushed() {
         for (rate, falls) in [(6, false), (60, true)] {
