Tell deliveries by second and breakers by time in the figures for scripts

A finding must be traced to its cause: when a partner took how much, and when its breaker stood open.

--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -44,6 +44,8 @@
     pub delivered: u64,
     /// Times of delivery from the hand-in, in milliseconds.
     pub times: Option<Histogram<u32>>,
+    /// Messages delivered in each second of the day.
+    pub by_second: Vec<u32>,
 }
 
 impl Tally {
@@ -52,7 +54,12 @@
         self.worth.asked += worth;
     }
 
-    fn deliver(&mut self, got: f64, ms: u64) {
+    fn deliver(&mut self, now: Micros, got: f64, ms: u64) {
+        let second = (now.saturating_sub(START) / SECOND) as usize;
+        if self.by_second.len() <= second {
+            self.by_second.resize(second + 1, 0);
+        }
+        self.by_second[second] += 1;
         self.delivered += 1;
         self.worth.got += got;
         let times = self.times.get_or_insert_with(|| {
@@ -229,8 +236,8 @@
         let got = f64::from(t.worth) * if age <= AIM { 1.0 } else { 0.5f64.powf(late).max(LATE) };
         let ms = (age / 1000).max(1);
         self.side(t.troubled).got += got;
-        self.by_partner[t.partner as usize].deliver(got, ms);
-        self.by_channel[t.tenant as usize].deliver(got, ms);
+        self.by_partner[t.partner as usize].deliver(now, got, ms);
+        self.by_channel[t.tenant as usize].deliver(now, got, ms);
         self.windows[((t.at - START) / WINDOW) as usize].got += got;
         self.times[usize::from(!t.troubled)].saturating_record(ms);
         self.delivered += 1;
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -211,7 +211,7 @@
         let f = self.figures;
         let tally = |t: &Tally| {
             json!({"messages": t.messages, "delivered": t.delivered, "asked": t.worth.asked, "got": t.worth.got,
-                "ms": {"p50": t.time(0.5), "p90": t.time(0.9), "p99": t.time(0.99), "p99.9": t.time(0.999)}})
+                "by_second": t.by_second, "ms": {"p50": t.time(0.5), "p90": t.time(0.9), "p99": t.time(0.99), "p99.9": t.time(0.999)}})
         };
         let named = |names: &[String], all: &[Tally]| -> Value {
             names
@@ -237,6 +237,10 @@
             "failed": f.failed, "attempts": f.attempts, "outcomes": outcomes,
             "channels": named(&self.world.names.tenants, &f.by_channel),
             "partners": named(&self.world.partner_names, &f.by_partner),
+            "breakers": self.world.partner_names.iter().zip(&f.breakers).map(|(name, line)| {
+                let line = line.iter().map(|(at, s)| json!([Self::s(*at), format!("{s:?}").to_lowercase()]));
+                (name.clone(), line.collect::<Vec<_>>().into())
+            }).collect::<serde_json::Map<_, Value>>(),
             "broken": self.broken.iter().map(|b| json!({"rule": b.rule.name(), "at_us": b.at.saturating_sub(START),
                 "forwarder": b.forwarder.map(|f| f + 1), "message": b.message, "what": b.what})).collect::<Vec<_>>(),
         })
