Leave a courier its even part of a told limit, whatever refusals trim

Each refusal cuts a courier's pace and a success gives back a fifteenth of that, so forwarders that do not know of each other came to rest at three tenths of their part.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -270,16 +270,16 @@
     /// Calls a second that this courier may send.
     fn rate(&mut self, now: Micros, s: &Settings) -> f64 {
         let known = self.limit.filter(|l| l.rate > 0.0);
+        // Refusals trim what a courier had beyond its even part; of a told limit, that part is its own.
+        let even = known.map_or(0.0, |l| l.rate / s.couriers as f64);
         if let Some(share) = self.cold_share(now, s) {
-            // Refusals trim what a courier had beyond its even part; of a told limit, that part is its own.
-            let even = known.map_or(0.0, |l| l.rate / s.couriers as f64);
             return share * s.fall_multiple * COLD_PACE * (self.trim.min(1.0) / self.spread).max(even);
         }
         let crammed = self.trim < 1.0 && (known.is_some() || now < self.paused_at + CRAMMED * self.backoff);
         let least = if crammed { 0.0 } else { LONE_PACE };
         let spread = if known.is_some_and(|l| l.left < LOW_LEFT) { 1.0 } else { SPREAD };
         let wanted = if self.asked.count > 0.0 { self.asked.per_second(now - self.asked.at) } else { 0.0 };
-        (self.share(now, s).max(wanted) * spread).max(least) * self.trim
+        ((self.share(now, s).max(wanted) * spread).max(least) * self.trim).max(even * COLD_PACE)
     }
 
     /// When the pace allows the next call.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,12 +71,13 @@
     pub courier: Courier,
     pub now: Micros,
     pub next: u64,
+    pub attempts: std::collections::BTreeMap<MessageId, u32>,
 }
 
 impl World {
     pub fn new(settings: Settings, entries: Vec<Entry>) -> Self {
         let courier = Courier::new(settings, 1).expect("good settings");
-        let mut world = World { courier, now: 100 * SECOND, next: 0 };
+        let mut world = World { courier, now: 100 * SECOND, next: 0, attempts: Default::default() };
         world.step(vec![Event::List(ListNews::Whole(entries))]);
         world
     }
@@ -107,6 +108,13 @@
         }
     }
 
+    /// The number of a message's next attempt, asked for once for each.
+    pub fn attempt(&mut self, id: MessageId) -> u32 {
+        let next = self.attempts.entry(id).or_default();
+        *next += 1;
+        *next - 1
+    }
+
     /// Hands in a message and expects it to be sent at once.
     pub fn sent(&mut self, class: usize, destination: u64) -> (MessageId, EndpointId) {
         let m = self.message(class, destination);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -315,3 +315,38 @@
         assert!(!actions.contains(&Action::CloseIdle { endpoint: e }));
     }
 }
+
+/// Guards against refusals that wear a courier down to a third of what its partner takes: of a limit that is told, the
+/// even part is its own (found by the rehearsals: two forwarders used half of a small partner's limit).
+#[test]
+fn refusals_leave_a_courier_its_even_part_of_a_told_limit() {
+    let mut w = World::new(Settings { couriers: 2, ..settings() }, vec![entry(7, 1, 0)]);
+    let report = Some(LimitReport { left: 0.1, rate: 10.0 });
+    let (mut calls, mut later, mut actions) = (0, 0, vec![]);
+    // 10 calls a second are told, so 5 are its own, and 4 a second come. Of the first 60 calls every other one is
+    // refused; then all is well.
+    let mut since = None;
+    for turn in 0..6000 {
+        let mut news: Vec<Event> = Vec::new();
+        for (id, endpoint) in sends(&actions) {
+            calls += 1;
+            later += usize::from(since.is_some());
+            let outcome = if calls < 60 && calls % 2 == 0 { Outcome::Full(None) } else { Outcome::Ok };
+            let (ended, attempt) = (outcome == Outcome::Ok, w.attempt(id));
+            let elapsed = 10 * MS;
+            news.push(Event::Result { id, attempt, endpoint, outcome, elapsed, ended, report });
+        }
+        if turn % 25 == 0 {
+            news.push(Event::Message(w.message(SAFE, 1)));
+        }
+        if calls >= 60 {
+            since.get_or_insert(w.now);
+        }
+        if since.is_some_and(|s| w.now >= s + 5 * SECOND) {
+            assert!(later >= 15, "{later} calls in 5 s");
+            return;
+        }
+        actions = w.at(10 * MS, news);
+    }
+    panic!("only {calls} calls in a minute");
+}
