--- a/crates/lab/tests/rehearsal.rs
+++ b/crates/lab/tests/rehearsal.rs
@@ -96,6 +96,9 @@
     let junit = std::fs::read_to_string(folder.file("told.xml")).expect("JUnit");
     assert!(junit.contains("rule one-answer") && junit.contains("expected worth"));
     if told["verdict"] == "passed" {
+        // The forwarders tell of it themselves: the one that hung was given up and came back.
+        let operator = told["breakers"]["operator"].as_array().expect("a line");
+        assert!(operator.iter().any(|b| b[1] == "open") && operator.last().is_some_and(|b| b[1] == "closed"), "{told:#}");
         let text = std::fs::read_to_string(shipped("brief.yaml")).expect("there");
         let live = told["worth"]["share"].as_f64().expect("a share");
         let (share, _) = virtually(&text, 1);
