--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,6 +1,7 @@
 //! An experiment as it is written in YAML: what days to draw, what goes wrong, and which variants to hold against
 //! each other. It plays nothing.
 
+use crate::scenario::TroubleKind;
 use cedarbridge::routes::{Plan, Platform};
 use cedarbridge::site::{time, Site};
 use cedarbridge::words::Names;
@@ -118,24 +119,6 @@
     }
 }
 
-/// The kinds of trouble.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum TroubleKind {
-    /// Answers so many times slower.
-    Slow,
-    /// Takes calls and answers none.
-    Hang,
-    /// Refuses connections.
-    Refuse,
-    /// Fails a share of its calls at once.
-    Fail,
-    /// Turns everything away as full.
-    Shut,
-    /// Says nothing at all.
-    Silent,
-}
-
 /// One trouble of a day.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -158,14 +141,7 @@
     /// The trouble, with its size drawn by a number from 0 to 1.
     pub fn drawn(&self, draw: f64) -> Trouble {
         let size = self.size.map_or(1.0, |r| r.0 + (r.1 - r.0) * draw);
-        match self.kind {
-            TroubleKind::Slow => Trouble::Slow(size),
-            TroubleKind::Hang => Trouble::Hang,
-            TroubleKind::Refuse => Trouble::Refuse,
-            TroubleKind::Fail => Trouble::Fail(size),
-            TroubleKind::Shut => Trouble::Shut,
-            TroubleKind::Silent => Trouble::Silent,
-        }
+        self.kind.trouble(size)
     }
 }
 
--- a/crates/lab/src/live/daemon.rs
+++ b/crates/lab/src/live/daemon.rs
@@ -85,7 +85,7 @@
         "--log-format",
         "json",
         "--log-level",
-        "warning",
+        &stage.options.log_level,
     ]);
     if let Some(site) = &stage.options.site {
         command.arg("--site").arg(site);
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -63,6 +63,8 @@
     pub folder: PathBuf,
     /// The site file of the forwarders.
     pub site: Option<PathBuf>,
+    /// What the forwarders log, by the daemon's own word for it.
+    pub log_level: String,
     /// A fault put between a forwarder and the rest, to see it caught.
     pub fault: Option<Fault>,
     /// Broken off after this.
--- a/crates/lab/src/rehearsal.rs
+++ b/crates/lab/src/rehearsal.rs
@@ -83,6 +83,7 @@
         folder: &Folder,
         program: Option<&Path>,
         fault: Option<Fault>,
+        log_level: &str,
     ) -> Result<Options, Unfit> {
         let own = std::env::current_exe().map_err(system)?;
         let daemon = match program {
@@ -91,7 +92,15 @@
         };
         let site = self.site().map(|s| s.canonicalize().map_err(|e| Unfit::Unread(s, e))).transpose()?;
         let limit = Duration::from_micros(self.scenario.limit.0);
-        Ok(Options { daemon, keeper: own, folder: folder.0.clone(), site, fault, limit })
+        Ok(Options {
+            daemon,
+            keeper: own,
+            folder: folder.0.clone(),
+            site,
+            log_level: log_level.into(),
+            fault,
+            limit,
+        })
     }
 
     /// The day that is to be played.
@@ -116,6 +125,9 @@
     /// Where to keep the forwarders' files and logs; without it, a folder that goes with the run
     #[arg(long, value_name = "FOLDER")]
     pub keep: Option<PathBuf>,
+    /// What the forwarders log; `debug` has a line for each hand-in, of which `capture` makes a day
+    #[arg(long, value_name = "LEVEL", default_value = "warning")]
+    pub log_level: String,
     /// Plain lines in place of the view, also on a terminal
     #[arg(long)]
     pub plain: bool,
@@ -161,7 +173,7 @@
         Some(folder) => Folder::kept(folder)?,
         None => Folder::of_run()?,
     };
-    let options = ready.options(&folder, live.daemon.as_deref(), live.fault)?;
+    let options = ready.options(&folder, live.daemon.as_deref(), live.fault, &live.log_level)?;
     let begun = Instant::now();
     let view = view::start(&ready.scenario.title, &world.partner_names, live.plain);
     let channels = Some(view.channels());
@@ -299,7 +311,7 @@
     let (world, seed, plan) = ready.day(how)?;
     let folder = Folder::of_run()?;
     let view = view::start(&ready.scenario.title, &world.partner_names, true);
-    let options = ready.options(&folder, Some(program), None)?;
+    let options = ready.options(&folder, Some(program), None, "warning")?;
     let played = live::rehearse(world, plan, seed, options, Some(view.channels())).1;
     drop(view);
     let played = played.map_err(|e| Unfit::Figures(scenario.into(), e.to_string()))?;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::experiment::Experiment;
 use crate::figures::{Figures, Worth, WINDOW};
+use crate::verdict::{colour, escaped};
 use plotters::prelude::*;
 use std::fmt::Write;
 
@@ -139,18 +140,8 @@
 
 const SIZE: (u32, u32) = (760, 300);
 
-fn colour(at: usize) -> RGBColor {
-    const ALL: [RGBColor; 5] = [
-        RGBColor(0x33, 0x66, 0xaa),
-        RGBColor(0xcc, 0x66, 0x22),
-        RGBColor(0x33, 0x88, 0x44),
-        RGBColor(0x88, 0x44, 0x88),
-        RGBColor(0x66, 0x66, 0x66),
-    ];
-    ALL[at % ALL.len()]
-}
-
-type Drawn = Result<(), Box<dyn std::error::Error>>;
+/// A plot that is drawn, or why it cannot be.
+pub type Drawn = Result<(), Box<dyn std::error::Error>>;
 
 /// Worth by the time of the hand-in, a line a variant.
 fn draw_windows(rows: &[&Row], svg: &mut String) -> Drawn {
@@ -214,10 +205,6 @@
     Ok(())
 }
 
-fn escaped(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
-}
-
 /// The page: the table and, for each load, the plots.
 pub fn page(experiment: &Experiment, rows: &[Row]) -> Result<String, Box<dyn std::error::Error>> {
     let title = escaped(&experiment.title);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -263,6 +263,22 @@
     HalfOpen,
 }
 
+impl TroubleKind {
+    /// What the partner model knows it as; the size is a factor or a share, where the kind has one.
+    pub fn trouble(self, size: f64) -> Trouble {
+        match self {
+            TroubleKind::Slow => Trouble::Slow(size),
+            TroubleKind::Hang => Trouble::Hang,
+            TroubleKind::Refuse => Trouble::Refuse,
+            TroubleKind::Fail => Trouble::Fail(size),
+            TroubleKind::Shut => Trouble::Shut,
+            TroubleKind::Silent => Trouble::Silent,
+            TroubleKind::Reset => Trouble::Reset,
+            TroubleKind::HalfOpen => Trouble::HalfOpen,
+        }
+    }
+}
+
 /// One trouble.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -283,17 +299,7 @@
 impl TroubleOf {
     /// What the partner model knows it as.
     pub fn trouble(&self) -> Trouble {
-        let size = self.size.unwrap_or(1.0);
-        match self.kind.value {
-            TroubleKind::Slow => Trouble::Slow(size),
-            TroubleKind::Hang => Trouble::Hang,
-            TroubleKind::Refuse => Trouble::Refuse,
-            TroubleKind::Fail => Trouble::Fail(size),
-            TroubleKind::Shut => Trouble::Shut,
-            TroubleKind::Silent => Trouble::Silent,
-            TroubleKind::Reset => Trouble::Reset,
-            TroubleKind::HalfOpen => Trouble::HalfOpen,
-        }
+        self.kind.value.trouble(self.size.unwrap_or(1.0))
     }
 }
 
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -3,6 +3,7 @@
 
 use crate::audit::{Breach, Rule};
 use crate::figures::{Figures, Tally, OUTCOMES, WINDOW};
+use crate::report::Drawn;
 use crate::scenario::Scenario;
 use crate::world::{World, START};
 use cedarbridge::{Micros, Status};
@@ -514,8 +515,6 @@
     }
 }
 
-type Drawn = Result<(), Box<dyn std::error::Error>>;
-
 /// What a trouble is called in a scenario.
 pub fn word(trouble: Trouble) -> String {
     match trouble {
@@ -530,7 +529,8 @@
     }
 }
 
-fn colour(at: usize) -> RGBColor {
+/// The colour of a plot's line, by its place.
+pub fn colour(at: usize) -> RGBColor {
     const ALL: [RGBColor; 6] = [
         RGBColor(0x33, 0x66, 0xaa),
         RGBColor(0xcc, 0x66, 0x22),
@@ -542,6 +542,7 @@
     ALL[at % ALL.len()]
 }
 
-fn escaped(text: &str) -> String {
+/// A text as HTML has it.
+pub fn escaped(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
--- a/crates/lab/tests/rehearsal.rs
+++ b/crates/lab/tests/rehearsal.rs
@@ -2,6 +2,7 @@
 //! stays behind.
 
 use cedarbridge_lab::audit::Rule;
+use cedarbridge_lab::capture::Captured;
 use cedarbridge_lab::draw::day;
 use cedarbridge_lab::play::play;
 use cedarbridge_lab::scenario::Scenario;
@@ -98,7 +99,10 @@
     if told["verdict"] == "passed" {
         // The forwarders tell of it themselves: the one that hung was given up and came back.
         let operator = told["breakers"]["operator"].as_array().expect("a line");
-        assert!(operator.iter().any(|b| b[1] == "open") && operator.last().is_some_and(|b| b[1] == "closed"), "{told:#}");
+        assert!(
+            operator.iter().any(|b| b[1] == "open") && operator.last().is_some_and(|b| b[1] == "closed"),
+            "{told:#}"
+        );
         let text = std::fs::read_to_string(shipped("brief.yaml")).expect("there");
         let live = told["worth"]["share"].as_f64().expect("a share");
         let (share, _) = virtually(&text, 1);
@@ -117,10 +121,22 @@
          - {name: clump, partner: operator, at: {after: 1s}, messages: 220, within: 100ms}\nstops:\n  \
          - {forwarder: 1, signal: kill, at: {clump: clump, after: 350ms}}\n",
     );
-    let out = start(&folder, &scenario, &[]).wait_with_output().expect("an end");
+    let out = start(&folder, &scenario, &["--log-level", "debug"]).wait_with_output().expect("an end");
     let told = told(&folder, &out);
     assert_kept(&told);
     assert_eq!((&told["failed"], &told["delivered"]), (&0.into(), &told["messages"]), "{told:#}");
+    // Its log, from before the kill and after, makes a day that can be played again.
+    let capture = folder.file("day.zst");
+    let log = folder.file("kept/forwarder-1/log");
+    let made =
+        Command::new(LAB).arg("capture").arg(log).arg("--out").arg(&capture).output().expect("the kit");
+    assert!(made.status.success(), "{made:?}");
+    let day = Captured::read(&capture).expect("a day");
+    assert!(day.lines.len() as u64 >= told["messages"].as_u64().expect("a number"), "{}", day.lines.len());
+    let again = Command::new(LAB).arg("simulate").arg(&scenario).arg("--capture").arg(&capture).output();
+    let again = String::from_utf8(again.expect("the kit").stdout).expect("text");
+    let played = again.lines().find_map(|l| l.split_once(" messages:")?.0.parse::<usize>().ok());
+    assert!(played.is_some_and(|n| n > 0 && n <= day.lines.len()), "{again}");
 }
 
 const FAULTS: &str = "title: Faults
