--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -150,6 +150,16 @@
 
 /// Plays a day with a plan, or without one; the seed is that of the network and the modules.
 pub fn play(world: &World, plan: Option<Arc<Plan>>, seed: u64) -> (Figures, Vec<Breach>) {
+    play_telling(world, plan, seed, &mut |_| {})
+}
+
+/// Plays a day and tells its time twice a second of it.
+pub fn play_telling(
+    world: &World,
+    plan: Option<Arc<Plan>>,
+    seed: u64,
+    tell: &mut dyn FnMut(Micros),
+) -> (Figures, Vec<Breach>) {
     let mut settings = world.settings.clone();
     settings.routes = plan.clone();
     let couriers = settings.couriers;
@@ -195,7 +205,7 @@
         grid: couriers >= GRID,
     };
     day.begin();
-    day.run();
+    day.run(tell);
     let fallen: Vec<_> =
         day.partners.iter().enumerate().filter_map(|(i, p)| Some((i, p.fallen()?))).collect();
     day.audit.close(day.now, fallen.into_iter());
@@ -243,7 +253,7 @@
         self.at(START, What::Sample);
     }
 
-    fn run(&mut self) {
+    fn run(&mut self, tell: &mut dyn FnMut(Micros)) {
         while let Some(Reverse((time, key))) = self.heap.pop() {
             let slot = (key & 0xff_ffff) as usize;
             let Some(what) = self.queue[slot].take() else { continue };
@@ -281,7 +291,10 @@
                 What::Stop(n) => self.stop(n),
                 What::Leaves { forwarder, since, back } => self.leaves(forwarder, since, back),
                 What::Start(forwarder) => self.start(forwarder),
-                What::Sample => self.sample(),
+                What::Sample => {
+                    tell(time);
+                    self.sample();
+                }
             }
         }
     }
--- a/crates/lab/src/view.rs
+++ b/crates/lab/src/view.rs
@@ -56,8 +56,8 @@
     View { told: Some(told), asks, thread: Some(thread) }
 }
 
-/// A bar of so many parts of ten.
-fn bar(share: f64) -> String {
+/// A bar that is full to a share.
+pub fn bar(share: f64) -> String {
     let full = (share.clamp(0.0, 1.0) * 20.0).round() as usize;
     format!("[{}{}]", "#".repeat(full), ".".repeat(20 - full))
 }
