Drop arguments and state of the kit that nothing needs

Read over once more: a fault's proxy took a forwarder that it did not use, the notices' fault asked the same question twice, a message's withdrawal was kept beside the audit, which knows it, and a loop counted for nothing.

--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -81,7 +81,7 @@
 fn note(stage: &Stage, forwarder: usize, first: usize, left: Micros, retried: bool) -> usize {
     let hand = stage.world.hands[first];
     let message = stage.handed.borrow().len();
-    stage.handed.borrow_mut().push(Handed { first, retried, withdrawn: false });
+    stage.handed.borrow_mut().push(Handed { first, retried });
     stage.ids.borrow_mut().insert(word(message), message);
     stage.audit.borrow_mut().taken(stage.now(), forwarder, hand.at, left);
     stage.open.set(stage.open.get() + 1);
@@ -179,7 +179,6 @@
         Heard::Broken | Heard::Nothing => {
             // What the forwarder makes of it counts for nothing now; its client comes again at once.
             stage.ended(message, End::Withdrawn, false);
-            stage.handed.borrow_mut()[message].withdrawn = true;
             let h = stage.handed.borrow()[message];
             come_again(stage, h.first, ELSEWHERE, Again::Lost);
         }
@@ -190,7 +189,7 @@
 pub fn refused(stage: &Rc<Stage>, message: usize, after: Option<Micros>) {
     let h = stage.handed.borrow()[message];
     let again = stage.world.hands[h.first].again;
-    if let Some(wait) = again.filter(|_| !h.retried && !h.withdrawn) {
+    if let Some(wait) = again.filter(|_| !h.retried) {
         come_again(stage, h.first, wait.max(after.unwrap_or(0)), Again::Refused);
     }
 }
--- a/crates/lab/src/live/endpoint.rs
+++ b/crates/lab/src/live/endpoint.rs
@@ -29,9 +29,7 @@
                 .map_err(|e| Failure::System("no address for an endpoint".into(), e))?;
             let address = listener.get_ref().local_addr().expect("bound");
             let told = match stage.options.fault {
-                Some(fault) if fault.at_calls() => {
-                    super::fault::before(stage, forwarder, endpoint, address, fault)?
-                }
+                Some(fault) if fault.at_calls() => super::fault::before(stage, endpoint, address, fault)?,
                 _ => address,
             };
             stage.addresses.borrow_mut()[forwarder].push(told);
--- a/crates/lab/src/live/fault.rs
+++ b/crates/lab/src/live/fault.rs
@@ -50,7 +50,6 @@
 /// A proxy before an endpoint; its address is what the list tells.
 pub(crate) fn before(
     stage: &Rc<Stage>,
-    forwarder: usize,
     endpoint: usize,
     real: SocketAddr,
     fault: Fault,
@@ -70,7 +69,6 @@
                 let _ = pass(&stage, Wire::new(stream), real, fault, &count, &last).await;
             });
         }
-        let _ = forwarder;
     });
     Ok(address)
 }
@@ -224,8 +222,6 @@
             };
             let both: Vec<String> = text.lines().flat_map(|l| [l.to_owned(), other(l)]).collect();
             body = both.join("\n").into_bytes();
-        }
-        if fault == Fault::BothEnds {
             let mut onward = Wire::new(Async::<TcpStream>::connect(real).await.ok()?);
             let head =
                 format!("POST /reports HTTP/1.1\r\nHost: agent\r\nContent-Length: {}\r\n\r\n", body.len());
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -139,7 +139,6 @@
 struct Handed {
     first: usize,
     retried: bool,
-    withdrawn: bool,
 }
 
 /// A partner at work, with what its connections must know.
@@ -416,8 +415,8 @@
     Timer::after(LEAD).await;
     stage.begun.set(Some(Instant::now()));
     stage.spawn(watch_own_lateness(stage.clone()));
-    for (n, (partner, from, to, trouble)) in stage.world.troubles.iter().copied().enumerate() {
-        let (stage, _) = (stage.clone(), n);
+    for (partner, from, to, trouble) in stage.world.troubles.iter().copied() {
+        let stage = stage.clone();
         stage.clone().spawn(async move {
             stage.until(from).await;
             stage.trouble(partner, Some(trouble));
