Answer operators: health, cordons kept on disk, and drains that send clients away

Change: src/net/operator.rs answers one call a connection in bounded time (0.7 s to come whole, 16 at once, the oldest unasked make room); cordons lie over the merged list in src/membership and are told as draining; they are on disk before the yes; quiesce says no to health, closes what rests and answers with Connection: close. The lobby has a file of its own, as two listeners use it. Measured: 7 scenarios in tests/operator.rs (20 silent callers beside a call, a kill after a cordon, a folder that cannot be written, a drain with idle, half-sent and answered connections, a term amid a drain), all fail without the change.

--- a/src/cli/registry.rs
+++ b/src/cli/registry.rs
@@ -128,7 +128,7 @@
                         shown.insert(key, told(&none, &self.names));
                     }
                     for c in membership.list() {
-                        shown.insert((c.listing.key.clone(), c.listing.address), told(c, &self.names));
+                        shown.insert((c.listing.key.clone(), c.listing.address), told(&c, &self.names));
                     }
                     shown.values().for_each(|v| self.show(v));
                     return Ok(());
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -133,8 +133,10 @@
     named: HashMap<SocketAddr, BTreeSet<(SourceId, Key)>>,
     ids: HashMap<Slot, EndpointId>,
     last_id: u32,
-    /// What the list says now.
+    /// What the sources say now.
     told: BTreeMap<Slot, Change>,
+    /// What operators want left out, by id, and since when: laid over whatever the sources say.
+    cordons: BTreeMap<String, Micros>,
     /// At each address, the slots there that were told and are not gone.
     told_at: HashMap<SocketAddr, BTreeSet<Slot>>,
 }
@@ -144,8 +146,57 @@
     pub fn new(sources: Vec<(&'static str, Policy)>) -> Self {
         let names = sources.iter().map(|s| s.0).collect();
         let views = sources.into_iter().map(|s| View::new(s.1)).collect();
-        let (places, named, ids, told, told_at) = Default::default();
-        Membership { views, names, places, named, ids, last_id: 0, told, told_at }
+        let (places, named, ids, told, told_at, cordons) = Default::default();
+        Membership { views, names, places, named, ids, last_id: 0, told, told_at, cordons }
+    }
+
+    /// The entries of that id are left out until they are called back, whatever sources say; what changes by it. None
+    /// if the list knows no such id. Two calls out are undone by one back.
+    pub fn cordon(&mut self, now: Micros, id: &str) -> Option<Vec<Change>> {
+        if !self.cordons.contains_key(id) && !self.names_id(id) {
+            return None;
+        }
+        let new = !self.cordons.contains_key(id);
+        self.cordons.entry(id.to_owned()).or_insert(now);
+        Some(if new { self.of_id(id, "cordoned") } else { Vec::new() })
+    }
+
+    /// The entries of that id may serve again, as far as sources say so. None if it is neither cordoned nor known.
+    pub fn uncordon(&mut self, now: Micros, id: &str) -> Option<Vec<Change>> {
+        if self.cordons.remove(id).is_none() {
+            return self.names_id(id).then(Vec::new);
+        }
+        let back = |c: Change| Change { learnt: now, ..c };
+        Some(self.of_id(id, "uncordoned").into_iter().map(back).collect())
+    }
+
+    /// The ids that are left out.
+    pub fn cordoned(&self) -> impl Iterator<Item = &str> {
+        self.cordons.keys().map(String::as_str)
+    }
+
+    /// What was left out by an earlier process still is.
+    pub fn restore_cordons(&mut self, now: Micros, ids: impl IntoIterator<Item = String>) {
+        self.cordons.extend(ids.into_iter().map(|id| (id, now)));
+    }
+
+    fn names_id(&self, id: &str) -> bool {
+        self.told.values().any(|c| c.listing.key.id == id)
+    }
+
+    fn of_id(&self, id: &str, why: &'static str) -> Vec<Change> {
+        let entries = self.told.values().filter(|c| c.listing.key.id == id);
+        entries.map(|c| Change { why, ..self.laid_over(c) }).collect()
+    }
+
+    /// What holds for an entry with what operators want laid over it.
+    fn laid_over(&self, change: &Change) -> Change {
+        match self.cordons.get(&change.listing.key.id) {
+            Some(since) if change.lifecycle == Lifecycle::Listed => {
+                Change { lifecycle: Lifecycle::Draining, learnt: *since, why: "cordoned", ..change.clone() }
+            }
+            _ => change.clone(),
+        }
     }
 
     /// What a source is called.
@@ -198,8 +249,8 @@
     }
 
     /// The merged list: every endpoint that is not gone.
-    pub fn list(&self) -> impl Iterator<Item = &Change> {
-        self.told.values()
+    pub fn list(&self) -> impl Iterator<Item = Change> + '_ {
+        self.told.values().map(|c| self.laid_over(c))
     }
 
     /// Forgets the numbers of endpoints that nobody knows any more.
@@ -338,7 +389,7 @@
             });
         self.told_at.entry(change.listing.address).or_default().insert(slot.clone());
         if news {
-            changes.push(change.clone());
+            changes.push(self.laid_over(&change));
             self.told.insert(slot, change);
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -11,6 +11,10 @@
 
 /// The largest body of a message.
 pub const BODY_LIMIT: usize = 64 * 1024;
+/// Connections of operators held at once.
+pub const OPERATORS: usize = 16;
+/// What the folder keeps free for the cordons and the owner's name, each written anew beside the old one.
+pub const OPERATORS_ROOM: u64 = 32 * 1024;
 
 /// The program's configuration, read and checked.
 pub struct Config {
@@ -18,6 +22,8 @@
     pub name: String,
     /// Where user agents connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     /// Where the platform's agent listens.
     pub discovery: SocketAddr,
     /// The folder that outlasts the process.
@@ -93,10 +99,16 @@
             }
             other => whole(other).map_err(|e| format!("seed: {e}"))?,
         };
+        let operator = match variable("ROUTER_OPERATOR") {
+            None => v.get("operator").filter(|o| !o.is_null()).map(text).transpose(),
+            told => Ok(told),
+        };
+        let operator = operator.map_err(|e| format!("operator: {e}"))?;
         let of = |want: crate::Effect| settings.classes.iter().map(move |c| c.effect == want).collect();
         let config = Config {
             name: told("ROUTER_NAME", "name")?,
             listen: address(&told("ROUTER_LISTEN", "listen")?, "listen")?,
+            operator: operator.map(|o| address(&o, "operator")).transpose()?,
             discovery: address(&told("ROUTER_DISCOVERY", "discovery")?, "discovery")?,
             state: told("ROUTER_STATE", "state")?.into(),
             seed,
@@ -139,9 +151,11 @@
         (register(self) != register(other)).then_some("`register` of the registry changes only at a start")
     }
 
-    /// What the journal may take of the folder: a registry's last view is kept there too.
+    /// What the journal may take of the folder: a registry's last view is kept there too, and what operators set.
     pub fn journal_disk(&self) -> u64 {
-        self.disk - if self.registry.is_some() { Snapshot::room(self.disk) } else { 0 }
+        let view = if self.registry.is_some() { Snapshot::room(self.disk) } else { 0 };
+        let operators = if self.operator.is_some() { OPERATORS_ROOM } else { 0 };
+        self.disk.saturating_sub(view + operators)
     }
 
     /// Connections of user agents held at once.
@@ -151,6 +165,7 @@
 
     /// Idle connections to endpoints kept at once, beside those that carry calls.
     pub fn idle_peers(&self) -> usize {
-        (self.sockets / 2).saturating_sub(self.slots + 32)
+        let operators = if self.operator.is_some() { OPERATORS } else { 0 };
+        (self.sockets / 2).saturating_sub(self.slots + 32 + operators)
     }
 }
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -2,8 +2,10 @@
 
 use super::board::Known;
 use super::clock::wall;
+use super::cordons::Cordons;
 use super::eureka::snapshot::Snapshot;
 use super::http::{Broken, Wire};
+use super::operator::No;
 use super::{in_time, Context, ToDecider};
 use crate::membership::{Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State};
 use crate::words::{in_field, index, text, whole, Names};
@@ -45,6 +47,15 @@
         /// Which watch.
         watch: u64,
     },
+    /// Operators want an endpoint left out, or back.
+    Cordon {
+        /// What the list calls it.
+        id: String,
+        /// Left out, or back.
+        out: bool,
+        /// Where to say whether that holds from now on.
+        reply: Sender<Result<(), No>>,
+    },
     /// The registry has answered.
     Registry {
         /// What it says.
@@ -163,14 +174,7 @@
         }
         let board = &self.context.board;
         let mut entries = Vec::with_capacity(changes.len());
-        let mut write = |change: &Change| {
-            let Change { endpoint, listing: l, lifecycle, learnt, .. } = change;
-            let (endpoint, lifecycle) = (*endpoint, *lifecycle);
-            let apart = self.context.config().kinds[l.kind.0].apart;
-            board.list(endpoint, lifecycle, *learnt, Known::new(l.address, l.destination, apart));
-            let (destination, zone, kind, weight) = (l.destination, l.zone, l.kind, l.weight);
-            entries.push(Entry { endpoint, destination, zone, kind, lifecycle, weight });
-        };
+        let mut write = |change: &Change| entries.push(self.write_on_board(change));
         for change in &changes {
             // What a complete list does not name is gone by that.
             if how == Telling::Patch || change.lifecycle != Lifecycle::Gone {
@@ -179,7 +183,7 @@
         }
         if how != Telling::Patch {
             let told: HashSet<EndpointId> = changes.iter().map(|c| c.endpoint).collect();
-            self.membership.list().filter(|c| !told.contains(&c.endpoint)).for_each(&mut write);
+            self.membership.list().filter(|c| !told.contains(&c.endpoint)).for_each(|c| write(&c));
             let named: Vec<_> = entries.iter().map(|e| e.endpoint).collect();
             board.keep_only(&named);
         }
@@ -309,6 +313,7 @@
             ToFarm::Watch => {}
             ToFarm::Line { watch, line } => self.take_line(watch, &line).await,
             ToFarm::Ended { watch } => self.ended(watch),
+            ToFarm::Cordon { id, out, reply } => self.cordon(&id, out, &reply).await,
             ToFarm::Registry { news, learnt, doubt } => {
                 let changes = self.membership.take(learnt, REGISTRY, news);
                 if let Some(asked) = &mut self.registry {
@@ -327,6 +332,61 @@
         }
     }
 
+    /// Leaves an endpoint out or calls it back, and says yes once that is kept and binds every first byte.
+    async fn cordon(&mut self, id: &str, out: bool, reply: &Sender<Result<(), No>>) {
+        let now = self.context.clock.now();
+        let was = self.membership.cordoned().any(|c| c == id);
+        let changes = match out {
+            true => self.membership.cordon(now, id),
+            false => self.membership.uncordon(now, id),
+        };
+        let Some(changes) = changes else {
+            let _ = reply.try_send(Err(No::Unknown));
+            return;
+        };
+        if was != out {
+            let kept = Cordons::new(&self.context.config().state).write(self.membership.cordoned());
+            if let Err(e) = kept {
+                warn!(self.context.log, "cordon not kept"; "id" => id, "out" => out, "error" => %e);
+                // As it was: what would not hold over a kill is not said to hold.
+                match out {
+                    true => drop(self.membership.uncordon(now, id)),
+                    false => self.membership.restore_cordons(now, [id.to_owned()]),
+                }
+                let _ = reply.try_send(Err(No::NotKept(e.to_string())));
+                return;
+            }
+        }
+        info!(self.context.log, "cordon"; "id" => id, "out" => out, "entries" => changes.len());
+        *self.context.cordoned.borrow_mut() = self.membership.cordoned().map(str::to_owned).collect();
+        for change in &changes {
+            self.write_on_board(change);
+        }
+        let _ = reply.try_send(Ok(()));
+        if !changes.is_empty() {
+            self.tell(Telling::Patch, changes).await;
+        }
+    }
+
+    /// Takes in what operators left out while an earlier process ran.
+    pub fn take_cordons(&mut self) {
+        match Cordons::new(&self.context.config().state).read() {
+            Ok(ids) => self.membership.restore_cordons(self.context.clock.now(), ids),
+            Err(e) => warn!(self.context.log, "the cordons cannot be read"; "error" => %e),
+        }
+        *self.context.cordoned.borrow_mut() = self.membership.cordoned().map(str::to_owned).collect();
+    }
+
+    /// Writes a change on the board; what the module is told of it.
+    fn write_on_board(&self, change: &Change) -> Entry {
+        let Change { endpoint, listing: l, lifecycle, learnt, .. } = change;
+        let (endpoint, lifecycle) = (*endpoint, *lifecycle);
+        let apart = self.context.config().kinds[l.kind.0].apart;
+        self.context.board.list(endpoint, lifecycle, *learnt, Known::new(l.address, l.destination, apart));
+        let (destination, zone, kind, weight) = (l.destination, l.zone, l.kind, l.weight);
+        Entry { endpoint, destination, zone, kind, lifecycle, weight }
+    }
+
     /// What falls due by time alone.
     async fn pass_time(&mut self) {
         let now = self.context.clock.now();
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,18 +3,17 @@
 use super::config::BODY_LIMIT;
 use super::decider::Reply;
 use super::http::{Asked, Broken, Wire};
+use super::lobby::{Lobby, Stay};
 use super::transaction::Request;
 use super::{Context, ToDecider};
 use crate::words::{index, Names};
 use crate::{ClassId, DestinationId, MessageId, Micros, TenantId};
-use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use serde_json::Value;
 use slog::{info, warn};
 use socket2::{Domain, Socket, Type};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -27,7 +26,9 @@
 const SLOW: Duration = Duration::from_millis(2400);
 /// What a refused user agent still sends is read away for so long: closing on it would reset the connection,
 /// and the answer could be lost with it.
-const LINGER: Duration = Duration::from_millis(1000);
+pub const LINGER: Duration = Duration::from_millis(1000);
+/// Where user agents are sent away, one that has no request under way may stay for so long.
+const REST: Duration = Duration::from_millis(1000);
 /// The advice to come again with a message for a destination that no version of the list has named.
 const UNKNOWN_FOR: Micros = 1_000_000;
 /// What a message is read from; a field that comes twice says two things.
@@ -36,7 +37,7 @@
 /// So many connections wait at most to be taken; a crowd must not make the system drop those behind it.
 const QUEUE: i32 = 1024;
 
-/// Opens the listener.
+/// Opens a listener.
 pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
@@ -49,7 +50,7 @@
 pub async fn serve(context: Rc<Context>, listener: Async<TcpListener>) {
     let lobby = Rc::new(Lobby::default());
     loop {
-        while context.user_agents.get().saturating_sub(lobby.going.get()) >= context.config().user_agents() {
+        while context.user_agents.get().saturating_sub(lobby.going()) >= context.config().user_agents() {
             // Where all are being served, what does not fit waits in the listener's queue.
             if !lobby.make_room() {
                 Timer::after(Duration::from_millis(5)).await;
@@ -81,69 +82,8 @@
     info!(context.log, "connection ended"; "side" => "user-agent", "address" => %address, "reason" => reason);
 }
 
-/// Where a connection stands that may be let go when there is no room: the first ones go first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Stay {
-    /// It was refused and has its answer.
-    Refused,
-    /// It never sent a request.
-    Silent,
-    /// It was served and is between requests.
-    Idle,
-    /// Its request has begun and is not whole.
-    Reading,
-}
-
-/// All connections that may be let go, in the order in which they go.
-#[derive(Default)]
-struct Lobby {
-    guests: RefCell<BTreeMap<(Stay, u64), Sender<()>>>,
-    entered: Cell<u64>,
-    /// Those that were asked to go and have not yet said what becomes of it.
-    going: Cell<usize>,
-}
-
-impl Lobby {
-    fn enter(self: &Rc<Self>, stay: Stay) -> Guest {
-        let (ask, asked) = async_channel::bounded(1);
-        self.entered.set(self.entered.get() + 1);
-        let place = (stay, self.entered.get());
-        self.guests.borrow_mut().insert(place, ask);
-        Guest { lobby: self.clone(), place, asked }
-    }
-
-    /// Asks the first one to go; false if all are being served.
-    fn make_room(&self) -> bool {
-        let asked = self.guests.borrow_mut().pop_first().is_some();
-        self.going.set(self.going.get() + usize::from(asked));
-        asked
-    }
-}
-
-/// A place in the lobby.
-struct Guest {
-    lobby: Rc<Lobby>,
-    place: (Stay, u64),
-    asked: Receiver<()>,
-}
-
-impl Guest {
-    /// Comes back once this one is asked to go.
-    async fn asked_to_go(&self) {
-        let _ = self.asked.recv().await;
-    }
-}
-
-impl Drop for Guest {
-    fn drop(&mut self) {
-        if self.lobby.guests.borrow_mut().remove(&self.place).is_none() {
-            self.lobby.going.set(self.lobby.going.get() - 1);
-        }
-    }
-}
-
 /// An answer to be written.
-struct Answer {
+pub struct Answer {
     status: u16,
     extra: String,
     body: String,
@@ -152,7 +92,8 @@
 }
 
 impl Answer {
-    fn plain(status: u16, body: impl Into<String>) -> Self {
+    /// A status and a text.
+    pub fn plain(status: u16, body: impl Into<String>) -> Self {
         Answer { status, extra: String::new(), body: body.into(), taken: None }
     }
 
@@ -162,7 +103,8 @@
         Answer { extra, ..Answer::plain(503, "") }
     }
 
-    fn bytes(&self, keeps: bool) -> String {
+    /// What is written; unless the connection is kept, it says so.
+    pub fn bytes(&self, keeps: bool) -> String {
         let phrase = match self.status {
             200 => "OK",
             202 => "Accepted",
@@ -173,6 +115,7 @@
             409 => "Conflict",
             413 => "Content Too Large",
             500 => "Internal Server Error",
+            507 => "Insufficient Storage",
             _ => "Service Unavailable",
         };
         let (status, extra, length) = (self.status, &self.extra, self.body.len());
@@ -215,7 +158,7 @@
                 Ok(answer) => answer,
                 Err(reason) => return reason,
             };
-            let keeps = head.keeps && !self.context.closing();
+            let keeps = head.keeps && !self.context.closing() && !self.context.doors.shut();
             if !self.say(&answer, keeps).await {
                 if let Some(id) = answer.taken {
                     self.withdraw(id).await;
@@ -223,7 +166,11 @@
                 return "agent-gone";
             }
             if !keeps {
-                return if self.context.closing() { "closing" } else { "answered" };
+                return match () {
+                    () if self.context.closing() => "closing",
+                    () if self.context.doors.shut() => "sent-away",
+                    () => "answered",
+                };
             }
             (stay, until) = (Stay::Idle, Instant::now() + IDLE);
         }
@@ -245,6 +192,11 @@
             guest.asked_to_go().await;
             Err("crowded")
         };
+        let away = async {
+            self.context.doors.until_shut().await;
+            Timer::after(REST).await;
+            Err("sent-away")
+        };
         let filled = async {
             match self.wire.fill().await {
                 Ok(0) => Err("agent-closed"),
@@ -252,7 +204,7 @@
                 Err(_) => Err("agent-reset"),
             }
         };
-        future::or(filled, future::or(closing, future::or(late, asked))).await
+        future::or(filled, future::or(closing, future::or(late, future::or(asked, away)))).await
     }
 
     /// The request that has begun; none if it does not come whole in time, or while there is room.
@@ -317,7 +269,7 @@
     ) -> Result<Answer, &'static str> {
         let path = head.target.split('?').next().unwrap_or_default();
         match (head.method.as_str(), path) {
-            ("GET", "/_health") if self.context.ready() => Ok(Answer::plain(200, "ready\n")),
+            ("GET", "/_health") if self.context.takes_user_agents() => Ok(Answer::plain(200, "ready\n")),
             ("GET", "/_health") => Ok(Answer::plain(503, "not ready\n")),
             ("GET", "/_counters") if head.target.ends_with("?by=partner") => {
                 Ok(Answer::plain(200, format!("{}\n", self.by_partner().await)))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod board;
 pub mod clock;
 pub mod config;
+pub mod cordons;
 pub mod counters;
 pub mod decider;
 pub mod eureka;
@@ -10,7 +11,9 @@
 pub mod front;
 pub mod http;
 pub mod journal;
+pub mod lobby;
 pub mod notices;
+pub mod operator;
 pub mod peer;
 pub mod proxy_pass;
 pub mod route_stats;
@@ -82,6 +85,10 @@
     pub user_agents: Cell<usize>,
     /// The module has a list to go by.
     pub holds_list: Cell<bool>,
+    /// Whether operators let user agents come.
+    pub doors: operator::Doors,
+    /// The ids of endpoints that operators left out.
+    pub cordoned: RefCell<Vec<String>>,
     /// The names that user agents gave to messages, each for as long as the message is held or its notice owed.
     words: RefCell<HashMap<String, usize>>,
     closing: Receiver<()>,
@@ -113,6 +120,11 @@
         self.holds_list.get() && !self.closing()
     }
 
+    /// User agents may come, and operators have not sent them away.
+    pub fn takes_user_agents(&self) -> bool {
+        self.ready() && !self.doors.shut()
+    }
+
     /// The counters, with what is held just now.
     pub fn report(&self) -> Value {
         let mut report = self.counters.report();
@@ -123,6 +135,11 @@
             report["registry"] = self.registry.report(view, self.clock.now());
             report["drains"] = self.board.drains();
         }
+        if self.config().operator.is_some() {
+            report["cordoned"] = self.cordoned.borrow().clone().into();
+            report["sends_away"] = self.doors.shut().into();
+        }
+        report["user_agents"] = self.user_agents.get().into();
         report["open"] = self.open.get().into();
         report["notices_owed"] = self.notices_owed.get().into();
         report["journal_bytes"] = self.journal.borrow().disk().into();
@@ -196,6 +213,11 @@
     let listener = front::listen(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     // The port may have been left to the system.
     let listen = listener.get_ref().local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let operators = config.operator.map(|at| {
+        let opened = front::listen(at).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
+        opened.map_err(|e| format!("cannot listen for operators on {at}: {e}"))
+    });
+    let operators = operators.transpose()?;
     let (decider, mail) = async_channel::bounded(1024);
     let (close, closing) = async_channel::bounded(1);
     let context = Rc::new(Context {
@@ -219,6 +241,8 @@
         notices_owed: Cell::new(0),
         user_agents: Cell::new(0),
         holds_list: Cell::new(false),
+        doors: operator::Doors::default(),
+        cordoned: RefCell::default(),
     });
     context.routes.apply(routes);
     let config = context.config();
@@ -227,6 +251,9 @@
     context.executor.spawn(notices::run(context.clone(), notices_mail)).detach();
     let mut decider = Decider::new(context.clone(), courier, notices, farm_box.clone(), restored.last_id);
     let mut farm = Farm::new(context.clone(), farm_box.clone());
+    if config.operator.is_some() {
+        farm.take_cordons();
+    }
     if let Some(known) = &config.known {
         farm.take_known(known).await;
     }
@@ -234,6 +261,10 @@
     context.executor.spawn(decider.run(mail)).detach();
     context.executor.spawn(farm.run(farm_mail)).detach();
     let registration = register(&context);
+    if let Some((at, listener)) = operators {
+        info!(context.log, "operators may call"; "operator" => %at);
+        context.executor.spawn(operator::serve(context.clone(), farm_box.clone(), listener)).detach();
+    }
     let front = context.executor.spawn(front::serve(context.clone(), listener));
     info!(context.log, "serving"; "name" => &config.name, "listen" => %listen, "restored" => context.open.get());
     drop(config);
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,173 @@
+//! Operators' calls over sockets, in the language of `scenario/mod.rs`.
+
+mod scenario;
+
+use scenario::play;
+
+#[test]
+fn odd_calls_get_a_plain_no() {
+    play(
+        "with e1=1 operator=on
+         start
+         o health 200
+         o raw 404 GET /admin/nothing HTTP/1.1\\r\\n\\r\\n
+         o raw 404 GET /_health HTTP/1.1\\r\\n\\r\\n
+         o raw 405 POST /admin/health HTTP/1.1\\r\\nContent-Length: 0\\r\\n\\r\\n
+         o raw 405 GET /admin/cordon HTTP/1.1\\r\\n\\r\\n
+         o raw 400 what is this\\r\\n\\r\\n
+         o raw 400 POST /admin/cordon HTTP/1.1\\r\\nContent-Length: 3\\r\\n\\r\\ne 1
+         o cordon 400
+         o raw 413 POST /admin/cordon HTTP/1.1\\r\\nContent-Length: 99999\\r\\n\\r\\n
+         o raw 408 GET /admin/hea
+         o cordon e7 404
+         o uncordon e7 404
+         o health 200",
+    );
+}
+
+#[test]
+fn twenty_callers_that_say_nothing_or_half_a_call_keep_nobody_waiting() {
+    play(
+        "with e1=1 operator=on
+         start
+         o crowd 20
+         o health 200
+         o crowd 20 POST /admin/cordon HTTP/1.1\\r\\nContent-Length: 2\\r\\n\\r\\ne
+         o cordon e1 200
+         o crowd 20
+         o uncordon e1 200
+         wait cordoned=0",
+    );
+}
+
+/// The rule on drains holds for a cordon: a call that is out ends, what waits goes to the other endpoint, and the
+/// last endpoint of a partner has its messages wait.
+#[test]
+fn a_cordoned_endpoint_gets_nothing_new_until_it_is_called_back_once() {
+    play(
+        "with e1=1 e2=1 e3=2 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         u2 send m2
+         u2 expect 202
+         e1 expect m1
+         e2 expect m2
+         o cordon e1 200
+         o cordon e1 200
+         u3 send m3
+         u3 expect 202
+         e1 send m1 200
+         wait delivered=1
+         e2 send m2 200
+         e2 expect m3
+         e2 send m3 200
+         o cordon e3 200
+         u4 send m4 dest=2
+         u4 expect 202
+         p send e3=active
+         wait lists=2
+         o uncordon e1 200
+         o uncordon e1 200
+         o uncordon e3 200
+         e3 expect m4
+         e3 send m4 200
+         wait delivered=4",
+    );
+}
+
+#[test]
+fn a_cordon_holds_over_a_kill_and_for_an_id_that_is_listed_anew() {
+    play(
+        "with e1=1 operator=on
+         start
+         o cordon e1 200
+         kill
+         start
+         u1 send m1
+         u1 expect 202
+         p send e1=left
+         wait lists=2
+         p send e1=active
+         wait lists=3 passes=0 open=1
+         kill
+         start
+         wait restored=1 passes=0
+         o uncordon e1 200
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         kill
+         start
+         u2 send m2
+         u2 expect 202
+         e1 expect m2",
+    );
+}
+
+#[test]
+fn a_cordon_that_cannot_be_kept_is_a_no_and_does_not_hold() {
+    play(
+        "with e1=1 operator=on
+         start
+         state-folder cordons.new
+         o cordon e1 507
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1",
+    );
+}
+
+#[test]
+fn after_quiesce_user_agents_are_served_and_sent_away_until_resume() {
+    play(
+        "with e1=1 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         u2 connect
+         u3 send-raw POST /api HTTP/1.1\\r\\nX-Requ
+         wait user_agents>=3
+         o quiesce 200
+         o quiesce 200
+         o health 503
+         health 503
+         u4 send m4
+         u4 expect 202 Connection: close
+         u4 expect end
+         u1 expect end
+         u2 expect end
+         u3 expect 408
+         e1 send m1 200
+         e1 expect m4
+         e1 send m4 200
+         wait delivered=2
+         o resume 200
+         o resume 200
+         o health 200
+         health 200
+         u5 send m5
+         u5 expect 202
+         u5 send m6
+         u5 expect 202
+         e1 expect m5",
+    );
+}
+
+#[test]
+fn a_term_amid_a_drain_ends_in_order() {
+    play(
+        "with e1=1 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         o quiesce 200
+         term
+         e1 send m1 200
+         exit",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,6 +6,9 @@
 //! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the program, signals it, waits for its end |
 //! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a user agent hands in a message |
 //! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 close` | the rest of a user agent's life |
+//! | `with operator=on`, `o health 200`, `o cordon e1 200`, `o quiesce 200` | operators may call; a call, and its status |
+//! | `o raw 400 TEXT`, `o crowd 20 TEXT` | a call as it is written; so many callers that write no more than that and stay |
+//! | `health 503` | waits until the clients' address answers so about its health |
 //! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
 //! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
@@ -20,7 +23,7 @@
 //! | `r holds n0=UP`, `r holds n0=`, `r asked GET /apps` | waits for what it holds of an instance, for a question |
 //! | `reload open=4 …`, `reload TEXT` | writes the configuration anew and sends SIGHUP |
 //! | `wait name=value routes/NAME/held=1 …`, `log TEXT` | waits for counters, for a line in the log |
-//! | `state-under N`, `state-holds FILE`, `damage cut N`, `damage flip N`, `damage-view` | the folder that lasts |
+//! | `state-under N`, `state-holds FILE`, `state-folder NAME`, `damage cut N`, `damage flip N`, `damage-view` | the folder that lasts |
 
 use cedarbridge_standin::{Instance, Mode, StandIn};
 use serde_json::{json, Value};
@@ -233,6 +236,8 @@
     crowd: Vec<TcpStream>,
     program: Option<Child>,
     listen: Option<SocketAddr>,
+    operators: bool,
+    operator: Option<SocketAddr>,
     log: Arc<Mutex<Vec<String>>>,
     open: u64,
     disk: f64,
@@ -301,6 +306,8 @@
             crowd,
             program,
             listen,
+            operators: false,
+            operator: None,
             log,
             open,
             disk,
@@ -373,6 +380,7 @@
                 let path = self.folder.join("state").join(words[1]);
                 soon(rest, || path.exists().then_some(()));
             }
+            "state-folder" => fs::create_dir(self.folder.join("state").join(words[1])).expect("made"),
             "damage-view" => {
                 let path = self.folder.join("state/registry.view");
                 let mut bytes = fs::read(&path).expect("kept");
@@ -380,6 +388,11 @@
                 fs::write(path, bytes).expect("written");
             }
             "damage" => self.damage(words[1], words[2].parse().expect("a number")),
+            "o" => self.operate(&words[1..], rest),
+            "health" => {
+                let wanted = format!("HTTP/1.1 {} ", words[1]);
+                soon(line, || self.get("/_health").starts_with(&wanted).then_some(()));
+            }
             "p" => self.platform(&words[1..]),
             name if self.endpoints.contains_key(name) => self.endpoint(name, &words[1..], rest),
             name => self.agent(name, &words[1..], rest),
@@ -392,6 +405,7 @@
             "grace" => self.grace = value.parse().expect("a number"),
             "tick" => self.tick = value.parse().expect("a number"),
             "open" => self.open = value.parse().expect("a number"),
+            "operator" => self.operators = value == "on",
             "disk" => self.disk = value.parse().expect("a number"),
             _ => {
                 let parts: Vec<&str> = value.split(':').collect();
@@ -433,11 +447,14 @@
             "rules": {"fall-multiple": 2.0, "fall": 2000.0, "cold": 9000.0, "cold-from": 0.2, "drain-grace": self.grace},
             "specifics": {"call-slots": 4, "late": "linear", "own-limits": [false, false], "per-call": [1, 3]},
         });
-        let config = json!({
+        let mut config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "state": self.folder.join("state"), "seed": "8c1f30d27a5be964", "settings": settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": self.disk},
         });
+        if self.operators {
+            config["operator"] = "127.0.0.1:0".into();
+        }
         let path = self.folder.join("config.json");
         fs::write(&path, config.to_string()).expect("written");
     }
@@ -463,11 +480,15 @@
             }
         });
         let log = self.log.clone();
-        self.listen = Some(soon("its address", || {
+        let told = |line: &str, what: &str| {
             let log = log.lock().expect("unpoisoned");
-            let line = log.iter().find(|l| l.contains("serving"))?;
-            line.split("listen: ").nth(1)?.split(',').next()?.trim().parse().ok()
-        }));
+            let line = log.iter().find(|l| l.contains(line))?.split_once(what)?.1.to_owned();
+            line.split(',').next()?.trim().parse::<SocketAddr>().ok()
+        };
+        if self.operators {
+            self.operator = Some(soon("its operators' address", || told("operators may call", "operator: ")));
+        }
+        self.listen = Some(soon("its address", || told("serving", "listen: ")));
         soon("its health", || self.get("/_health").starts_with("HTTP/1.1 200").then_some(()));
         // Past the list that it may have known; from here on all news is news.
         self.wait("lists>=1");
@@ -488,6 +509,43 @@
         answer
     }
 
+    /// An operator's call.
+    fn operate(&mut self, words: &[&str], rest: &str) {
+        let connect = || {
+            let stream = TcpStream::connect(self.operator.expect("operators may call")).expect("it listens");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            stream
+        };
+        let (text, status) = match words {
+            ["crowd", count, ..] => {
+                let text = unescape(rest.split_once(count).expect("the count").1.trim_start());
+                for _ in 0..count.parse().expect("a number") {
+                    let mut caller = connect();
+                    caller.write_all(text.as_bytes()).expect("written");
+                    self.crowd.push(caller);
+                }
+                return;
+            }
+            ["raw", status, ..] => {
+                (unescape(rest.split_once(status).expect("the status").1.trim_start()), *status)
+            }
+            ["health", status] => ("GET /admin/health HTTP/1.1\r\n\r\n".to_owned(), *status),
+            [what, id @ .., status] => {
+                let body = id.concat();
+                let length = body.len();
+                (format!("POST /admin/{what} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"), *status)
+            }
+            _ => panic!("no such call"),
+        };
+        let since = Instant::now();
+        let mut stream = connect();
+        stream.write_all(text.as_bytes()).expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer and an end");
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+        assert!(since.elapsed() < PATIENCE, "it was late");
+    }
+
     fn wait(&self, condition: &str) {
         let (name, wanted) = condition.split_once('=').expect("name=value");
         let flag = |w: &str| u64::from(w == "true");
@@ -681,7 +739,14 @@
 /// The program, shut off from the surroundings' variables.
 pub fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_cedarbridge"));
-    for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_STATE", "ROUTER_CONFIG"] {
+    for name in [
+        "ROUTER_NAME",
+        "ROUTER_LISTEN",
+        "ROUTER_DISCOVERY",
+        "ROUTER_STATE",
+        "ROUTER_CONFIG",
+        "ROUTER_OPERATOR",
+    ] {
         command.env_remove(name);
     }
     command.env_remove("CEDARBRIDGE_SITE");
