--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,7 @@
 //! Types only; every decision is in `logic.rs`.
 
 use crate::routes::Plan;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     };
 }
@@ -25,7 +26,7 @@
 id!(/** Index into [`Settings::kinds`]. */ KindId(usize));
 
 /// What a repeat of a message may do at its destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Effect {
     /// May be repeated at will.
     Safe,
@@ -36,7 +37,7 @@
 }
 
 /// Which endpoints of a destination drop repeats of a keyed message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DedupScope {
     /// All of the destination's endpoints.
     All,
@@ -45,7 +46,7 @@
 }
 
 /// How worth falls after the aim.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
     #[default]
     /// Evenly, down to the late worth at the deadline.
@@ -55,7 +56,7 @@
 }
 
 /// A class of messages.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Class {
     /// What a repeat may do.
     pub effect: Effect,
@@ -76,14 +77,14 @@
 }
 
 /// A customer whose traffic has an agreed share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Tenant {
     /// Messages a second, over all couriers, that are within the share.
     pub quota_per_s: f64,
 }
 
 /// A kind of destination.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Kind {
     /// Endpoints are routes apart, each with its own limit and outages.
     pub apart: bool,
@@ -92,7 +93,7 @@
 }
 
 /// What an endpoint's weight tells.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WeightSource {
     #[default]
     /// Nothing.
@@ -104,7 +105,7 @@
 }
 
 /// Everything a courier is told at its start. The default is empty, and no courier takes it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Settings {
     /// Couriers that share the traffic, this one included.
     pub couriers: usize,
@@ -163,6 +164,7 @@
     /// A key's rest after an attempt whose end is not sure.
     pub key_rest: Micros,
     /// What our own file says of time-outs and attempts, by route; without one the module has its own way.
+    #[serde(skip)]
     pub routes: Option<Arc<Plan>>,
 }
 
@@ -179,7 +181,7 @@
 impl std::error::Error for SettingsError {}
 
 /// What the list says of an endpoint; nothing about its health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifecycle {
     /// In service.
     Listed,
@@ -190,7 +192,7 @@
 }
 
 /// An entry of the endpoint list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Entry {
     /// Which endpoint.
     pub endpoint: EndpointId,
@@ -220,7 +222,7 @@
 }
 
 /// How an attempt or a probe came out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Ok,
@@ -243,7 +245,7 @@
 }
 
 /// What an answer tells of the limit: share left, and calls a second (0: no limit).
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// Share of the allowance that is left.
     pub left: f64,
@@ -336,7 +338,7 @@
 }
 
 /// The states of a breaker, from well to worst.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Status {
     /// Calls go out.
     #[default]
@@ -369,7 +371,7 @@
 }
 
 /// What the caller is to do, in order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Call an endpoint with a message.
     Send {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 
 use crate::api::*;
 use crate::routes::Timing;
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -72,7 +73,7 @@
 }
 
 /// How often something happened lately.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Measured {
     count: f64,
     over: Micros,
@@ -97,7 +98,7 @@
 }
 
 /// The record kept for a destination, a route apart or an endpoint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Breaker {
     status: Status,
     failure_count: u32,
@@ -297,6 +298,7 @@
     }
 }
 
+#[derive(Serialize, Deserialize)]
 struct Endpoint {
     entry: Entry,
     breaker: Breaker,
@@ -304,7 +306,7 @@
     reusable: bool, // The last call here was answered, so an idle connection is there to be used again
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Destination {
     apart: bool,
     kind: Option<KindId>, // Once the list has named an endpoint
@@ -315,7 +317,7 @@
     last_slot: u64, // Order in which slots were given; the least goes first
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Message {
     class: ClassId,
     worth: f64,
@@ -335,7 +337,7 @@
     last_until: Option<Micros>, // Its end, fixed once the attempt is out that lasts up to it
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Call {
     endpoint: EndpointId,
     destination: DestinationId,
@@ -347,14 +349,14 @@
     called_off: bool,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct KeyLine {
     queue: VecDeque<MessageId>,
     rest_until: Micros,
 }
 
 /// The decisions of one sender. Instances share nothing; the same events give the same actions.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Courier {
     s: Settings,
     endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -415,16 +417,8 @@
             let out = self.calls.values().filter(|c| c.destination == *id).count();
             let (held, wait, cold) =
                 (d.waiting.len(), b.wait_until.saturating_sub(now), b.cold_since.is_some());
-            Shown {
-                destination: *id,
-                status: b.status,
-                held,
-                out,
-                wait,
-                cold,
-                latency: b.latency,
-                limit: b.limit,
-            }
+            let (destination, status, latency, limit) = (*id, b.status, b.latency, b.limit);
+            Shown { destination, status, held, out, wait, cold, latency, limit }
         })
     }
 
@@ -672,7 +666,7 @@
     /// kind are given back after each call, until so many calls went through. Both could cost handshakes
     /// in vain: where hangs strike busy endpoints more, and after a crash.
     fn learn_connection(&mut self, id: EndpointId, outcome: Outcome, reused: Option<bool>) {
-        let answered = answered(outcome);
+        let answered = matches!(outcome, Outcome::Ok | Outcome::Full(_) | Outcome::Error);
         // One that breaks at once costs no more than the next call: nothing is to be learnt from it.
         let reused = reused.filter(|_| outcome != Outcome::Stale);
         if let Some(reused) = reused.filter(|_| answered || unsure(outcome)) {
@@ -1061,7 +1055,3 @@
 fn unsure(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Stale | Outcome::Cancelled)
 }
-
-fn answered(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Ok | Outcome::Full(_) | Outcome::Error)
-}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod view;
 
 use crate::{DestinationId, EndpointId, KindId, Lifecycle, Micros, ZoneId};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
@@ -19,7 +20,7 @@
 use view::{Effective, View};
 
 /// What a source says of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum State {
     /// In service.
     Up,
@@ -33,7 +34,7 @@
 
 /// What an entry is called: within its source, by group (an application of the registry; empty where there are no
 /// groups) and id.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
     /// The group.
     pub group: String,
@@ -42,7 +43,7 @@
 }
 
 /// An entry, as its source tells it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// What it is called.
     pub key: Key,
@@ -94,7 +95,7 @@
 }
 
 /// A source's place among the sources.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SourceId(pub usize);
 
 /// A change of the merged list.
@@ -115,7 +116,7 @@
 }
 
 /// What an endpoint goes by.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 enum Slot {
     /// An id of a source, wherever it listens.
     Named(SourceId, Key),
@@ -123,6 +124,15 @@
     Placed(SocketAddr, String),
 }
 
+/// What one process passes on to the one that replaces it: the numbers of endpoints, and what each source has told.
+#[derive(Serialize, Deserialize)]
+pub struct Carried {
+    ids: Vec<(Slot, EndpointId)>,
+    last_id: u32,
+    /// By source.
+    pub views: Vec<Vec<Listing>>,
+}
+
 /// The views and the list that they make.
 pub struct Membership {
     views: Vec<View>,
@@ -209,6 +219,19 @@
         self.views[source.0].policy = policy;
     }
 
+    /// What the process that replaces this one goes on with.
+    pub fn carried(&self) -> Carried {
+        let ids = self.ids.iter().map(|(slot, id)| (slot.clone(), *id)).collect();
+        let views = self.views.iter().map(|v| v.listings().cloned().collect()).collect();
+        Carried { ids, last_id: self.last_id, views }
+    }
+
+    /// Goes on with the numbers of the process that this one replaces; before any entry is told.
+    pub fn adopt(&mut self, carried: &Carried) {
+        self.ids = carried.ids.iter().cloned().collect();
+        self.last_id = carried.last_id;
+    }
+
     /// Takes in what a source has told and tells what changes by it, in the order in which it was told.
     pub fn take(&mut self, now: Micros, source: SourceId, news: News) -> Vec<Change> {
         let touched = self.views[source.0].take(now, news);
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -7,6 +7,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    first: Micros,
 }
 
 /// What the clock shows as it starts: spans can be taken off early times.
@@ -15,18 +16,23 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Clock { start: Instant::now() }
+        Clock { start: Instant::now(), first: FIRST }
+    }
+
+    /// A clock that goes on from one of another process, which showed a time at a time of the wall clock.
+    pub fn go_on(shown: Micros, at_wall: Micros) -> Self {
+        Clock { start: Instant::now(), first: shown + wall().saturating_sub(at_wall) }
     }
 
     /// Now.
     pub fn now(&self) -> Micros {
-        FIRST + self.start.elapsed().as_micros() as Micros
+        self.first + self.start.elapsed().as_micros() as Micros
     }
 
     /// When a point of this clock comes.
     pub fn at(&self, time: Micros) -> Instant {
         // A far point is as good as never.
-        self.start + Duration::from_micros(time.min(self.now() + 86_400_000_000).saturating_sub(FIRST))
+        self.start + Duration::from_micros(time.min(self.now() + 86_400_000_000).saturating_sub(self.first))
     }
 
     /// A point of this clock on the wall clock.
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -42,6 +42,8 @@
     taken,
     /// Messages found in the journal at the start.
     restored,
+    /// Messages taken over from the process that this one replaces.
+    inherited,
     /// Unavailable answers: too much held, or refused at once.
     unavailable,
     /// Requests that could not be read or made no sense.
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -1,12 +1,15 @@
 //! The module's actor: it brings events to the decisions and carries out what they say.
 
 use super::farm::ToFarm;
+use super::handover::{self, Heir, Speaker, State};
 use super::journal::{Kept, Verdict};
 use super::notices::Notice;
+use super::operator::{self, No, Operation};
 use super::peer::{self, ToPeer};
-use super::proxy_pass::{Ended, Part, Pass};
+use super::proxy_pass::{Came, End, Ended, Part, Pass};
 use super::transaction::{Request, Transaction};
 use super::Context;
+use crate::membership::Carried;
 use crate::words::Names;
 use crate::{
     Action, ClassId, Courier, DestinationId, EndpointId, Event, KindId, Lifecycle, ListNews, MessageId,
@@ -15,6 +18,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use slog::{debug, info, warn, FnValue};
 use std::cmp::Reverse;
@@ -40,13 +44,19 @@
     List(ListNews),
     /// Other settings hold from now on.
     Settings(Box<Settings>),
-    /// A call has come out.
-    Passed {
-        /// The call.
-        pass: Pass,
-        /// How.
-        ended: Ended,
+    /// A call has come out, here or at the process that this one replaces.
+    Passed(Came),
+    /// Another process asks to replace this one.
+    HandOver(Heir),
+    /// An operator wants something while all is being handed over.
+    Operate {
+        /// What.
+        operation: Operation,
+        /// Where to say what becomes of it.
+        reply: Sender<Result<(), No>>,
     },
+    /// The process that this one has replaced is gone.
+    OlderGone,
     /// Asks how destinations and channels stand, for operators.
     Show {
         /// Where to say it.
@@ -57,7 +67,7 @@
 }
 
 /// What becomes of a message that is handed in.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// Taken on, under this id.
     Taken(MessageId),
@@ -70,15 +80,24 @@
 }
 
 /// The advice to come again where the module had no say.
-const LATER: Micros = 1_000_000;
+pub const LATER: Micros = 1_000_000;
 
 struct Held {
     transaction: Rc<Transaction>,
-    /// Dropped to call the attempt off that is out.
-    out: Option<(u32, Sender<()>)>,
+    out: Option<Out>,
     reply: Option<Sender<Reply>>,
 }
 
+/// An attempt that is out.
+struct Out {
+    attempt: u32,
+    endpoint: EndpointId,
+    /// Dropped to call it off.
+    call: Sender<()>,
+    /// It is out at the process that this one has replaced.
+    older: bool,
+}
+
 /// The actor round the module.
 pub struct Decider {
     context: Rc<Context>,
@@ -98,6 +117,8 @@
     events: Vec<Event>,
     last_step: Micros,
     closed: bool,
+    /// The process that is to replace this one.
+    heir: Option<Heir>,
     /// Messages handed in by each channel since the start, those that were turned away too.
     handed_in: Vec<u64>,
 }
@@ -128,9 +149,20 @@
             events: Vec::new(),
             last_step: 0,
             closed: false,
+            heir: None,
         }
     }
 
+    /// What all actors share.
+    pub fn context(&self) -> &Rc<Context> {
+        &self.context
+    }
+
+    /// The list's mailbox.
+    pub fn farm(&self) -> &Sender<ToFarm> {
+        &self.farm
+    }
+
     /// Gives back to the module what an earlier process had taken on and not ended.
     pub async fn restore(&mut self, kept: Vec<(u64, Kept)>) {
         for (id, kept) in kept {
@@ -151,33 +183,130 @@
                 self.notify(id, kept.word, verdict).await;
                 continue;
             }
-            let tenants = &self.names.tenants;
-            let request = Request {
-                word: kept.word,
-                key: kept.key,
-                class: ClassId(class.unwrap_or_default()),
-                tenant: kept.tenant.and_then(|t| tenants.iter().position(|n| *n == t)).map(TenantId),
-                destination: DestinationId(kept.destination),
-                deadline: self.context.clock.from_wall(kept.deadline),
-                body: kept.body.into(),
-                again: !may_have_run,
-                orphan: may_have_run,
+            let attempts = kept.attempts;
+            let request = self.request(kept, class.unwrap_or_default(), may_have_run);
+            self.hold(Transaction::new(id, request, attempts), None);
+        }
+    }
+
+    fn request(&self, kept: Kept, class: usize, may_have_run: bool) -> Request {
+        let tenants = &self.names.tenants;
+        Request {
+            word: kept.word,
+            key: kept.key,
+            class: ClassId(class),
+            tenant: kept.tenant.and_then(|t| tenants.iter().position(|n| *n == t)).map(TenantId),
+            destination: DestinationId(kept.destination),
+            deadline: self.context.clock.from_wall(kept.deadline),
+            body: kept.body.into(),
+            again: !may_have_run,
+            orphan: may_have_run,
+        }
+    }
+
+    /// What passes to the process that replaces this one; the module has just made a step.
+    pub fn state(&self, list: Carried) -> State {
+        let messages = self.held.iter().map(|(id, held)| handover::Message {
+            id: *id,
+            attempts: held.transaction.attempts(),
+            since: held.transaction.since,
+            out: held.out.as_ref().map(|o| (o.attempt, o.endpoint)),
+        });
+        State {
+            clock: self.context.clock.now(),
+            wall: super::clock::wall(),
+            module: serde_json::to_value(&self.courier).unwrap_or_default(),
+            last_id: self.next,
+            messages: messages.collect(),
+            timers: self.timers.iter().map(|t| t.0).collect(),
+            handed_in: self.handed_in.clone(),
+            user_agents: self.context.user_agents.get(),
+            list,
+        }
+    }
+
+    /// Goes on from where the process stopped that this one replaces. What its module held is in the journal, and what
+    /// the journal alone holds is owed a notice.
+    /// The list that passes with it is for the farm.
+    pub async fn inherit(
+        &mut self,
+        state: State,
+        kept: Vec<(u64, Kept)>,
+        older: &Speaker,
+        settings: Settings,
+    ) -> Carried {
+        self.next = self.next.max(state.last_id);
+        self.timers = state.timers.iter().map(|t| Reverse(*t)).collect();
+        if state.handed_in.len() == self.handed_in.len() {
+            self.handed_in = state.handed_in;
+        }
+        let mut kept: BTreeMap<u64, Kept> = kept.into_iter().collect();
+        for message in &state.messages {
+            let id = message.id;
+            let class = |k: &Kept| self.names.classes.iter().position(|c| *c == k.class);
+            let live = kept.remove(&id.0).filter(|k| k.verdict.is_none());
+            let Some((kept, class)) = live.and_then(|k| class(&k).map(|c| (k, c))) else {
+                // Over; only its attempt is still out, and the module knows.
+                continue;
             };
-            self.hold(Transaction::new(id, request, kept.attempts), None);
+            let request = self.request(kept, class, false);
+            let mut transaction = Transaction::new(id, request, message.attempts);
+            transaction.since = message.since;
+            let out = message.out.map(|(attempt, endpoint)| {
+                let call = older.call_off(&self.context, id, attempt);
+                Out { attempt, endpoint, call, older: true }
+            });
+            self.enter(transaction, out, None);
+            self.context.counters.inherited.add();
+        }
+        self.restore(kept.into_iter().collect()).await;
+        self.events.insert(0, Event::Settings(Box::new(settings)));
+        state.list
+    }
+
+    /// The process that this one has replaced is gone: what was out there may have run.
+    fn lose_older(&mut self) {
+        let out = self.held.iter().filter_map(|(id, h)| h.out.as_ref().filter(|o| o.older).map(|o| (*id, o)));
+        let lost: Vec<_> = out.map(|(id, o)| (o.endpoint, (id, o.attempt))).collect();
+        let now = self.context.clock.now();
+        for (endpoint, part) in lost {
+            // That process ended, not the endpoint: no breaker may count it.
+            let ended = Ended::alike(1, End::of(Outcome::Stale));
+            self.take_passed(Came { endpoint, sent: now, parts: vec![part], ended });
+        }
+    }
+
+    /// Another process decides from here on; only the calls that are out are still this one's.
+    pub fn retire(&mut self) {
+        self.closed = true;
+        self.context.open.set(0);
+        self.context.notices_owed.set(0);
+        for peer in self.peers.values() {
+            let _ = peer.try_send(ToPeer::CloseIdle);
         }
     }
 
+    /// Calls an attempt off, if it is out.
+    pub fn call_off(&self, id: MessageId, attempt: u32) {
+        let out = self.held.get(&id).and_then(|h| h.out.as_ref());
+        out.filter(|o| o.attempt == attempt).map(|o| o.call.close());
+    }
+
     fn hold(&mut self, mut transaction: Transaction, reply: Option<Sender<Reply>>) {
         let (to, class) = (transaction.request.destination, transaction.request.class);
         transaction.stats = self.context.routes.of(to, self.kinds.get(&to).map(|k| k.0), class);
         transaction.stats.iter().for_each(|s| s.take());
         let message = transaction.message(self.context.clock.now());
-        let id = transaction.id;
+        self.enter(transaction, None, reply);
+        self.events.push(Event::Message(message));
+    }
+
+    fn enter(&mut self, transaction: Transaction, out: Option<Out>, reply: Option<Sender<Reply>>) {
         self.context.keep_word(&transaction.request.word);
-        self.held.insert(id, Held { transaction: Rc::new(transaction), out: None, reply });
+        let held = Held { transaction: Rc::new(transaction), out, reply };
+        self.held.insert(held.transaction.id, held);
         self.open += 1;
         self.context.open.set(self.open);
-        self.events.push(Event::Message(message));
     }
 
     /// Serves until all who could tell it something are gone.
@@ -211,6 +340,9 @@
                 self.events.clear();
             } else {
                 self.step().await;
+                if let Some(heir) = self.heir.take() {
+                    handover::give(&mut self, heir, &mail).await;
+                }
             }
         }
     }
@@ -221,7 +353,17 @@
             ToDecider::Withdrawn { id } => self.withdraw(id),
             ToDecider::List(news) => self.take_list(news),
             ToDecider::Settings(settings) => self.events.push(Event::Settings(settings)),
-            ToDecider::Passed { pass, ended } => self.take_passed(pass, &ended),
+            ToDecider::Passed(came) => self.take_passed(came),
+            ToDecider::HandOver(heir) => self.heir = Some(heir),
+            ToDecider::Operate { operation, reply } => {
+                // It was meant for the process that did not take over after all.
+                let (context, farm) = (self.context.clone(), self.farm.clone());
+                let operating = async move {
+                    let _ = reply.try_send(operator::perform(&context, &farm, operation).await);
+                };
+                self.context.executor.spawn(operating).detach();
+            }
+            ToDecider::OlderGone => self.lose_older(),
             ToDecider::Show { reply } => {
                 let _ = reply.try_send(self.show());
             }
@@ -365,44 +507,39 @@
         }
     }
 
-    fn take_passed(&mut self, pass: Pass, ended: &Ended) {
-        let elapsed = self.context.clock.now().saturating_sub(pass.sent);
+    fn take_passed(&mut self, came: Came) {
+        let Came { endpoint, sent, parts, ended } = came;
+        let elapsed = self.context.clock.now().saturating_sub(sent);
         let told = ended.ends.iter().any(|e| matches!(e.outcome, Outcome::Full(Some(_))));
-        for (part, end) in pass.parts.iter().zip(&ended.ends) {
-            let id = part.transaction.id;
+        for ((id, attempt), end) in parts.into_iter().zip(&ended.ends) {
             self.context.counters.outcome(end.outcome);
-            part.transaction.stats.iter().for_each(|s| s.outcome(end.outcome));
-            if let Some(held) = self.held.get_mut(&id) {
-                held.out = held.out.take().filter(|o| o.0 != part.attempt);
-            }
+            let transaction = self.held.get_mut(&id).map(|held| {
+                held.out = held.out.take().filter(|o| o.attempt != attempt);
+                held.transaction.clone()
+            });
+            let stats = transaction.as_ref().and_then(|t| t.stats.as_ref());
+            stats.iter().for_each(|s| s.outcome(end.outcome));
             if end.ended {
                 let delivered = end.outcome == Outcome::Ok;
                 if self.finish(id, if delivered { "delivered" } else { "over" }) && delivered {
                     self.context.counters.delivered.add();
-                    let (since, stats) = (part.transaction.since, part.transaction.stats.as_ref());
+                    let since = transaction.as_ref().and_then(|t| t.since);
                     if let Some((since, stats)) = since.zip(stats) {
                         self.context.routes.delivered(stats, self.context.clock.now().saturating_sub(since));
                     }
                 }
                 self.context.journal_end(id);
             } else if matches!(end.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
-                let noted = self.context.journal.borrow_mut().never_ran(id.0, part.attempt);
+                let noted = self.context.journal.borrow_mut().never_ran(id.0, attempt);
                 noted.unwrap_or_else(|e| warn!(self.context.log, "journal"; "error" => %e));
             }
             self.forget(id);
-            self.events.push(Event::Result {
-                id,
-                attempt: part.attempt,
-                endpoint: pass.endpoint,
-                outcome: end.outcome,
-                elapsed,
-                ended: end.ended,
-                report: ended.report,
-            });
+            let (outcome, ended, report) = (end.outcome, end.ended, ended.report);
+            self.events.push(Event::Result { id, attempt, endpoint, outcome, elapsed, ended, report });
         }
         // An answer may tell a wait and yet refuse nothing.
         if let Some(wait) = ended.wait.filter(|_| !told) {
-            self.events.push(Event::Wait { endpoint: pass.endpoint, wait });
+            self.events.push(Event::Wait { endpoint, wait });
         }
     }
 
@@ -446,13 +583,7 @@
                 }
                 Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)).await,
                 Action::Fail { id } => self.give_up(id, None).await,
-                Action::Cancel { id, attempt } => {
-                    if let Some((_, call)) =
-                        self.held.get(&id).and_then(|h| h.out.as_ref()).filter(|o| o.0 == attempt)
-                    {
-                        call.close();
-                    }
-                }
+                Action::Cancel { id, attempt } => self.call_off(id, attempt),
                 Action::Timer { delay, token } => self.timers.push(Reverse((now + delay, token))),
                 Action::CloseIdle { endpoint } => {
                     self.pass_on(now, std::mem::take(&mut passes));
@@ -501,7 +632,8 @@
             let (call, called_off) = async_channel::bounded(1);
             for part in &parts {
                 if let Some(held) = self.held.get_mut(&part.transaction.id) {
-                    held.out = Some((part.attempt, call.clone()));
+                    let (attempt, call) = (part.attempt, call.clone());
+                    held.out = Some(Out { attempt, endpoint, call, older: false });
                 }
             }
             let pass = Pass { endpoint, parts, sent: now, called_off };
@@ -540,7 +672,7 @@
         let ended = Ended::alike(pass.parts.len(), super::proxy_pass::End::of(Outcome::Moot));
         let back = self.context.decider.clone();
         let telling = async move {
-            let _ = back.send(ToDecider::Passed { pass, ended }).await;
+            let _ = back.send(ToDecider::Passed(pass.came(ended))).await;
         };
         self.context.executor.spawn(telling).detach();
     }
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -7,7 +7,9 @@
 use super::http::{Broken, Wire};
 use super::operator::No;
 use super::{in_time, Context, ToDecider};
-use crate::membership::{Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State};
+use crate::membership::{
+    Carried, Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State,
+};
 use crate::words::{in_field, index, text, whole, Names};
 use crate::{DestinationId, EndpointId, Entry, KindId, Lifecycle, ListNews, Micros, ZoneId};
 use async_channel::{Receiver, Sender};
@@ -47,6 +49,13 @@
         /// Which watch.
         watch: u64,
     },
+    /// Another process goes on with the list: nothing changes here any more.
+    HandOver {
+        /// Where to say what the list is.
+        reply: Sender<Carried>,
+    },
+    /// It did not go on with it: changes are taken in again.
+    GoOn,
     /// Operators want an endpoint left out, or back.
     Cordon {
         /// What the list calls it.
@@ -126,6 +135,8 @@
     left: VecDeque<(Micros, Change)>,
     /// When what is forgotten was last gone through.
     pruned: Micros,
+    /// Another process goes on with the list.
+    handed_over: bool,
 }
 
 impl Farm {
@@ -148,6 +159,7 @@
             registry,
             left,
             pruned: 0,
+            handed_over: false,
         }
     }
 
@@ -162,6 +174,17 @@
         }
     }
 
+    /// Goes on with the list of the process that this one replaces, under the same numbers.
+    pub async fn inherit(&mut self, carried: Carried) {
+        self.membership.adopt(&carried);
+        let now = self.context.clock.now();
+        for (source, listings) in carried.views.into_iter().enumerate() {
+            let how = if SourceId(source) == PUSHED { Telling::Stale } else { Telling::Patch };
+            let changes = self.membership.restore(now, SourceId(source), listings);
+            self.tell(how, changes).await;
+        }
+    }
+
     /// Writes changes on the board, then tells the module.
     async fn tell(&mut self, how: Telling, changes: Vec<Change>) {
         // One that is back before it was looked at again is looked at now: the board forgets that it left.
@@ -284,6 +307,8 @@
         loop {
             let clock = self.context.clock;
             let asked = self.registry.as_ref();
+            // Where another process goes on with the list, nothing is due here.
+            let here = |t: Option<Micros>| t.filter(|_| !self.handed_over);
             let times = [
                 self.membership.next_tick(),
                 asked.and_then(|a| a.serve_at),
@@ -291,21 +316,29 @@
                 self.left.front().map(|l| l.0 + SETTLED),
             ];
             let due = async {
-                match times.into_iter().flatten().min() {
+                match here(times.into_iter().flatten().min()) {
                     Some(at) => Timer::at(clock.at(at)).await,
                     None => future::pending().await,
                 };
                 None
             };
             match future::or(async { Some(mail.recv().await) }, due).await {
+                Some(Ok(news)) if self.ignores(&news) => continue,
                 Some(Ok(news)) => self.take(news).await,
                 Some(Err(_)) => return,
                 None => {}
             }
-            self.pass_time().await;
+            if !self.handed_over {
+                self.pass_time().await;
+            }
         }
     }
 
+    /// What another process goes on with is no matter of this one any more.
+    fn ignores(&self, news: &ToFarm) -> bool {
+        self.handed_over && !matches!(news, ToFarm::GoOn | ToFarm::HandOver { .. })
+    }
+
     async fn take(&mut self, news: ToFarm) {
         match news {
             ToFarm::Look => self.look().await,
@@ -313,6 +346,16 @@
             ToFarm::Watch => {}
             ToFarm::Line { watch, line } => self.take_line(watch, &line).await,
             ToFarm::Ended { watch } => self.ended(watch),
+            ToFarm::HandOver { reply } => {
+                self.handed_over = true;
+                let _ = reply.try_send(self.membership.carried());
+            }
+            ToFarm::GoOn => {
+                // What was told meanwhile was missed: all is asked for anew.
+                self.handed_over = false;
+                (self.held, self.next, self.generation) = (None, None, None);
+                self.open(Duration::ZERO);
+            }
             ToFarm::Cordon { id, out, reply } => self.cordon(&id, out, &reply).await,
             ToFarm::Registry { news, learnt, doubt } => {
                 let changes = self.membership.take(learnt, REGISTRY, news);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -34,44 +34,66 @@
 /// What a message is read from; a field that comes twice says two things.
 const FIELDS: [&str; 7] =
     ["X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Addressing", "Idempotency-Key", "X-Retry"];
+/// Where another process has taken over, a connection between requests is closed so long after the signal.
+const PASSED_ON: Duration = Duration::from_millis(1800);
 /// So many connections wait at most to be taken; a crowd must not make the system drop those behind it.
 const QUEUE: i32 = 1024;
 
-/// Opens a listener.
-pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+/// Opens a listener; one that is shared leaves the address to another process too.
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<Async<TcpListener>> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
+    socket.set_reuse_port(shared)?;
     socket.bind(&address.into())?;
     socket.listen(QUEUE)?;
     Async::new(socket.into())
 }
 
-/// Takes connections until the listener is dropped.
+/// Takes connections until the listener is dropped, or another process takes them.
 pub async fn serve(context: Rc<Context>, listener: Async<TcpListener>) {
     let lobby = Rc::new(Lobby::default());
+    let room = || context.config().user_agents().saturating_sub(context.older_agents.get());
     loop {
-        while context.user_agents.get().saturating_sub(lobby.going()) >= context.config().user_agents() {
+        while context.user_agents.get().saturating_sub(lobby.going()) >= room() {
             // Where all are being served, what does not fit waits in the listener's queue.
             if !lobby.make_room() {
                 Timer::after(Duration::from_millis(5)).await;
             }
         }
-        match listener.accept().await {
-            Ok((stream, address)) => {
-                context.counters.accepted.add();
-                context.user_agents.set(context.user_agents.get() + 1);
-                let (context, lobby) = (context.clone(), lobby.clone());
-                let executor = context.executor.clone();
-                executor.spawn(attend(context, lobby, stream, address)).detach();
-            }
-            Err(e) => {
+        let accepted = async { Some(listener.accept().await) };
+        let handed_over = async {
+            context.handed_over.until_up().await;
+            None
+        };
+        match future::or(handed_over, accepted).await {
+            Some(Ok((stream, address))) => welcome(&context, &lobby, stream, address),
+            Some(Err(e)) => {
                 warn!(context.log, "cannot accept"; "error" => %e);
                 Timer::after(Duration::from_millis(50)).await;
             }
+            None => break,
         }
         // A crowd that is always ready must not keep the others from their turn.
         future::yield_now().await;
     }
+    // What waits in the queue would be reset with the listener. Nothing comes between the last look and its end but
+    // what arrives in that very moment.
+    let mut last = 0;
+    while let Ok((stream, address)) = listener.get_ref().accept() {
+        match Async::new(stream) {
+            Ok(stream) => welcome(&context, &lobby, stream, address),
+            Err(e) => warn!(context.log, "cannot accept"; "error" => %e),
+        }
+        last += 1;
+    }
+    drop(listener);
+    info!(context.log, "listener closed"; "taken_last" => last);
+}
+
+fn welcome(context: &Rc<Context>, lobby: &Rc<Lobby>, stream: Async<TcpStream>, address: SocketAddr) {
+    context.counters.accepted.add();
+    context.user_agents.set(context.user_agents.get() + 1);
+    context.executor.spawn(attend(context.clone(), lobby.clone(), stream, address)).detach();
 }
 
 async fn attend(context: Rc<Context>, lobby: Rc<Lobby>, stream: Async<TcpStream>, address: SocketAddr) {
@@ -158,7 +180,8 @@
                 Ok(answer) => answer,
                 Err(reason) => return reason,
             };
-            let keeps = head.keeps && !self.context.closing() && !self.context.doors.shut();
+            let context = &self.context;
+            let keeps = head.keeps && !context.closing() && !context.turns_away();
             if !self.say(&answer, keeps).await {
                 if let Some(id) = answer.taken {
                     self.withdraw(id).await;
@@ -168,7 +191,7 @@
             if !keeps {
                 return match () {
                     () if self.context.closing() => "closing",
-                    () if self.context.doors.shut() => "sent-away",
+                    () if self.context.turns_away() => "sent-away",
                     () => "answered",
                 };
             }
@@ -182,6 +205,10 @@
         let guest = self.lobby.enter(stay);
         let closing = async {
             self.context.until_closing().await;
+            if self.context.handed_over.is_up() {
+                // Another process is there for those who come again; the next answer says so.
+                Timer::after(PASSED_ON).await;
+            }
             Err("closing")
         };
         let late = async {
@@ -193,7 +220,7 @@
             Err("crowded")
         };
         let away = async {
-            self.context.doors.until_shut().await;
+            self.context.sends_away.until_up().await;
             Timer::after(REST).await;
             Err("sent-away")
         };
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,444 @@
+//! How one process of a forwarder replaces another: the older one passes on all that it holds at one moment, and from
+//! then on only sends on what still comes to it. It decides nothing; `docs/operator.md` tells the steps.
+
+use super::config::Config;
+use super::decider::{Decider, Reply, ToDecider, LATER};
+use super::farm::ToFarm;
+use super::http::{frame, Broken, Wire};
+use super::operator::{self, No, Operation};
+use super::owner::{self, Lock, Owner};
+use super::proxy_pass::Came;
+use super::transaction::Request;
+use super::{within, Context};
+use crate::membership::Carried;
+use crate::{Courier, EndpointId, MessageId, Micros};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use serde_json::Value;
+use slog::{info, warn, Logger};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What passes between two processes has this form; one of another form waits for the end of the older process.
+pub const FORMAT: u32 = 1;
+/// A frame holds no more than this: the state of many thousand messages, without their bodies.
+const LARGEST: usize = 64 << 20;
+/// The new process must have said that it owns all so long after it was sent the state; user agents wait meanwhile.
+const TAKES: Duration = Duration::from_millis(1500);
+/// The older process answers, and lets go of its lock, within this.
+const GIVES: Duration = Duration::from_millis(2000);
+/// Between two looks at a lock that another process holds.
+const LOOK: Duration = Duration::from_millis(20);
+/// With nothing left to send on, the older process waits so long for its signal, then leaves.
+const LEFT_OVER: Duration = Duration::from_secs(10);
+/// Frames that wait to be written.
+const QUEUE: usize = 1024;
+
+/// A message as it passes: what the journal does not say of it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Which.
+    pub id: MessageId,
+    /// Attempts begun, those included that were not sent after all.
+    pub attempts: u32,
+    /// When it was handed in; not known of one that an earlier process was handed.
+    pub since: Option<Micros>,
+    /// The attempt that is out, and where.
+    pub out: Option<(u32, EndpointId)>,
+}
+
+/// All that passes at the moment of the hand-over, but for what the folder holds.
+#[derive(Serialize, Deserialize)]
+pub struct State {
+    /// What the older process's clock showed.
+    pub clock: Micros,
+    /// And the wall clock then.
+    pub wall: Micros,
+    /// The module's whole record.
+    pub module: Value,
+    /// The last id given to a message.
+    pub last_id: u64,
+    /// The messages held, and those that are over with an attempt out.
+    pub messages: Vec<Message>,
+    /// The module's timers.
+    pub timers: Vec<(Micros, u64)>,
+    /// Messages handed in by each channel.
+    pub handed_in: Vec<u64>,
+    /// User agents that are connected to the older process.
+    pub user_agents: usize,
+    /// The list.
+    pub list: Carried,
+}
+
+#[derive(Serialize, Deserialize)]
+enum FromOld {
+    /// First of all; what comes is held back from here on.
+    State(Box<State>),
+    /// The new process may take the lock.
+    Granted,
+    /// A user agent hands in a message; its body goes beside this.
+    Take { number: u64, request: Request },
+    /// A user agent of a message that was taken on is gone.
+    Withdrawn { id: MessageId },
+    /// A call has come out.
+    Passed(Came),
+    /// An operator wants something.
+    Operate { number: u64, operation: Operation },
+}
+
+#[derive(Serialize, Deserialize)]
+enum FromNew {
+    /// It has read the folder and listens: it takes over.
+    Owns,
+    /// What becomes of a message that was handed in.
+    Reply { number: u64, reply: Reply },
+    /// An attempt is to be called off.
+    CallOff { id: MessageId, attempt: u32 },
+    /// What becomes of an operator's wish.
+    Operated { number: u64, answer: Result<(), No> },
+}
+
+/// Writes frames; any number may be had of it.
+#[derive(Clone)]
+pub struct Speaker {
+    frames: Sender<Vec<u8>>,
+}
+
+impl Speaker {
+    async fn send(&self, head: &impl Serialize, body: &[u8]) -> Result<(), Broken> {
+        let head = serde_json::to_vec(head).map_err(|_| Broken::Malformed("a frame cannot be written"))?;
+        self.frames.send(frame(&head, body)).await.map_err(|_| Broken::Torn)
+    }
+
+    /// What is dropped to call off an attempt that is out at the older process.
+    pub fn call_off(&self, context: &Context, id: MessageId, attempt: u32) -> Sender<()> {
+        let (call, called_off) = async_channel::bounded::<()>(1);
+        let speaker = self.clone();
+        let waiting = async move {
+            let _ = called_off.recv().await;
+            // One that has come out meanwhile is not known there any more.
+            let _ = speaker.send(&FromNew::CallOff { id, attempt }, &[]).await;
+        };
+        context.executor.spawn(waiting).detach();
+        call
+    }
+}
+
+/// One end of the connection between the two.
+struct Link {
+    wire: Wire,
+    speaker: Speaker,
+}
+
+impl Link {
+    fn new(wire: Wire, executor: &LocalExecutor<'static>) -> Result<Link, Broken> {
+        let (frames, mail) = async_channel::bounded(QUEUE);
+        let to = wire.writer().map_err(Broken::Socket)?;
+        executor.spawn(write(to, mail)).detach();
+        Ok(Link { wire, speaker: Speaker { frames } })
+    }
+
+    async fn read<T: DeserializeOwned>(&mut self) -> Result<(T, Vec<u8>), Broken> {
+        let (head, body) = self.wire.read_frame(LARGEST).await?;
+        let head = serde_json::from_slice(&head).map_err(|_| Broken::Malformed("a frame cannot be read"))?;
+        Ok((head, body))
+    }
+}
+
+/// Writes frames beside the reading, so that two that write to each other never wait for each other.
+async fn write(mut to: Async<TcpStream>, mail: Receiver<Vec<u8>>) {
+    while let Ok(frame) = mail.recv().await {
+        if to.write_all(&frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// One that asks to take over.
+pub struct Heir {
+    /// Its connection; it waits for the state.
+    pub wire: Wire,
+    /// The list as the farm holds it; the farm changes nothing from here on.
+    pub list: Carried,
+}
+
+/// Hands all over and then sends on what still comes, without end; comes back if the other did not take it, with
+/// everything as it was before.
+pub async fn give(decider: &mut Decider, heir: Heir, mail: &Receiver<ToDecider>) {
+    let context = decider.context().clone();
+    context.journal.borrow_mut().pause();
+    let begun = Instant::now();
+    let given = async {
+        let mut link = Link::new(heir.wire, &context.executor)?;
+        link.speaker.send(&FromOld::State(Box::new(decider.state(heir.list))), &[]).await?;
+        match link.read().await? {
+            (FromNew::Owns, _) => Ok(link),
+            _ => Err(Broken::Malformed("it did not say that it owns")),
+        }
+    };
+    let given = within(TAKES, given).await.unwrap_or(Err(Broken::Stalled));
+    let link = match given {
+        Ok(link) => link,
+        Err(e) => {
+            warn!(context.log, "not handed over, serving on"; "reason" => e.code(), "error" => %e);
+            if let Err(e) = context.journal.borrow_mut().go_on() {
+                warn!(context.log, "journal"; "error" => %e);
+            }
+            context.handing.set(false);
+            let _ = decider.farm().send(ToFarm::GoOn).await;
+            return;
+        }
+    };
+    // From here on the other one decides. Its listener is open, so this one's may close.
+    context.handed_over.raise();
+    drop(context.owner.take());
+    let _ = link.speaker.send(&FromOld::Granted, &[]).await;
+    info!(context.log, "handed over"; "ms" => begun.elapsed().as_millis() as u64, "open" => context.open.get(),
+        "out" => context.passes_out.get());
+    decider.retire();
+    relay(decider, link, mail).await;
+    warn!(context.log, "the process that took over is gone");
+    context.heir_lost.raise();
+    // Whatever still comes is not taken on.
+    while let Ok(news) = mail.recv().await {
+        match news {
+            ToDecider::Take { reply, .. } => drop(reply.try_send(Reply::Unavailable(LATER))),
+            ToDecider::Operate { reply, .. } => drop(reply.try_send(Err(No::Gone))),
+            _ => {}
+        }
+    }
+}
+
+/// Sends on what comes to the older process, up to the end of the connection.
+async fn relay(decider: &mut Decider, mut link: Link, mail: &Receiver<ToDecider>) {
+    enum Word {
+        Mail(ToDecider),
+        Frame(FromNew),
+    }
+    let mut number = 0;
+    let mut replies: BTreeMap<u64, Sender<Reply>> = BTreeMap::new();
+    let mut answers: BTreeMap<u64, Sender<Result<(), No>>> = BTreeMap::new();
+    loop {
+        let framed = async { link.read().await.ok().map(|f| Word::Frame(f.0)) };
+        let mailed = async { mail.recv().await.ok().map(Word::Mail) };
+        let Some(word) = future::or(framed, mailed).await else { break };
+        number += 1;
+        let sent = match word {
+            Word::Mail(ToDecider::Take { request, reply }) => {
+                replies.insert(number, reply);
+                let body = request.body.clone();
+                link.speaker.send(&FromOld::Take { number, request }, &body).await
+            }
+            Word::Mail(ToDecider::Withdrawn { id }) => {
+                link.speaker.send(&FromOld::Withdrawn { id }, &[]).await
+            }
+            Word::Mail(ToDecider::Passed(came)) => link.speaker.send(&FromOld::Passed(came), &[]).await,
+            Word::Mail(ToDecider::Operate { operation, reply }) => {
+                answers.insert(number, reply);
+                link.speaker.send(&FromOld::Operate { number, operation }, &[]).await
+            }
+            // The other one has its own list and settings, and it is asked itself.
+            Word::Mail(_) => Ok(()),
+            Word::Frame(FromNew::Reply { number, reply }) => match (replies.remove(&number), reply) {
+                (Some(to), Reply::Taken(id)) if to.try_send(reply).is_err() => {
+                    link.speaker.send(&FromOld::Withdrawn { id }, &[]).await
+                }
+                (Some(to), reply) => {
+                    let _ = to.try_send(reply);
+                    Ok(())
+                }
+                (None, _) => Ok(()),
+            },
+            Word::Frame(FromNew::CallOff { id, attempt }) => {
+                decider.call_off(id, attempt);
+                Ok(())
+            }
+            Word::Frame(FromNew::Operated { number, answer }) => {
+                let _ = answers.remove(&number).map(|to| to.try_send(answer));
+                Ok(())
+            }
+            Word::Frame(FromNew::Owns) => Ok(()),
+        };
+        if sent.is_err() {
+            break;
+        }
+    }
+    for (_, to) in replies {
+        let _ = to.try_send(Reply::Unavailable(LATER));
+    }
+}
+
+/// Comes back when the older process has nothing more to do here: all is sent on and nothing came for a while, or
+/// nobody is there to send it to.
+pub async fn left_over(context: &Context) {
+    context.handed_over.until_up().await;
+    let done = async {
+        let mut since = Instant::now();
+        while since.elapsed() < LEFT_OVER {
+            Timer::after(LOOK).await;
+            if context.user_agents.get() + context.passes_out.get() > 0 {
+                since = Instant::now();
+            }
+        }
+    };
+    future::or(done, context.heir_lost.until_up()).await;
+}
+
+/// What a starting process has found in the folder.
+pub struct Claim {
+    /// Held until this process has its name in the folder, so that no third one can come between.
+    _next: Lock,
+    owner: Option<Lock>,
+    link: Option<Link>,
+    /// What the older process passes on, if there is one, and its module as it goes on here.
+    pub passed: Option<(Box<State>, Courier)>,
+}
+
+/// Claims the folder: it is free, or its owner hands it over, or its end is waited for.
+pub async fn claim(config: &Config, log: &Logger, executor: &LocalExecutor<'static>) -> io::Result<Claim> {
+    std::fs::create_dir_all(&config.state)?;
+    let next = loop {
+        match Lock::next(&config.state)? {
+            Some(lock) => break lock,
+            None => drop(Timer::after(LOOK).await),
+        }
+    };
+    let mut hopeless = false;
+    loop {
+        let owner = Lock::owner(&config.state)?;
+        if owner.is_some() {
+            return Ok(Claim { _next: next, owner, link: None, passed: None });
+        }
+        if let Some(named) = owner::named(&config.state).filter(|_| !hopeless) {
+            match within(GIVES, ask(&named, executor)).await.unwrap_or(Err(Broken::Stalled)) {
+                Ok((passed, link)) => {
+                    return Ok(Claim { _next: next, owner, link: Some(link), passed: Some(passed) });
+                }
+                Err(e) => {
+                    info!(log, "no hand-over yet"; "reason" => e.code(), "error" => %e);
+                    // Its words are not understood, and never will be: its end is waited for.
+                    hopeless = matches!(e, Broken::Malformed(_) | Broken::TooLarge);
+                }
+            }
+        }
+        Timer::after(LOOK).await;
+    }
+}
+
+async fn ask(
+    owner: &Owner,
+    executor: &LocalExecutor<'static>,
+) -> Result<((Box<State>, Courier), Link), Broken> {
+    let stream = Async::<TcpStream>::connect(owner.operator).await.map_err(Broken::Socket)?;
+    let mut wire = Wire::new(stream);
+    let Owner { operator, token } = owner;
+    let head = format!("POST /admin/handover HTTP/1.1\r\nHost: {operator}\r\nX-Token: {token}\r\n");
+    let rest = format!("X-Format: {FORMAT}\r\nContent-Length: 0\r\n\r\n");
+    wire.write((head + &rest).as_bytes()).await.map_err(Broken::Socket)?;
+    match wire.read_answer().await?.status {
+        200 => {}
+        415 => return Err(Broken::Malformed("the process that serves speaks another form")),
+        _ => return Err(Broken::Torn),
+    }
+    let mut link = Link::new(wire, executor)?;
+    let (FromOld::State(mut state), _) = link.read().await? else {
+        return Err(Broken::Malformed("the state did not come first"));
+    };
+    // Dropped with the link if it is not understood: the older process serves on.
+    let module = serde_json::from_value(state.module.take());
+    let module = module.map_err(|_| Broken::Malformed("the module's record is of another form"))?;
+    Ok(((state, module), link))
+}
+
+impl Claim {
+    /// What speaks to the older process, if there is one.
+    pub fn speaker(&self) -> Option<Speaker> {
+        self.link.as_ref().map(|l| l.speaker.clone())
+    }
+
+    /// Takes the folder over, once this process listens and has read it. False if the older process serves on after
+    /// all: then everything is to be begun anew.
+    pub async fn take_over(&mut self, config: &Config) -> io::Result<bool> {
+        if let Some(link) = &mut self.link {
+            let granted = async {
+                link.speaker.send(&FromNew::Owns, &[]).await?;
+                link.read::<FromOld>().await
+            };
+            // Where it died meanwhile, its lock is free all the same.
+            let _ = within(GIVES, granted).await;
+        }
+        let until = Instant::now() + GIVES;
+        while self.owner.is_none() && Instant::now() < until {
+            self.owner = Lock::owner(&config.state)?;
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        Ok(self.owner.is_some())
+    }
+
+    /// Puts this process's name in the folder, gives up the place in line, and attends to what the older process sends
+    /// on.
+    pub fn settle(self, context: &Rc<Context>, at: Owner, farm: &Sender<ToFarm>) -> io::Result<()> {
+        let mut owner = self.owner.ok_or_else(|| io::Error::other("the folder is not owned"))?;
+        owner.name(&at)?;
+        *context.token.borrow_mut() = at.token;
+        *context.owner.borrow_mut() = Some(owner);
+        if let Some(link) = self.link {
+            let attending = attend(context.clone(), link, farm.clone());
+            context.executor.spawn(attending).detach();
+        }
+        Ok(())
+    }
+}
+
+/// Attends to what the older process sends on, up to its end.
+async fn attend(context: Rc<Context>, mut link: Link, farm: Sender<ToFarm>) {
+    let reason = loop {
+        let (word, body) = match link.read().await {
+            Ok(read) => read,
+            Err(e) => break e.code(),
+        };
+        let sent = match word {
+            FromOld::Take { number, mut request } => {
+                request.body = body.into();
+                let (reply, answer) = async_channel::bounded(1);
+                let speaker = link.speaker.clone();
+                let answering = async move {
+                    let reply = answer.recv().await.unwrap_or(Reply::Unavailable(LATER));
+                    let _ = speaker.send(&FromNew::Reply { number, reply }, &[]).await;
+                };
+                context.executor.spawn(answering).detach();
+                context.decider.send(ToDecider::Take { request, reply }).await
+            }
+            FromOld::Withdrawn { id } => context.decider.send(ToDecider::Withdrawn { id }).await,
+            FromOld::Passed(came) => {
+                if let Some(wait) = came.ended.wait {
+                    context.board.told_wait(came.endpoint, wait);
+                }
+                context.decider.send(ToDecider::Passed(came)).await
+            }
+            FromOld::Operate { number, operation } => {
+                let (context, farm, speaker) = (context.clone(), farm.clone(), link.speaker.clone());
+                let executor = context.executor.clone();
+                let operating = async move {
+                    let answer = operator::perform(&context, &farm, operation).await;
+                    let _ = speaker.send(&FromNew::Operated { number, answer }, &[]).await;
+                };
+                executor.spawn(operating).detach();
+                Ok(())
+            }
+            FromOld::State(_) | FromOld::Granted => Ok(()),
+        };
+        if sent.is_err() {
+            break "ending";
+        }
+    };
+    info!(context.log, "connection ended"; "side" => "older", "reason" => reason);
+    context.older_agents.set(0);
+    let _ = context.decider.send(ToDecider::OlderGone).await;
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -191,6 +191,12 @@
     framing: Framing,
 }
 
+/// A head and what belongs to it, each after its length.
+pub fn frame(head: &[u8], body: &[u8]) -> Vec<u8> {
+    let sizes = [head, body].map(|p| (p.len() as u32).to_le_bytes());
+    [sizes.concat().as_slice(), head, body].concat()
+}
+
 /// A connection with its buffer.
 pub struct Wire {
     stream: Async<TcpStream>,
@@ -257,11 +263,38 @@
         future::or(filled, late).await
     }
 
+    /// Reads a head of so many bytes at most and what belongs to it, as [`frame`] writes them. What has come is kept if
+    /// this is dropped before it is whole.
+    pub async fn read_frame(&mut self, limit: usize) -> Result<(Vec<u8>, Vec<u8>), Broken> {
+        loop {
+            let bytes = self.buffer.bytes();
+            if let Some((sizes, rest)) = bytes.split_first_chunk::<8>() {
+                let (head, body) = sizes.split_at(4);
+                let size = |s: &[u8]| u32::from_le_bytes(s.try_into().expect("four bytes")) as usize;
+                let (head, body) = (size(head), size(body));
+                if head > limit || body > limit {
+                    return Err(Broken::TooLarge);
+                }
+                if rest.len() >= head + body {
+                    let whole = (rest[..head].to_vec(), rest[head..head + body].to_vec());
+                    self.buffer.consume(8 + head + body);
+                    return Ok(whole);
+                }
+            }
+            self.more().await?;
+        }
+    }
+
     /// Tells the other side that nothing more will be written.
     pub fn end_sending(&self) {
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
     }
 
+    /// The same connection once more, for what is written while something is read.
+    pub fn writer(&self) -> io::Result<Async<TcpStream>> {
+        Async::new(self.stream.get_ref().try_clone()?)
+    }
+
     /// Reads away whatever comes, up to the end.
     pub async fn drain(&mut self) {
         let mut scratch = vec![0; SCRATCH];
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -83,6 +83,8 @@
     live: BTreeMap<u64, Live>,
     live_size: u64,
     foreign: u64,
+    /// Nothing is written: another process may own the folder. Ends that came meanwhile, in case it does not.
+    paused: Option<Vec<u64>>,
 }
 
 /// What a journal held when it was opened.
@@ -112,6 +114,7 @@
             live: BTreeMap::new(),
             live_size: 0,
             foreign: 0,
+            paused: None,
         };
         journal.limit(limit);
         let mut numbers = Vec::new();
@@ -138,6 +141,25 @@
         Ok((journal, restored))
     }
 
+    /// From now on nothing is written.
+    pub fn pause(&mut self) {
+        self.paused = Some(Vec::new());
+        self.newest = None;
+    }
+
+    /// Another process may be writing.
+    pub fn is_paused(&self) -> bool {
+        self.paused.is_some()
+    }
+
+    /// Writes again, after another process has read the folder and changed nothing of what lives.
+    pub fn go_on(&mut self) -> io::Result<()> {
+        let ends = self.paused.take().unwrap_or_default();
+        let (fresh, _) = Journal::open(&self.folder, self.limit + 4 * UNIT)?;
+        *self = fresh;
+        ends.into_iter().try_for_each(|id| self.end(id))
+    }
+
     /// Sets the limit. Under a lower one than what lives takes, nothing is taken on until enough has ended.
     pub fn limit(&mut self, limit: u64) {
         // Some units are kept free for what the folder itself may count.
@@ -248,6 +270,10 @@
 
     /// Notes that nothing more is owed for a message.
     pub fn end(&mut self, id: u64) -> io::Result<()> {
+        if let Some(ends) = &mut self.paused {
+            ends.push(id);
+            return Ok(());
+        }
         if self.live.contains_key(&id) {
             self.forget(id);
             self.append(&write_record(id, &Change::End))?;
@@ -256,6 +282,9 @@
     }
 
     fn append(&mut self, record: &[u8]) -> io::Result<()> {
+        if self.is_paused() {
+            return Err(io::Error::other("the folder is being handed over"));
+        }
         self.make_room(record.len() as u64)?;
         self.write(record)
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,12 +8,15 @@
 pub mod decider;
 pub mod eureka;
 pub mod farm;
+pub mod flag;
 pub mod front;
+pub mod handover;
 pub mod http;
 pub mod journal;
 pub mod lobby;
 pub mod notices;
 pub mod operator;
+pub mod owner;
 pub mod peer;
 pub mod proxy_pass;
 pub mod route_stats;
@@ -22,7 +25,7 @@
 use crate::{Courier, MessageId, Settings};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use board::Board;
 use clock::Clock;
@@ -30,13 +33,15 @@
 use counters::Counters;
 use decider::{Decider, ToDecider};
 use farm::{Farm, ToFarm};
+use flag::Flag;
 use futures_lite::{future, StreamExt};
+use handover::Claim;
 use journal::Journal;
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,8 +90,20 @@
     pub user_agents: Cell<usize>,
     /// The module has a list to go by.
     pub holds_list: Cell<bool>,
-    /// Whether operators let user agents come.
-    pub doors: operator::Doors,
+    /// Operators want user agents sent away.
+    pub sends_away: Flag,
+    /// Another process is taking over, or has: nothing may change here meanwhile.
+    pub handing: Cell<bool>,
+    /// Another process has taken over.
+    pub handed_over: Flag,
+    /// The process that has taken over is gone.
+    pub heir_lost: Flag,
+    /// User agents connected to the process that this one has replaced, at most.
+    pub older_agents: Cell<usize>,
+    /// This process owns the folder.
+    pub owner: RefCell<Option<owner::Lock>>,
+    /// What one that asks to take over must know.
+    pub token: RefCell<String>,
     /// The ids of endpoints that operators left out.
     pub cordoned: RefCell<Vec<String>>,
     /// The names that user agents gave to messages, each for as long as the message is held or its notice owed.
@@ -120,9 +137,15 @@
         self.holds_list.get() && !self.closing()
     }
 
-    /// User agents may come, and operators have not sent them away.
+    /// User agents may come, and operators have not sent them away; those that come yet are passed on where another
+    /// process has taken over.
     pub fn takes_user_agents(&self) -> bool {
-        self.ready() && !self.doors.shut()
+        (self.ready() || self.handed_over.is_up()) && !self.sends_away.is_up()
+    }
+
+    /// An answered user agent is to come again by another connection, if at all.
+    pub fn turns_away(&self) -> bool {
+        self.sends_away.is_up() || self.handed_over.is_up()
     }
 
     /// The counters, with what is held just now.
@@ -137,7 +160,8 @@
         }
         if self.config().operator.is_some() {
             report["cordoned"] = self.cordoned.borrow().clone().into();
-            report["sends_away"] = self.doors.shut().into();
+            report["handed_over"] = self.handed_over.is_up().into();
+            report["sends_away"] = self.sends_away.is_up().into();
         }
         report["user_agents"] = self.user_agents.get().into();
         report["open"] = self.open.get().into();
@@ -200,24 +224,29 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let (config, settings) = load(Reading::Start)?;
-    let clock = Clock::start();
-    let state = config.state.display().to_string();
-    let (journal, restored) = Journal::open(&config.state, config.journal_disk())
-        .map_err(|e| format!("state folder `{state}`: {e}"))?;
+    let folder = |e: std::io::Error| format!("state folder `{}`: {e}", config.state.display());
+    let (mut claim, sockets, (journal, restored)) = loop {
+        let claim = match config.operator {
+            Some(_) => Some(handover::claim(&config, &log, &executor).await.map_err(folder)?),
+            None => None,
+        };
+        let opened = Journal::open(&config.state, config.journal_disk()).map_err(folder)?;
+        let sockets = Sockets::open(&config)?;
+        let Some(mut claim) = claim else { break (None, sockets, opened) };
+        if claim.take_over(&config).await.map_err(folder)? {
+            break (Some(claim), sockets, opened);
+        }
+        warn!(log, "the process that serves goes on, asking once more");
+    };
     for damage in &restored.damage {
         warn!(log, "journal damaged"; "what" => damage);
     }
+    let older = claim.as_ref().and_then(Claim::speaker);
+    let passed = claim.as_mut().and_then(|c| c.passed.take());
     let routes = settings.routes.clone();
-    let courier = Courier::new(settings, config.seed).map_err(|e| e.to_string())?;
-    let listen = config.listen;
-    let listener = front::listen(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-    // The port may have been left to the system.
-    let listen = listener.get_ref().local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-    let operators = config.operator.map(|at| {
-        let opened = front::listen(at).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
-        opened.map_err(|e| format!("cannot listen for operators on {at}: {e}"))
-    });
-    let operators = operators.transpose()?;
+    let fresh = Courier::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
+    let (state, courier) = passed.map_or((None, fresh), |(state, module)| (Some(state), module));
+    let clock = state.as_ref().map_or_else(Clock::start, |s| Clock::go_on(s.clock, s.wall));
     let (decider, mail) = async_channel::bounded(1024);
     let (close, closing) = async_channel::bounded(1);
     let context = Rc::new(Context {
@@ -235,13 +264,19 @@
         routes: route_stats::Routes::default(),
         registry: eureka::Counts::default(),
         registry_view: RefCell::default(),
-        listen,
+        listen: sockets.at,
         passes_out: Cell::new(0),
         open: Cell::new(0),
         notices_owed: Cell::new(0),
         user_agents: Cell::new(0),
         holds_list: Cell::new(false),
-        doors: operator::Doors::default(),
+        sends_away: Flag::default(),
+        handing: Cell::new(false),
+        handed_over: Flag::default(),
+        heir_lost: Flag::default(),
+        older_agents: Cell::new(state.as_ref().map_or(0, |s| s.user_agents)),
+        owner: RefCell::default(),
+        token: RefCell::default(),
         cordoned: RefCell::default(),
     });
     context.routes.apply(routes);
@@ -254,28 +289,63 @@
     if config.operator.is_some() {
         farm.take_cordons();
     }
-    if let Some(known) = &config.known {
-        farm.take_known(known).await;
+    match (state, older) {
+        (Some(state), Some(older)) => {
+            let list = decider.inherit(*state, restored.kept, &older, settings).await;
+            farm.inherit(list).await;
+        }
+        _ => {
+            if let Some(known) = &config.known {
+                farm.take_known(known).await;
+            }
+            decider.restore(restored.kept).await;
+        }
     }
-    decider.restore(restored.kept).await;
     context.executor.spawn(decider.run(mail)).detach();
     context.executor.spawn(farm.run(farm_mail)).detach();
     let registration = register(&context);
-    if let Some((at, listener)) = operators {
+    if let Some(((at, listener), claim)) = sockets.operators.zip(claim) {
+        let token = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
+        let settled = claim.settle(&context, owner::Owner { operator: at, token }, &farm_box);
+        settled.map_err(|e| format!("state folder `{}`: {e}", config.state.display()))?;
         info!(context.log, "operators may call"; "operator" => %at);
         context.executor.spawn(operator::serve(context.clone(), farm_box.clone(), listener)).detach();
     }
-    let front = context.executor.spawn(front::serve(context.clone(), listener));
-    info!(context.log, "serving"; "name" => &config.name, "listen" => %listen, "restored" => context.open.get());
+    let front = context.executor.spawn(front::serve(context.clone(), sockets.listener));
+    info!(context.log, "serving"; "name" => &config.name, "listen" => %sockets.at, "restored" => context.open.get());
     drop(config);
-    attend_signals(&context, &mut signals, load, &farm_box).await;
+    let signalled = attend_signals(&context, &mut signals, load, &farm_box);
+    future::or(signalled, handover::left_over(&context)).await;
     end(&context, close, front).await;
     if let Some((end, gone)) = registration {
         drop(end);
         within(eureka::register::LAST_WORD, gone.recv()).await;
     }
     info!(context.log, "counters"; "report" => %context.report());
-    Ok(())
+    match context.heir_lost.is_up() {
+        true => Err("the process that took over is gone".into()),
+        false => Ok(()),
+    }
+}
+
+/// Where this process listens.
+struct Sockets {
+    at: SocketAddr,
+    listener: Async<TcpListener>,
+    operators: Option<(SocketAddr, Async<TcpListener>)>,
+}
+
+impl Sockets {
+    fn open(config: &Config) -> Result<Sockets, String> {
+        let open = |at: SocketAddr, shared: bool, whom: &str| {
+            // The port may have been left to the system.
+            let opened = front::listen(at, shared).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
+            opened.map_err(|e| format!("cannot listen {whom}on {at}: {e}"))
+        };
+        let (at, listener) = open(config.listen, config.operator.is_some(), "")?;
+        let operators = config.operator.map(|at| open(at, false, "for operators ")).transpose()?;
+        Ok(Sockets { at, listener, operators })
+    }
 }
 
 /// Registers this forwarder, where the site file says so: dropping the first ends it, the second closes then.
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -54,6 +54,10 @@
         while let Ok(notice) = mail.try_recv() {
             pending.push_back(notice);
         }
+        if context.handed_over.is_up() {
+            // They are in the journal, and another process tells them.
+            return;
+        }
         let count = pending.len().min(most);
         let late = async {
             Timer::after(PATIENCE).await;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -1,14 +1,17 @@
 //! The operators' calls: one call a connection, each answered within a second. It changes nothing itself: the farm
-//! keeps cordons, the doors tell user agents.
+//! keeps cordons, a flag tells user agents.
 
 use super::farm::ToFarm;
 use super::front::{Answer, LINGER};
+use super::handover::{Heir, FORMAT};
 use super::http::{Asked, Broken, Wire};
 use super::lobby::{Lobby, Stay};
-use super::{config, within, Context};
+use super::{config, within, Context, ToDecider};
+use crate::membership::Carried;
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -21,14 +24,50 @@
 /// The longest body of a call: an id.
 const LONGEST: usize = 1024;
 const PREFIX: &str = "/admin/";
+const HAND_OVER: &str = "/admin/handover";
 
 /// Why a call is answered with no.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum No {
     /// The list knows no such endpoint.
     Unknown,
     /// It cannot be kept, so it would not hold.
     NotKept(String),
+    /// Nobody is there any more to do it.
+    Gone,
+}
+
+/// What an operator wants.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Operation {
+    /// An endpoint left out, or back.
+    Cordon {
+        /// What the list calls it.
+        id: String,
+        /// Left out, or back.
+        out: bool,
+    },
+    /// User agents sent away, or taken.
+    SendAway(bool),
+}
+
+/// Does it; a yes only once it holds.
+pub async fn perform(context: &Context, farm: &Sender<ToFarm>, operation: Operation) -> Result<(), No> {
+    match operation {
+        Operation::Cordon { id, out } => {
+            let (reply, answer) = async_channel::bounded(1);
+            farm.send(ToFarm::Cordon { id, out, reply }).await.map_err(|_| No::Gone)?;
+            answer.recv().await.unwrap_or(Err(No::Gone))
+        }
+        Operation::SendAway(away) => {
+            info!(context.log, "user agents"; "sent_away" => away);
+            match away {
+                true => context.sends_away.raise(),
+                false => context.sends_away.lower(),
+            }
+            Ok(())
+        }
+    }
 }
 
 /// Takes calls until the listener is dropped.
@@ -36,7 +75,7 @@
     let lobby = Rc::new(Lobby::default());
     let here = Rc::new(());
     loop {
-        while Rc::strong_count(&here) - 1 >= config::OPERATORS + lobby.going() {
+        while Rc::strong_count(&here) > config::OPERATORS + lobby.going() {
             // All of them are being answered, which takes no time.
             if !lobby.make_room() {
                 Timer::after(Duration::from_millis(5)).await;
@@ -66,9 +105,10 @@
     }
 }
 
-async fn attend(mut call: Call, address: SocketAddr) {
+async fn attend(call: Call, address: SocketAddr) {
+    let context = call.context.clone();
     let (what, reason) = call.converse().await;
-    info!(call.context.log, "connection ended"; "side" => "operator", "address" => %address, "call" => what,
+    info!(context.log, "connection ended"; "side" => "operator", "address" => %address, "call" => what,
         "reason" => reason);
 }
 
@@ -81,7 +121,7 @@
 
 impl Call {
     /// Reads a call and answers it: what it was, and why its connection ends.
-    async fn converse(&mut self) -> (String, &'static str) {
+    async fn converse(mut self) -> (String, &'static str) {
         let guest = self.lobby.enter(Stay::Reading);
         let reading = async {
             let head = self.wire.read_request().await?;
@@ -94,6 +134,17 @@
         };
         let read = future::or(crowded, within(SLOW, reading)).await;
         drop(guest);
+        if let Some(Ok((head, _))) =
+            read.as_ref().filter(|r| r.as_ref().is_ok_and(|r| r.0.target == HAND_OVER))
+        {
+            let what = "POST /admin/handover".to_owned();
+            let answer = match self.begin_hand_over(head).await {
+                Ok(list) => return (what, self.hand_over(list).await),
+                Err(answer) => answer,
+            };
+            let _ = within(SLOW, self.wire.write(answer.bytes(false).as_bytes())).await;
+            return (what, "answered");
+        }
         let (what, answer, reason) = match read {
             Some(Ok((head, body))) => {
                 let what = format!("{} {}", head.method, head.target);
@@ -119,6 +170,19 @@
         (what, reason)
     }
 
+    /// Gives the connection to the module's actor, which hands all over on it.
+    async fn hand_over(self, list: Carried) -> &'static str {
+        let Call { context, farm, mut wire, .. } = self;
+        let yes = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        let written = within(SLOW, wire.write(yes)).await.is_some_and(|w| w.is_ok());
+        if written && context.decider.send(ToDecider::HandOver(Heir { wire, list })).await.is_ok() {
+            return "handed-over";
+        }
+        context.handing.set(false);
+        let _ = farm.send(ToFarm::GoOn).await;
+        "operator-gone"
+    }
+
     async fn answer(&self, head: &Asked, body: &[u8]) -> Answer {
         let path = head.target.split('?').next().unwrap_or_default();
         let Some(what) = path.strip_prefix(PREFIX) else { return Answer::plain(404, "no such call\n") };
@@ -131,18 +195,15 @@
             return Answer::plain(405, format!("only with {method}\n"));
         }
         match what {
+            "health" if self.context.handed_over.is_up() => {
+                Answer::plain(503, "another process has taken over\n")
+            }
             "health" if self.context.takes_user_agents() => Answer::plain(200, "takes user agents\n"),
-            "health" if self.context.doors.shut() => Answer::plain(503, "sends user agents away\n"),
+            "health" if self.context.sends_away.is_up() => Answer::plain(503, "sends user agents away\n"),
             "health" => Answer::plain(503, "not ready\n"),
-            "quiesce" => {
-                info!(self.context.log, "user agents are sent away");
-                self.context.doors.close();
-                Answer::plain(200, "user agents are sent away\n")
-            }
-            "resume" => {
-                info!(self.context.log, "user agents are taken");
-                self.context.doors.open();
-                Answer::plain(200, "user agents are taken\n")
+            "quiesce" | "resume" => {
+                let operation = Operation::SendAway(what == "quiesce");
+                self.operate(operation, format!("{what}: it holds\n")).await
             }
             _ => self.cordon(what == "cordon", body).await,
         }
@@ -153,53 +214,52 @@
         if id.is_empty() || !id.bytes().all(|b| b.is_ascii_graphic()) {
             return Answer::plain(400, "the body must be the id of an endpoint\n");
         }
-        let (reply, answer) = async_channel::bounded(1);
-        let asking = ToFarm::Cordon { id: id.to_owned(), out, reply };
-        if self.farm.send(asking).await.is_err() {
-            return Answer::plain(503, "the program is ending\n");
-        }
-        match answer.recv().await {
-            Ok(Ok(())) if out => Answer::plain(200, format!("{id} is left out\n")),
-            Ok(Ok(())) => Answer::plain(200, format!("{id} may serve\n")),
-            Ok(Err(No::Unknown)) => Answer::plain(404, format!("the list knows no endpoint {id}\n")),
-            Ok(Err(No::NotKept(why))) => Answer::plain(507, format!("it cannot be kept: {why}\n")),
-            Err(_) => Answer::plain(503, "the program is ending\n"),
-        }
+        let yes = format!("{id} {}\n", if out { "is left out" } else { "may serve" });
+        self.operate(Operation::Cordon { id: id.to_owned(), out }, yes).await
     }
-}
 
-/// Whether user agents are taken, with word to those that wait between two requests.
-pub struct Doors {
-    word: std::cell::RefCell<(Sender<()>, async_channel::Receiver<()>)>,
-}
-
-impl Default for Doors {
-    fn default() -> Self {
-        Doors { word: async_channel::bounded(1).into() }
-    }
-}
-
-impl Doors {
-    /// User agents are sent away.
-    pub fn shut(&self) -> bool {
-        self.word.borrow().0.is_closed()
-    }
-
-    /// From now on user agents are sent away.
-    pub fn close(&self) {
-        self.word.borrow().0.close();
-    }
-
-    /// From now on they are taken.
-    pub fn open(&self) {
-        if self.shut() {
-            *self.word.borrow_mut() = async_channel::bounded(1);
+    /// Has it done, by the process that decides.
+    async fn operate(&self, operation: Operation, yes: String) -> Answer {
+        let done = if self.context.handing.get() {
+            let (reply, answer) = async_channel::bounded(1);
+            let _ = self.context.decider.send(ToDecider::Operate { operation, reply }).await;
+            answer.recv().await.unwrap_or(Err(No::Gone))
+        } else {
+            perform(&self.context, &self.farm, operation).await
+        };
+        match done {
+            Ok(()) => Answer::plain(200, yes),
+            Err(No::Unknown) => Answer::plain(404, "the list knows no such endpoint\n"),
+            Err(No::NotKept(why)) => Answer::plain(507, format!("it cannot be kept: {why}\n")),
+            Err(No::Gone) => Answer::plain(503, "the program is ending\n"),
         }
     }
 
-    /// Comes back once user agents are sent away.
-    pub async fn until_shut(&self) {
-        let word = self.word.borrow().1.clone();
-        let _ = word.recv().await;
+    /// Whether another process may replace this one; if so, nothing changes any more on its way there.
+    async fn begin_hand_over(&self, head: &Asked) -> Result<Carried, Answer> {
+        let told = |name: &str| head.fields.get(name).unwrap_or_default();
+        if head.method != "POST" || told("X-Token") != *self.context.token.borrow() {
+            return Err(Answer::plain(404, "no such call\n"));
+        }
+        if told("X-Format") != FORMAT.to_string() {
+            return Err(Answer::plain(415, format!("this process speaks form {FORMAT}\n")));
+        }
+        if self.context.handing.get() || self.context.closing() || !self.context.holds_list.get() {
+            return Err(Answer::plain(409, "not now\n"));
+        }
+        self.context.handing.set(true);
+        let (reply, answer) = async_channel::bounded(1);
+        let list = async {
+            let _ = self.farm.send(ToFarm::HandOver { reply }).await;
+            answer.recv().await.ok()
+        };
+        match within(SLOW, list).await.flatten() {
+            Some(list) => Ok(list),
+            None => {
+                self.context.handing.set(false);
+                let _ = self.farm.try_send(ToFarm::GoOn);
+                Err(Answer::plain(503, "not now\n"))
+            }
+        }
     }
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -167,7 +167,7 @@
     let pass = pass.with(&left);
     // Only now, with the connection dropped or idle, may the module know: its next attempt must not find this
     // one still out.
-    let _ = context.decider.send(ToDecider::Passed { pass, ended }).await;
+    let _ = context.decider.send(ToDecider::Passed(pass.came(ended))).await;
     context.passes_out.set(context.passes_out.get() - 1);
 }
 
@@ -217,7 +217,7 @@
             let Some(lapsed) = cut.then(lapsed).flatten() else { break stop };
             lapsed.iter().for_each(|i| waited_for[*i] = false);
             let ended = Ended::alike(lapsed.len(), End::of(Outcome::TimedOut));
-            let _ = context.decider.send(ToDecider::Passed { pass: pass.with(&lapsed), ended }).await;
+            let _ = context.decider.send(ToDecider::Passed(pass.with(&lapsed).came(ended))).await;
         }
     };
     let parts = pass.parts.len();
@@ -299,6 +299,8 @@
     let over = pass.parts.iter().any(|p| p.transaction.is_over());
     let bar = if over {
         Some("over")
+    } else if context.journal.borrow().is_paused() {
+        Some("handed-over")
     } else if now >= pass.first_cut(&vec![true; pass.parts.len()]) {
         Some("cut")
     } else {
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -1,7 +1,8 @@
 //! One attempt at an endpoint: a call of one message, or of several that share it.
 
 use super::transaction::Transaction;
-use crate::{EndpointId, LimitReport, Micros, Outcome};
+use crate::{EndpointId, LimitReport, MessageId, Micros, Outcome};
+use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
 /// A message in a call.
@@ -51,6 +52,12 @@
         alone.then_some(due)
     }
 
+    /// How it came out, in a form that may pass to another process.
+    pub fn came(&self, ended: Ended) -> Came {
+        let parts = self.parts.iter().map(|p| (p.transaction.id, p.attempt)).collect();
+        Came { endpoint: self.endpoint, sent: self.sent, parts, ended }
+    }
+
     /// The same call with some of its parts only.
     pub fn with(&self, parts: &[usize]) -> Pass {
         let parts = parts.iter().map(|i| self.parts[*i].clone()).collect();
@@ -59,7 +66,7 @@
 }
 
 /// How one message of a call came out.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct End {
     /// Its outcome.
     pub outcome: Outcome,
@@ -75,6 +82,7 @@
 }
 
 /// How a call came out.
+#[derive(Serialize, Deserialize)]
 pub struct Ended {
     /// One for each part, in order.
     pub ends: Vec<End>,
@@ -90,3 +98,16 @@
         Ended { ends: vec![end; parts], report: None, wait: None }
     }
 }
+
+/// A call that has come out.
+#[derive(Serialize, Deserialize)]
+pub struct Came {
+    /// Where it went.
+    pub endpoint: EndpointId,
+    /// When the module decided on it.
+    pub sent: Micros,
+    /// The messages that it carried, each with the number of the attempt.
+    pub parts: Vec<(MessageId, u32)>,
+    /// How.
+    pub ended: Ended,
+}
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -2,11 +2,12 @@
 
 use super::route_stats::RouteStats;
 use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, TenantId};
+use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::rc::Rc;
 
 /// What a front hands in.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Request {
     /// The user agent's name for it.
     pub word: String,
@@ -20,7 +21,8 @@
     pub destination: DestinationId,
     /// Up to when it may be delivered, on the program's clock.
     pub deadline: Micros,
-    /// What is passed on.
+    /// What is passed on; between processes it goes beside the rest.
+    #[serde(skip)]
     pub body: Rc<[u8]>,
     /// It was handed in before and turned away.
     pub again: bool,
@@ -56,6 +58,11 @@
         self.attempts.replace(self.attempts.get() + 1)
     }
 
+    /// Attempts begun so far.
+    pub fn attempts(&self) -> u32 {
+        self.attempts.get()
+    }
+
     /// Nothing more may be sent for it.
     pub fn is_over(&self) -> bool {
         self.over.get()
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -8,6 +8,8 @@
 //! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 close` | the rest of a user agent's life |
 //! | `with operator=on`, `o health 200`, `o cordon e1 200`, `o quiesce 200` | operators may call; a call, and its status |
 //! | `o raw 400 TEXT`, `o crowd 20 TEXT` | a call as it is written; so many callers that write no more than that and stay |
+//! | `upgrade`, `upgrading` | starts a second process on the same folder, with and without waiting until it says yes |
+//! | `back`, `old term`, `old kill`, `old stop`, `old exit`, `old log TEXT`, `old o …` | the new one is forgotten; the one that it replaces; user agents stay where they connected |
 //! | `health 503` | waits until the clients' address answers so about its health |
 //! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
@@ -222,6 +224,56 @@
     }
 }
 
+/// A process of the program.
+#[derive(Default)]
+struct Run {
+    program: Option<Child>,
+    operator: Option<SocketAddr>,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Run {
+    fn signal(&self, name: &str) {
+        let id = self.program.as_ref().expect("started").id().to_string();
+        let sent = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        assert!(sent.expect("a shell").success());
+    }
+
+    fn kill(&mut self) {
+        let mut program = self.program.take().expect("started");
+        program.kill().and_then(|()| program.wait()).expect("it ends");
+    }
+
+    fn exit(&mut self) {
+        // Kept until it has ended: one that hangs is killed with the world.
+        let program = self.program.as_mut().expect("started");
+        let status = soon("the end of the program", || program.try_wait().expect("a child"));
+        self.program = None;
+        assert!(status.success(), "{status}");
+    }
+
+    fn logged(&self, text: &str) {
+        let there = || self.log.lock().expect("unpoisoned").iter().any(|l| l.contains(text)).then_some(());
+        soon(&format!("log line `{text}`"), there);
+    }
+
+    /// What stands behind some words of a line of the log.
+    fn told(&self, line: &str, what: &str) -> Option<SocketAddr> {
+        let log = self.log.lock().expect("unpoisoned");
+        let rest = log.iter().find(|l| l.contains(line))?.split_once(what)?.1;
+        rest.split(',').next()?.trim().parse().ok()
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if let Some(mut program) = self.program.take() {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
+    }
+}
+
 /// All parties of a scenario.
 struct World {
     folder: PathBuf,
@@ -234,11 +286,11 @@
     endpoints: BTreeMap<String, Endpoint>,
     agents: BTreeMap<String, BufReader<TcpStream>>,
     crowd: Vec<TcpStream>,
-    program: Option<Child>,
+    run: Run,
+    /// The process that the one that runs is to replace.
+    old: Run,
     listen: Option<SocketAddr>,
     operators: bool,
-    operator: Option<SocketAddr>,
-    log: Arc<Mutex<Vec<String>>>,
     open: u64,
     disk: f64,
     grace: f64,
@@ -291,8 +343,8 @@
                 thread::sleep(Duration::from_millis(500));
             }
         });
-        let (endpoints, agents, crowd, log) = Default::default();
-        let (open, disk, grace, tick, program, listen) = (8, 1.0, 250.0, 5.0, None, None);
+        let (endpoints, agents, crowd, run, old) = Default::default();
+        let (open, disk, grace, tick, listen) = (8, 1.0, 250.0, 5.0, None);
         World {
             folder,
             platform,
@@ -304,11 +356,10 @@
             endpoints,
             agents,
             crowd,
-            program,
+            run,
+            old,
             listen,
             operators: false,
-            operator: None,
-            log,
             open,
             disk,
             grace,
@@ -343,28 +394,27 @@
                     }
                     false => fs::write(self.folder.join("config.json"), rest).expect("written"),
                 }
-                self.signal("HUP");
-            }
-            "stop" => self.signal("STOP"),
-            "continue" => self.signal("CONT"),
-            "term" => self.signal("TERM"),
-            "kill" => {
-                let mut program = self.program.take().expect("started");
-                program.kill().and_then(|()| program.wait()).expect("it ends");
-            }
-            "exit" => {
-                // Kept until it has ended: one that hangs is killed with the world.
-                let program = self.program.as_mut().expect("started");
-                let status = soon("the end of the program", || program.try_wait().expect("a child"));
-                self.program = None;
-                assert!(status.success(), "{status}");
-            }
+                self.run.signal("HUP");
+            }
+            "upgrade" => self.upgrade(true),
+            "upgrading" => self.upgrade(false),
+            "old" => match words[1] {
+                "stop" => self.old.signal("STOP"),
+                "continue" => self.old.signal("CONT"),
+                "term" => self.old.signal("TERM"),
+                "kill" => self.old.kill(),
+                "exit" => self.old.exit(),
+                "log" => self.old.logged(rest.trim_start_matches("log ")),
+                _ => operate(self.old.operator, &mut self.crowd, &words[2..], rest),
+            },
+            "back" => self.run = std::mem::take(&mut self.old),
+            "stop" => self.run.signal("STOP"),
+            "continue" => self.run.signal("CONT"),
+            "term" => self.run.signal("TERM"),
+            "kill" => self.run.kill(),
+            "exit" => self.run.exit(),
             "wait" => words[1..].iter().for_each(|w| self.wait(w)),
-            "log" => {
-                let log = self.log.clone();
-                let there = || log.lock().expect("unpoisoned").iter().any(|l| l.contains(rest)).then_some(());
-                soon(&format!("log line `{rest}`"), there);
-            }
+            "log" => self.run.logged(rest),
             "state-under" => {
                 let sizes = fs::read_dir(self.folder.join("state")).expect("a folder");
                 let sizes = sizes.map(|f| f.expect("a file").metadata().expect("a size").len());
@@ -388,7 +438,7 @@
                 fs::write(path, bytes).expect("written");
             }
             "damage" => self.damage(words[1], words[2].parse().expect("a number")),
-            "o" => self.operate(&words[1..], rest),
+            "o" => operate(self.run.operator, &mut self.crowd, &words[1..], rest),
             "health" => {
                 let wanted = format!("HTTP/1.1 {} ", words[1]);
                 soon(line, || self.get("/_health").starts_with(&wanted).then_some(()));
@@ -454,12 +504,38 @@
         });
         if self.operators {
             config["operator"] = "127.0.0.1:0".into();
+            if let Some(listen) = self.listen.filter(|_| self.old.program.is_some()) {
+                config["listen"] = listen.to_string().into();
+            }
         }
         let path = self.folder.join("config.json");
         fs::write(&path, config.to_string()).expect("written");
     }
 
     fn start(&mut self) {
+        self.spawn();
+        if self.operators {
+            let run = &self.run;
+            let told = soon("operators' address", || run.told("operators may call", "operator: "));
+            self.run.operator = Some(told);
+        }
+        let run = &self.run;
+        self.listen = Some(soon("its address", || run.told("serving", "listen: ")));
+        soon("its health", || self.get("/_health").starts_with("HTTP/1.1 200").then_some(()));
+        // Past the list that it may have known; from here on all news is news.
+        self.wait("lists>=1");
+    }
+
+    /// Starts a process that replaces the one that runs.
+    fn upgrade(&mut self, wait: bool) {
+        self.old = std::mem::take(&mut self.run);
+        if wait {
+            return self.start();
+        }
+        self.spawn();
+    }
+
+    fn spawn(&mut self) {
         self.configure();
         // As the platform tells it; the variable stays as it is while the program runs.
         let mut command = program();
@@ -470,34 +546,15 @@
         }
         let mut program = command.stderr(Stdio::piped()).spawn().expect("it starts");
         let lines = BufReader::new(program.stderr.take().expect("a pipe")).lines();
-        self.program = Some(program);
-        let log = self.log.clone();
-        log.lock().expect("unpoisoned").clear();
+        self.run = Run::default();
+        self.run.program = Some(program);
+        let log = self.run.log.clone();
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 eprintln!("  {line}");
                 log.lock().expect("unpoisoned").push(line);
             }
         });
-        let log = self.log.clone();
-        let told = |line: &str, what: &str| {
-            let log = log.lock().expect("unpoisoned");
-            let line = log.iter().find(|l| l.contains(line))?.split_once(what)?.1.to_owned();
-            line.split(',').next()?.trim().parse::<SocketAddr>().ok()
-        };
-        if self.operators {
-            self.operator = Some(soon("its operators' address", || told("operators may call", "operator: ")));
-        }
-        self.listen = Some(soon("its address", || told("serving", "listen: ")));
-        soon("its health", || self.get("/_health").starts_with("HTTP/1.1 200").then_some(()));
-        // Past the list that it may have known; from here on all news is news.
-        self.wait("lists>=1");
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.program.as_ref().expect("started").id().to_string();
-        let sent = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
-        assert!(sent.expect("a shell").success());
     }
 
     fn get(&self, path: &str) -> String {
@@ -509,43 +566,6 @@
         answer
     }
 
-    /// An operator's call.
-    fn operate(&mut self, words: &[&str], rest: &str) {
-        let connect = || {
-            let stream = TcpStream::connect(self.operator.expect("operators may call")).expect("it listens");
-            stream.set_read_timeout(Some(PATIENCE)).expect("set");
-            stream
-        };
-        let (text, status) = match words {
-            ["crowd", count, ..] => {
-                let text = unescape(rest.split_once(count).expect("the count").1.trim_start());
-                for _ in 0..count.parse().expect("a number") {
-                    let mut caller = connect();
-                    caller.write_all(text.as_bytes()).expect("written");
-                    self.crowd.push(caller);
-                }
-                return;
-            }
-            ["raw", status, ..] => {
-                (unescape(rest.split_once(status).expect("the status").1.trim_start()), *status)
-            }
-            ["health", status] => ("GET /admin/health HTTP/1.1\r\n\r\n".to_owned(), *status),
-            [what, id @ .., status] => {
-                let body = id.concat();
-                let length = body.len();
-                (format!("POST /admin/{what} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"), *status)
-            }
-            _ => panic!("no such call"),
-        };
-        let since = Instant::now();
-        let mut stream = connect();
-        stream.write_all(text.as_bytes()).expect("written");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer and an end");
-        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
-        assert!(since.elapsed() < PATIENCE, "it was late");
-    }
-
     fn wait(&self, condition: &str) {
         let (name, wanted) = condition.split_once('=').expect("name=value");
         let flag = |w: &str| u64::from(w == "true");
@@ -736,6 +756,43 @@
     }
 }
 
+/// An operator's call; a crowd of callers that write no more than a text stays.
+fn operate(operator: Option<SocketAddr>, crowd: &mut Vec<TcpStream>, words: &[&str], rest: &str) {
+    let connect = || {
+        let stream = TcpStream::connect(operator.expect("operators may call")).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        stream
+    };
+    let (text, status) = match words {
+        ["crowd", count, ..] => {
+            let text = unescape(rest.split_once(count).expect("the count").1.trim_start());
+            for _ in 0..count.parse().expect("a number") {
+                let mut caller = connect();
+                caller.write_all(text.as_bytes()).expect("written");
+                crowd.push(caller);
+            }
+            return;
+        }
+        ["raw", status, ..] => {
+            (unescape(rest.split_once(status).expect("the status").1.trim_start()), *status)
+        }
+        ["health", status] => ("GET /admin/health HTTP/1.1\r\n\r\n".to_owned(), *status),
+        [what, id @ .., status] => {
+            let body = id.concat();
+            let length = body.len();
+            (format!("POST /admin/{what} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"), *status)
+        }
+        _ => panic!("no such call"),
+    };
+    let since = Instant::now();
+    let mut stream = connect();
+    stream.write_all(text.as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer and an end");
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+    assert!(since.elapsed() < PATIENCE, "it was late");
+}
+
 /// The program, shut off from the surroundings' variables.
 pub fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_cedarbridge"));
@@ -755,10 +812,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        if let Some(mut program) = self.program.take() {
-            let _ = program.kill();
-            let _ = program.wait();
-        }
+        (self.run, self.old) = Default::default();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,146 @@
+//! One process replaces another, in the language of `scenario/mod.rs`.
+
+mod scenario;
+
+use scenario::play;
+
+/// What is out stays out at the old process, what waits goes on at the new one, and what comes to the old one is
+/// passed on: each message gets one end.
+#[test]
+fn a_new_process_goes_on_with_all_that_the_old_one_held() {
+    play(
+        "with e1=1 e2=9:one:leaving operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         u2 send m2 dest=9
+         u2 expect 202
+         e1 expect m1
+         u3 connect
+         upgrade
+         wait inherited=2 open=2
+         o health 200
+         old o health 503
+         u1 send m3
+         u1 expect 202 Connection: close
+         u1 expect end
+         e1 expect m3
+         e1 send m3 200
+         wait delivered=1 open=2
+         e1 send m1 200
+         wait delivered=2 open=1
+         old term
+         u3 send m4
+         u3 expect 202 close
+         e1 expect m4
+         e1 send m4 200
+         old exit
+         p send e2=active
+         e2 expect m2
+         e2 send m2 200
+         wait delivered=4 open=0 failed=0",
+    );
+}
+
+#[test]
+fn what_is_out_when_the_old_process_dies_may_have_run_and_is_sent_again() {
+    play(
+        "with e1=1 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         u2 send m2 class=once
+         u2 expect 202
+         e1 expect m1
+         e1 expect m2
+         upgrade
+         old kill
+         p expect m2 failed
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1 failed=1 open=0",
+    );
+}
+
+#[test]
+fn a_told_wait_and_a_cordon_hold_over_an_upgrade() {
+    play(
+        "with e1=1 e2=2 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 429 X-RateLimit-Wait-Ms:1500
+         o cordon e2 200
+         u2 send m2 dest=2
+         u2 expect 202
+         wait full=1
+         upgrade
+         wait inherited=2 passes=0
+         old o uncordon e2 200
+         e2 expect m2
+         e2 send m2 200
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=2",
+    );
+}
+
+#[test]
+fn a_new_process_that_dies_or_cannot_start_leaves_the_old_one_serving() {
+    play(
+        "with e1=1 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         upgrading
+         kill
+         back
+         u2 send m2
+         u2 expect 202
+         e1 expect m2
+         e1 send m2 200
+         e1 send m1 200
+         wait delivered=2
+         upgrade
+         old term
+         old exit
+         u3 send m3
+         u3 expect 202
+         e1 expect m3",
+    );
+}
+
+#[test]
+fn two_upgrades_in_a_row_and_a_notice_owed_lose_nothing() {
+    play(
+        "with e1=1 e2=2 operator=on
+         start
+         p mute
+         u1 send m1 class=once dest=2
+         u1 expect 202
+         e2 expect m1
+         e2 close m1
+         wait failed=1 notices_owed=1
+         u2 send m2
+         u2 expect 202
+         e1 expect m2
+         upgrade
+         wait notices_owed=1
+         old term
+         old exit
+         e1 expect m2
+         u3 send m3
+         u3 expect 202
+         e1 expect m3
+         upgrade
+         p speak
+         p expect m1 failed
+         e1 send m2 200
+         e1 send m3 200
+         wait delivered=2 open=0 notices_owed=0
+         old term
+         old exit",
+    );
+}
