Treat an endpoint that is called back as one that returns cold

Change: what goes from draining back to listed starts at the cold pace; its destination too where it serves alone. Checked: the test fails without the change (60 sent) and holds with it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,6 +217,12 @@
         (fleet * 2.0 * draw).max(least as f64 * (1.0 - JITTER / 2.0 + JITTER * draw)) as Micros
     }
 
+    /// Called back: it was out by the list's word and may have been restarted meanwhile.
+    fn return_cold(&mut self, now: Micros, s: &Settings) {
+        self.turn(now, TIMEOUT, 0, s, 0.0);
+        (self.cold_since, self.tokens, self.refilled) = (Some(now), self.tokens.min(1.0), now);
+    }
+
     /// A refusal as full; a failure only if nothing else came for one Timeout.
     fn refused(&mut self, now: Micros, sent: Micros, told: bool, trial: bool, s: &Settings, draw: f64) {
         let since = *self.trouble_since.get_or_insert(now);
@@ -476,10 +482,17 @@
             }
             let new =
                 || Endpoint { entry: e.clone(), breaker: Breaker::new(now), last_used: 0, reusable: false };
+            let at = |o: &EndpointId| self.endpoints.get(o).map_or(Lifecycle::Gone, |o| o.entry.lifecycle);
+            let alone = !d.endpoints.iter().any(|o| *o != e.endpoint && at(o) == Lifecycle::Listed);
+            let back = at(&e.endpoint) == Lifecycle::Draining && e.lifecycle == Lifecycle::Listed;
             let ep = self.endpoints.entry(e.endpoint).or_insert_with(new);
             ep.entry = e.clone();
             d.breaker.weight = if e.weight > 0.0 && e.weight.is_finite() { e.weight } else { 1.0 };
             ep.breaker.weight = d.breaker.weight / if d.apart { 1.0 } else { d.endpoints.len() as f64 };
+            if back {
+                ep.breaker.return_cold(now, &self.s);
+                [&mut d.breaker].into_iter().filter(|_| alone).for_each(|b| b.return_cold(now, &self.s));
+            }
         }
         // What is gone is forgotten, but for a told wait (rule 6).
         let kept = |e: &Endpoint| e.entry.lifecycle != Lifecycle::Gone || now < e.breaker.wait_until;
@@ -639,10 +652,8 @@
                 b.latency = Some(mean + LATENCY_GAIN * (took - mean));
             }
             if before != b.status && b.status != Status::Half {
-                log.push(format!(
-                    "breaker {:?}: at {} failures {}: {outcome:?}",
-                    b.status, id.0, b.failure_count
-                ));
+                let (state, count) = (b.status, b.failure_count);
+                log.push(format!("breaker {state:?}: at {} failures {count}: {outcome:?}", id.0));
             }
         }
         self.s = s;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -175,6 +175,33 @@
     assert!(sent <= 30, "{sent} sent");
 }
 
+/// Guards against a backlog that is let go on an endpoint that was restarted while it was left out: nobody saw it
+/// fail, but it is as cold as after an outage.
+#[test]
+fn an_endpoint_that_is_called_back_gets_no_more_than_the_budget_where_it_serves_alone() {
+    let listed = |endpoint, lifecycle| Entry { lifecycle, ..entry(endpoint, 1, 0) };
+    let patch = |e: Entry| Event::List(ListNews::Patch(vec![e]));
+    let sent_in_two_seconds = |entries: Vec<Entry>| {
+        let mut w = World::new(Settings { slots: 100, ..settings() }, entries);
+        w.step(vec![patch(listed(7, Lifecycle::Draining))]);
+        let mut events: Vec<Event> = (0..60).map(|_| Event::Message(w.message(SAFE, 1))).collect();
+        w.at(4 * SECOND, vec![patch(listed(7, Lifecycle::Listed))]);
+        let start = w.now;
+        let mut sent = 0;
+        while w.now < start + 2 * SECOND {
+            let actions = w.at(20 * MS, std::mem::take(&mut events));
+            let out = sends(&actions);
+            sent += out.iter().filter(|(_, e)| *e == EndpointId(7)).count();
+            events = out.iter().map(|(id, e)| result(*id, 0, *e, Outcome::Ok)).collect();
+        }
+        sent
+    };
+    let alone = sent_in_two_seconds(vec![entry(7, 1, 0)]);
+    assert!((4..=30).contains(&alone), "{alone} sent");
+    let beside = sent_in_two_seconds(vec![entry(7, 1, 0), entry(8, 1, 0)]);
+    assert!((1..=20).contains(&beside), "{beside} sent");
+}
+
 // Rule 5: order.
 
 fn keyed(w: &mut World) -> NewMessage {
