Call off a call that hangs alone, and do not count it against its endpoint

At fault: src/logic.rs, `stalled` (one late call stopped an endpoint), `judge` (a time-out counts whatever else was answered), and nothing that ends a call before its cut unless all slots are taken. Change: a record keeps the last send that was answered; what was sent before it and is unanswered is called off at 1.5 times the patience and counts nothing; one late call lets another go, two do not.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod breach;
 pub mod cli;
 pub mod logic;
+pub mod measured;
 pub mod membership;
 pub mod net;
 pub mod routes;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! a free slot for the waiting destination with the least recent slot time. `docs/design.md`: what departs.
 
 use crate::api::*;
+use crate::measured::Measured;
 use crate::routes::Timing;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -13,9 +14,8 @@
 const SECOND: Micros = 1_000_000;
 const NEVER: Micros = Micros::MAX;
 
-/// FailureThreshold: two in a row; a healthy partner errs so rarely that chance hardly ever does this.
-/// A reset may be the network's alone, as no other failure is: with one last, it takes one more.
-const FAILURE_THRESHOLD: u32 = 2; // SuccessThreshold is one, so successes are not counted
+/// FailureThreshold: two in a row, with a reset last (it may be the network's) three. SuccessThreshold is one.
+const FAILURE_THRESHOLD: u32 = 2;
 /// Timeout: from opening to NextAttempt. Shorter, trials cost more than the wait; longer, outages last.
 const TIMEOUT: Micros = 2 * SECOND;
 /// NextAttempt is spread over this part of the time to it, lest all couriers try at once.
@@ -44,15 +44,15 @@
 /// A call unanswered for this multiple of the mean, and at least so long, makes its endpoint suspect; an
 /// unsafe one is lost when it is called off, so it gets the last figure times the patience.
 const SUSPECT: (f64, Micros, f64) = (4.0, 400 * MS, 3.0);
+/// Where what was sent later was answered, a call is called off after this multiple of the patience.
+const ALONE: f64 = 1.5;
 /// A call is abandoned after this multiple of the mean, within the range; an unsafe one in twice that.
 const CUT: (f64, Micros, Micros) = (16.0, 2400 * MS, 16 * SECOND);
-/// Loss on reused connections beyond that on fresh ones from which idle connections are given back before a
-/// send, the weight of a new sample, and how fast the verdict fades with each fresh call answered.
+/// Loss on reused connections beyond that on fresh ones from which idle ones are given back; gain; fading.
 const STALE: (f64, f64, f64) = (0.2, 0.1, 0.995);
 /// After a connection that was not made: what each later call leaves of the memory, and where it ends.
 const CROWDED: (f64, f64) = (0.95, 0.2);
-/// What a call that gets no connection loses of its worth: idle ones are given back where that is more than
-/// the fee of a handshake.
+/// What a call without a connection loses of its worth; over a handshake's fee, idle ones are given back.
 const UNMADE_COSTS: f64 = 0.125;
 /// Part of `max_open` kept free for what comes in within one batch.
 const RESERVE: usize = 16;
@@ -72,31 +72,6 @@
     Until(Micros),
 }
 
-/// How often something happened lately.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct Measured {
-    count: f64,
-    over: Micros,
-    at: Micros,
-}
-
-impl Measured {
-    /// More of it after so much time; what lies further back than the longest fades.
-    fn count(&mut self, more: f64, time: Micros, longest: Micros) {
-        self.over += time;
-        if self.over > longest {
-            self.count *= longest as f64 / self.over as f64;
-            self.over = longest;
-        }
-        self.count += more;
-    }
-
-    /// With the time since the last; one at least, as a courier of many seldom saw more.
-    fn per_second(&self, since: Micros) -> f64 {
-        self.count.max(1.0) * SECOND as f64 / (self.over + since).max(TIMEOUT) as f64
-    }
-}
-
 /// The record kept for a destination, a route apart or an endpoint.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Breaker {
@@ -105,9 +80,9 @@
     next_attempt: Micros,
     trial: bool, // The one trial of a half breaker is out
     last_ok: Micros,
-    /// Failures were seen that may be an outage, and no success since.
-    outage: bool,
-    gap: Micros,         // From the last opening to NextAttempt
+    ok_sent: Micros, // The last send that was answered: a call sent before it has no dead endpoint to wait for
+    outage: bool,    // Failures were seen that may be an outage, and no success since
+    gap: Micros,     // From the last opening to NextAttempt
     spread: f64, // Seconds from one call to the next by which all couriers' calls at its return fit together
     delivered: Measured, // Calls that succeeded while all was well
     asked: Measured, // Messages that came for it
@@ -254,9 +229,8 @@
         if self.outage {
             return Some(s.cold_from);
         }
+        self.cold_since = self.cold_since.filter(|t| now < t + s.cold);
         let since = self.cold_since?;
-        self.cold_since = (now < since + s.cold).then_some(since);
-        self.cold_since?;
         Some(s.cold_from + (1.0 - s.cold_from) * (now - since) as f64 / s.cold as f64)
     }
 
@@ -270,7 +244,7 @@
     /// take at any spread of the traffic over couriers, or the even part if that is told and more.
     fn share(&self, now: Micros, s: &Settings) -> f64 {
         let well = self.trouble_since.unwrap_or(now).saturating_sub(self.last_ok);
-        let own = self.delivered.per_second(well);
+        let own = self.delivered.per_second(well, TIMEOUT);
         self.base(s).map_or(own, |b| own.max(b / s.couriers as f64))
     }
 
@@ -285,7 +259,8 @@
         let crammed = self.trim < 1.0 && (known.is_some() || now < self.paused_at + CRAMMED * self.backoff);
         let least = if crammed { 0.0 } else { LONE_PACE };
         let spread = if known.is_some_and(|l| l.left < LOW_LEFT) { 1.0 } else { SPREAD };
-        let wanted = if self.asked.count > 0.0 { self.asked.per_second(now - self.asked.at) } else { 0.0 };
+        let wanted =
+            if self.asked.count > 0.0 { self.asked.per_second(now - self.asked.at, TIMEOUT) } else { 0.0 };
         ((self.share(now, s).max(wanted) * spread).max(least) * self.trim).max(even * COLD_PACE)
     }
 
@@ -332,10 +307,8 @@
     born: Micros,
     deadline: Micros,
     attempts: u32,
-    /// Send time and zone of the first attempt that may have run.
-    may_have_run: Option<(Micros, Option<ZoneId>)>,
-    /// The attempt that is out, and its call.
-    out: Option<(u32, u64)>,
+    may_have_run: Option<(Micros, Option<ZoneId>)>, // When and where the first such attempt was sent
+    out: Option<(u32, u64)>,                        // The attempt that is out, and its call
     sent_zone: ZoneId,
     over: bool,
     rest_until: Micros,         // The pause that its route sets before a further attempt
@@ -361,12 +334,14 @@
     rest_until: Micros,
 }
 
+type Destinations = BTreeMap<DestinationId, Destination>;
+
 /// The decisions of one sender. Instances share nothing; the same events give the same actions.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Courier {
     s: Settings,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    destinations: BTreeMap<DestinationId, Destination>,
+    destinations: Destinations,
     messages: BTreeMap<MessageId, Message>,
     calls: BTreeMap<u64, Call>,
     lines: BTreeMap<OrderKey, KeyLine>,
@@ -403,6 +378,7 @@
             self.take(now, event);
         }
         self.ask(now);
+        self.release(now);
         self.sweep(now);
         self.shed(now);
         self.dispatch(now);
@@ -640,7 +616,11 @@
         for b in self.records(id) {
             b.trial &= !trial;
             let before = b.status;
+            b.ok_sent = b.ok_sent.max(if outcome == Outcome::Ok { sent } else { 0 });
+            // What was sent later was answered: its connection is dead or its work long, the endpoint is well.
+            let alone = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && sent < b.ok_sent;
             match outcome {
+                _ if alone => {}
                 Outcome::Ok => b.succeed(now, &s),
                 Outcome::Full(told) => b.refused(now, sent, told.is_some(), trial, &s, draw),
                 // A connection that was dead already says nothing of the destination; the next call does.
@@ -648,7 +628,7 @@
                 _ => b.fail(now, trial, &s, draw, outcome == Outcome::Reset),
             };
             let mean = b.latency.unwrap_or(all);
-            if outcome == Outcome::Ok || outcome == Outcome::TimedOut && took > mean {
+            if outcome == Outcome::Ok || outcome == Outcome::TimedOut && took > mean && !alone {
                 b.latency = Some(mean + LATENCY_GAIN * (took - mean));
             }
             if before != b.status && b.status != Status::Half {
@@ -671,11 +651,9 @@
         self.bury(id);
     }
 
-    /// Guards against idle connections that die unnoticed (a firewall on the way, a partner that drops them):
-    /// calls on reused ones go unanswered far more often than on fresh ones. And against endpoints whose
-    /// connections are all taken by the idle ones of many couriers: once one was not made, idle ones of that
-    /// kind are given back after each call, until so many calls went through. Both could cost handshakes
-    /// in vain: where hangs strike busy endpoints more, and after a crash.
+    /// Guards against idle connections that die unnoticed (a firewall, a partner that drops them): calls on
+    /// reused ones go unanswered far more often. And against endpoints whose connections are all taken by
+    /// the idle ones of many couriers: once one was not made, those of that kind are given back for a while.
     fn learn_connection(&mut self, id: EndpointId, outcome: Outcome, reused: Option<bool>) {
         let answered = matches!(outcome, Outcome::Ok | Outcome::Full(_) | Outcome::Error);
         // One that breaks at once costs no more than the next call: nothing is to be learnt from it.
@@ -859,23 +837,45 @@
         if !self.s.cancel || self.calls.values().any(|c| c.called_off) {
             return;
         }
-        let overdue = |c: &Call| {
-            let ep = self.endpoints.get(&c.endpoint)?;
-            let risky = c.parts.iter().any(|p| self.effect(p.0) == Effect::Unsafe);
-            let patience = self.patience(ep) as f64 * if risky { SUSPECT.2 } else { 1.0 };
-            let by = (now - c.sent) as f64 / patience;
-            (c.sent >= ep.breaker.last_ok && by > 1.0).then_some(by)
-        };
-        let worst = self.calls.iter().filter_map(|(n, c)| Some((overdue(c)?, *n)));
-        // With none overdue yet, look again soon: a call becomes so without any event.
-        let worst = worst.max_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, number)) = worst else { return self.wake_at(now + SUSPECT.1 / 2) };
+        let late = |c: &Call| self.overdue(now, c).filter(|by| *by > 1.0 && !self.answered_since(c));
+        let late = self.calls.iter().filter_map(|(n, c)| Some((late(c)?, *n)));
+        match late.max_by(|a, b| a.0.total_cmp(&b.0)) {
+            Some((_, number)) => self.call_off(number),
+            // Look again soon: a call becomes overdue without any event.
+            None => self.wake_at(now + SUSPECT.1 / 2),
+        }
+    }
+
+    /// Calls off what is long overdue at an endpoint that has answered what was sent later: it hangs on its
+    /// connection alone, and would keep a slot and its messages up to the cut.
+    fn release(&mut self, now: Micros) {
+        let late = |c: &Call| self.overdue(now, c).filter(|_| self.s.cancel && self.answered_since(c));
+        let late: Vec<_> = self.calls.iter().filter_map(|(n, c)| Some((late(c)?, *n))).collect();
+        if !late.is_empty() {
+            self.wake_at(now + SUSPECT.1 / 4);
+        }
+        late.iter().filter(|l| l.0 > ALONE).for_each(|l| self.call_off(l.1));
+    }
+
+    fn call_off(&mut self, number: u64) {
         let call = self.calls.get_mut(&number).unwrap();
         call.called_off = true;
         let cancel = |p: &(MessageId, u32)| Action::Cancel { id: p.0, attempt: p.1 };
         self.actions.extend(call.parts.iter().map(cancel));
     }
 
+    /// Something that was sent to its endpoint after this call was answered.
+    fn answered_since(&self, c: &Call) -> bool {
+        self.endpoints.get(&c.endpoint).is_some_and(|e| c.sent < e.breaker.ok_sent)
+    }
+
+    /// For how many times the patience a call is out. An unsafe one is lost when it is called off: it has more.
+    fn overdue(&self, now: Micros, c: &Call) -> Option<f64> {
+        let ep = self.endpoints.get(&c.endpoint).filter(|_| !c.called_off)?;
+        let risky = c.parts.iter().any(|p| self.effect(p.0) == Effect::Unsafe);
+        Some((now - c.sent) as f64 / (self.patience(ep) as f64 * if risky { SUSPECT.2 } else { 1.0 }))
+    }
+
     fn effect(&self, id: MessageId) -> Effect {
         self.messages.get(&id).map_or(Effect::Safe, |m| self.s.classes[m.class.0].effect)
     }
@@ -937,13 +937,13 @@
         candidates.into_iter().find_map(first)
     }
 
-    /// Calls to this endpoint have been out for too long while nothing was answered: a hang, a silence or
-    /// a crawl. Nothing more goes there until they end, so that the other destinations keep the slots.
+    /// Two calls to this endpoint are out for too long and nothing sent after them was answered: a hang, a
+    /// silence or a crawl. Nothing more goes there until they end, so that others keep the slots.
     fn stalled(&self, now: Micros, e: EndpointId) -> bool {
         let Some(ep) = self.endpoints.get(&e) else { return false };
         let patience = self.patience(ep);
-        let late = |c: &Call| c.endpoint == e && c.sent >= ep.breaker.last_ok && now - c.sent > patience;
-        self.calls.values().any(late)
+        let late = |c: &&Call| c.endpoint == e && c.sent >= ep.breaker.ok_sent && now - c.sent > patience;
+        self.calls.values().filter(late).count() > 1
     }
 
     fn mean_latency(&self, ep: &Endpoint) -> f64 {
@@ -955,9 +955,8 @@
         ((self.mean_latency(ep) * SUSPECT.0) as Micros).max(SUSPECT.1)
     }
 
-    /// The message that gains most by going now: by worth lost over the time the queue takes to drain;
-    /// while a destination is suspect, the cheapest to lose first.
-    /// In a call, only those follow the first that have its time-out: it is cut for all at once.
+    /// The message that gains most by going now: by worth lost over the time the queue takes to drain; while a
+    /// destination is suspect, the cheapest to lose first. A call holds only messages of one time-out.
     fn choose(
         &self,
         now: Micros,
@@ -1047,17 +1046,12 @@
     }
 }
 
-/// The longest that an attempt may be out where its route says nothing. An unsafe message is lost when its
-/// attempt is cut, so it has longer.
+/// The longest that an attempt may be out where its route says nothing; an unsafe one is lost when it is cut.
 pub fn longest_cut(effect: Effect) -> Micros {
     CUT.2 * if effect == Effect::Unsafe { 2 } else { 1 }
 }
 
-fn destination(
-    all: &mut BTreeMap<DestinationId, Destination>,
-    now: Micros,
-    id: DestinationId,
-) -> &mut Destination {
+fn destination(all: &mut Destinations, now: Micros, id: DestinationId) -> &mut Destination {
     let fresh = || Destination { per_call: 1, breaker: Breaker::new(now), ..Destination::default() };
     all.entry(id).or_insert_with(fresh)
 }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -205,6 +205,44 @@
 }
 
 /// Incident ibf1554: idle connections died unnoticed; each reuse after a pause went unanswered.
+/// Guards against one silent connection among good ones that keeps its slot and its message up to the cut, and then
+/// counts as a failure of an endpoint that answers all else.
+#[test]
+fn a_call_that_hangs_alone_is_called_off_and_opens_nothing() {
+    let mut w = one();
+    for round in 0..3 {
+        let (lone, e) = w.sent(SAFE, 1);
+        // Past the patience one more goes, on another connection; it is answered.
+        w.at(1700 * MS, vec![]);
+        let (other, _) = w.sent(SAFE, 1);
+        let actions = w.at(50 * MS, vec![result(other, 0, e, Outcome::Ok)]);
+        let early = actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
+        assert!(round > 0 || !early, "not before it is long overdue");
+        let mut called_off = early;
+        for _ in 0..20 {
+            let cancel = Action::Cancel { id: lone, attempt: 0 };
+            called_off |= w.at(50 * MS, vec![]).contains(&cancel);
+        }
+        assert!(called_off);
+        let again = sends(&w.at(10 * MS, vec![result(lone, 0, e, Outcome::Cancelled)]));
+        assert_eq!(again, [(lone, e)]);
+        w.at(50 * MS, vec![result(lone, 1, e, Outcome::Ok)]);
+    }
+    let shown = w.courier.shown(w.now).next().expect("a destination");
+    assert_eq!((shown.status, shown.cold), (Status::Closed, false));
+}
+
+#[test]
+fn an_endpoint_that_leaves_two_calls_unanswered_gets_no_third() {
+    let mut w = one();
+    w.sent(SAFE, 1);
+    w.at(1700 * MS, vec![]);
+    w.sent(SAFE, 1);
+    w.at(1700 * MS, vec![]);
+    let third = w.message(SAFE, 1);
+    assert!(sends(&w.step(vec![Event::Message(third)])).is_empty());
+}
+
 #[test]
 fn idle_connections_go_back_when_reused_ones_go_unanswered() {
     let entries = (0..20).map(|i| entry(i, i as u64, 0)).collect();
