--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 const SECOND: Micros = 1_000_000;
 const NEVER: Micros = Micros::MAX;
 
-/// FailureThreshold: two in a row, with a reset last (it may be the network's) three. SuccessThreshold is one.
+/// FailureThreshold: two in a row; with a reset last (maybe the network's) three. SuccessThreshold is one.
 const FAILURE_THRESHOLD: u32 = 2;
 /// Timeout: from opening to NextAttempt. Shorter, trials cost more than the wait; longer, outages last.
 const TIMEOUT: Micros = 2 * SECOND;
@@ -80,7 +80,7 @@
     next_attempt: Micros,
     trial: bool, // The one trial of a half breaker is out
     last_ok: Micros,
-    ok_sent: Micros, // The last send that was answered: a call sent before it has no dead endpoint to wait for
+    ok_sent: Micros, // The last send that was answered: what went before it has no dead endpoint to wait for
     outage: bool,    // Failures were seen that may be an outage, and no success since
     gap: Micros,     // From the last opening to NextAttempt
     spread: f64, // Seconds from one call to the next by which all couriers' calls at its return fit together
@@ -617,7 +617,7 @@
             b.trial &= !trial;
             let before = b.status;
             b.ok_sent = b.ok_sent.max(if outcome == Outcome::Ok { sent } else { 0 });
-            // What was sent later was answered: its connection is dead or its work long, the endpoint is well.
+            // What was sent later was answered: its connection is dead or its work long, not the endpoint.
             let alone = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && sent < b.ok_sent;
             match outcome {
                 _ if alone => {}
@@ -869,7 +869,7 @@
         self.endpoints.get(&c.endpoint).is_some_and(|e| c.sent < e.breaker.ok_sent)
     }
 
-    /// For how many times the patience a call is out. An unsafe one is lost when it is called off: it has more.
+    /// For how many times the patience a call is out; an unsafe one, which is lost when called off, has more.
     fn overdue(&self, now: Micros, c: &Call) -> Option<f64> {
         let ep = self.endpoints.get(&c.endpoint).filter(|_| !c.called_off)?;
         let risky = c.parts.iter().any(|p| self.effect(p.0) == Effect::Unsafe);
@@ -955,7 +955,7 @@
         ((self.mean_latency(ep) * SUSPECT.0) as Micros).max(SUSPECT.1)
     }
 
-    /// The message that gains most by going now: by worth lost over the time the queue takes to drain; while a
+    /// The message that gains most by going now: by worth lost over the time that the queue takes; while a
     /// destination is suspect, the cheapest to lose first. A call holds only messages of one time-out.
     fn choose(
         &self,
