Come back to a platform that turns watches away at the fleet's pace, and wait for its answer

Seen in the logs: 503 without Retry-After about 3,900 times; a probe with pauses of 5 to 10 s got all lists within seconds. At fault: src/net/farm.rs, a fixed pause of 200 ms, a watch given up after 1 s without an answer, and a module's wish for a list (every 2.5 s) that cut the pause short. Change: src/membership/approach.rs decides when the next watch is opened: the fleet together asks about ten times a second, spread and drawn, first watches too; a call waits 8 s; a watch that waits its turn is not cut short; a told wait is kept.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! `docs/registry.md` weighs the ways; `docs/operating-registry.md` is for operators.
 
+mod approach;
 mod poll;
 mod settings;
 mod view;
@@ -14,6 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+pub use approach::Approach;
 pub use poll::{Poller, Question};
 pub use settings::{Address, Ask, MetadataNames, Registration, RegistrySettings};
 pub use view::{Counts, HoldDown, Shrink};
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -48,6 +48,8 @@
     pub max_open: usize,
     /// Calls out at once.
     pub slots: usize,
+    /// Forwarders that share the traffic, this one included.
+    pub couriers: usize,
     /// The kinds of destination.
     pub kinds: Vec<Kind>,
     /// What classes, tenants, zones and kinds are called.
@@ -121,6 +123,7 @@
             granularity: settings.granularity,
             max_open: settings.max_open,
             slots: settings.slots,
+            couriers: settings.couriers,
             kinds: settings.kinds.clone(),
             names: Arc::new(names),
             keyed: of(crate::Effect::Keyed),
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -264,16 +264,17 @@
         state.list
     }
 
-    /// The process that this one has replaced is gone: what was out there may have run.
-    fn lose_older(&mut self) {
-        let out = self.held.iter().filter_map(|(id, h)| h.out.as_ref().filter(|o| o.older).map(|o| (*id, o)));
-        let lost: Vec<_> = out.map(|(id, o)| (o.endpoint, (id, o.attempt))).collect();
+    /// What was out at the process that this one has replaced, which is gone: it may have run. That process ended, not
+    /// the endpoint, so no breaker may count it.
+    pub fn lost_with_older(&mut self) -> Vec<Came> {
         let now = self.context.clock.now();
-        for (endpoint, part) in lost {
-            // That process ended, not the endpoint: no breaker may count it.
+        let older = |h: &mut Held| h.out.take_if(|o| o.older);
+        let out = self.held.iter_mut().filter_map(|(id, h)| older(h).map(|o| (*id, o)));
+        let came = |(id, o): (MessageId, Out)| {
             let ended = Ended::alike(1, End::of(Outcome::Stale));
-            self.take_passed(Came { endpoint, sent: now, parts: vec![part], ended });
-        }
+            Came { endpoint: o.endpoint, sent: now, parts: vec![(id, o.attempt)], ended }
+        };
+        out.map(came).collect()
     }
 
     /// Another process decides from here on; only the calls that are out are still this one's.
@@ -363,7 +364,9 @@
                 };
                 self.context.executor.spawn(operating).detach();
             }
-            ToDecider::OlderGone => self.lose_older(),
+            ToDecider::OlderGone => {
+                self.lost_with_older().into_iter().for_each(|came| self.take_passed(came))
+            }
             ToDecider::Show { reply } => {
                 let _ = reply.try_send(self.show());
             }
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -8,7 +8,7 @@
 use super::operator::No;
 use super::{in_time, Context, ToDecider};
 use crate::membership::{
-    Carried, Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State,
+    Approach, Carried, Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State,
 };
 use crate::words::{in_field, index, text, whole, Names};
 use crate::{DestinationId, EndpointId, Entry, KindId, Lifecycle, ListNews, Micros, ZoneId};
@@ -27,8 +27,7 @@
 /// A watch that says nothing for so long, not even with an empty line, is opened anew.
 const SILENCE: Duration = Duration::from_millis(3000);
 /// The platform's agent answers at once; one that does not is asked again.
-const OPENING: Duration = Duration::from_millis(1000);
-const PAUSE: Duration = Duration::from_millis(200);
+const OPENING: Duration = Duration::from_millis(8000);
 const LINE_LIMIT: usize = 4 * 1024 * 1024;
 
 /// What the farm can be told.
@@ -48,6 +47,8 @@
     Ended {
         /// Which watch.
         watch: u64,
+        /// The wait that the platform asked for.
+        asked: Option<Micros>,
     },
     /// Another process goes on with the list: nothing changes here any more.
     HandOver {
@@ -127,6 +128,7 @@
     /// The one that is to take its place once it has told its first list.
     next: Option<Watch>,
     watches: u64,
+    approach: Approach,
     generation: Option<u64>,
     /// Where that version comes from; not known of the list that the configuration brings.
     source: Option<SocketAddr>,
@@ -143,6 +145,7 @@
     /// A farm that holds nothing; its mailbox is for its watches.
     pub fn new(context: Rc<Context>, own: Sender<ToFarm>) -> Self {
         let names = context.config().names.clone();
+        let approach = Approach::new(context.config().couriers);
         let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
         let membership = Membership::new(sources);
         let (held, next, generation, source, registry, left) = Default::default();
@@ -154,6 +157,7 @@
             held,
             next,
             watches: 0,
+            approach,
             generation,
             source,
             registry,
@@ -342,10 +346,11 @@
     async fn take(&mut self, news: ToFarm) {
         match news {
             ToFarm::Look => self.look().await,
-            ToFarm::Watch if self.held.is_none() => self.open(Duration::ZERO),
+            // One that waits its turn is on its way: a fleet that is turned away must not ask all the more.
+            ToFarm::Watch if self.held.is_none() && self.next.is_none() => self.open(Duration::ZERO),
             ToFarm::Watch => {}
             ToFarm::Line { watch, line } => self.take_line(watch, &line).await,
-            ToFarm::Ended { watch } => self.ended(watch),
+            ToFarm::Ended { watch, asked } => self.ended(watch, asked),
             ToFarm::HandOver { reply } => {
                 self.handed_over = true;
                 let _ = reply.try_send(self.membership.carried());
@@ -515,7 +520,10 @@
         if leads(&self.held) {
             self.next = None;
         } else if !leads(&self.next) {
-            self.open(Duration::ZERO);
+            // A process that starts with a list may be one of many that do; a new address is looked at at once.
+            let first = self.watches == 0 && self.context.holds_list.get();
+            let pause = if first { self.approach.start(fastrand::f64()) } else { 0 };
+            self.open(Duration::from_micros(pause));
         }
     }
 
@@ -527,21 +535,31 @@
         let (context, own, number) = (self.context.clone(), self.own.clone(), self.watches);
         let task = self.context.executor.spawn(async move {
             Timer::after(pause).await;
-            let reason = watch(address, after, number, &own).await.code();
-            info!(context.log, "connection ended"; "side" => "farm", "reason" => reason);
-            let _ = own.send(ToFarm::Ended { watch: number }).await;
+            let asked = match watch(address, after, number, &own).await {
+                Over::TurnedAway(status, asked) => {
+                    info!(context.log, "connection ended"; "side" => "farm", "reason" => "turned-away",
+                        "status" => status);
+                    asked
+                }
+                Over::Broke(e) => {
+                    info!(context.log, "connection ended"; "side" => "farm", "reason" => e.code());
+                    None
+                }
+            };
+            let _ = own.send(ToFarm::Ended { watch: number, asked }).await;
         });
         self.next = Some(Watch { number, address, _task: task });
     }
 
     /// A watch is over. While another address is wanted than the one that is watched, only a watch there counts.
-    fn ended(&mut self, watch: u64) {
+    fn ended(&mut self, watch: u64, asked: Option<Micros>) {
         let over = |w: &mut Watch| w.number == watch;
         self.held.take_if(over);
         self.next.take_if(over);
         let wanted = self.context.config().discovery;
         if self.next.is_none() && self.held.as_ref().is_none_or(|w| w.address != wanted) {
-            self.open(PAUSE);
+            let pause = self.approach.pause(asked, fastrand::f64());
+            self.open(Duration::from_micros(pause));
         }
     }
 
@@ -555,7 +573,7 @@
             Ok(read) => read,
             Err(e) => {
                 warn!(self.context.log, "the list makes no sense"; "error" => e);
-                return self.ended(watch);
+                return self.ended(watch, None);
             }
         };
         if of(&self.next) {
@@ -564,6 +582,7 @@
                 info!(self.context.log, "connection ended"; "side" => "farm", "reason" => "moved");
             }
         }
+        self.approach.told();
         self.source = self.held.as_ref().map(|w| w.address);
         info!(self.context.log, "list"; "generation" => self.generation, "complete" => complete, "entries" => listings.len());
         self.context.counters.lists.add();
@@ -580,8 +599,16 @@
     Policy { by_address: true, ..Policy::default() }
 }
 
+/// How a watch was over.
+enum Over {
+    /// The platform turned it away, maybe with a wait.
+    TurnedAway(u16, Option<Micros>),
+    /// Its connection was of no more use.
+    Broke(Broken),
+}
+
 /// Hands on line after line until the connection ends; why it did.
-async fn watch(address: SocketAddr, after: Option<u64>, number: u64, farm: &Sender<ToFarm>) -> Broken {
+async fn watch(address: SocketAddr, after: Option<u64>, number: u64, farm: &Sender<ToFarm>) -> Over {
     let opening = async {
         let mut wire = Wire::new(Async::<TcpStream>::connect(address).await.map_err(Broken::Socket)?);
         let after = after.map_or(String::new(), |g| format!("&after={g}"));
@@ -589,31 +616,34 @@
         wire.write(request.as_bytes()).await.map_err(Broken::Socket)?;
         let head = wire.read_answer().await?;
         if head.status != 200 {
-            return Err(Broken::Malformed("the watch was not answered with 200"));
+            let asked = head.fields.get("Retry-After").and_then(|r| r.parse::<f64>().ok());
+            let asked = asked.filter(|s| (0.0..=60.0).contains(s)).map(|s| (s * 1e6) as Micros);
+            return Ok(Err((head.status, asked)));
         }
-        Ok(wire)
+        Ok(Ok(wire))
     };
     let mut wire = match in_time(opening, OPENING).await {
-        Ok(wire) => wire,
-        Err(e) => return e,
+        Ok(Ok(wire)) => wire,
+        Ok(Err((status, asked))) => return Over::TurnedAway(status, asked),
+        Err(e) => return Over::Broke(e),
     };
     let mut line = Vec::new();
     loop {
         let part = match in_time(wire.chunk(LINE_LIMIT), SILENCE).await {
             Ok(Some(part)) => part,
-            Ok(None) => return Broken::Ended,
-            Err(e) => return e,
+            Ok(None) => return Over::Broke(Broken::Ended),
+            Err(e) => return Over::Broke(e),
         };
         line.extend_from_slice(&part);
         while let Some(end) = line.iter().position(|b| *b == b'\n') {
             let rest = line.split_off(end + 1);
             let line = std::mem::replace(&mut line, rest);
             if farm.send(ToFarm::Line { watch: number, line }).await.is_err() {
-                return Broken::Ended;
+                return Over::Broke(Broken::Ended);
             }
         }
         if line.len() > LINE_LIMIT {
-            return Broken::TooLarge;
+            return Over::Broke(Broken::TooLarge);
         }
     }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -243,6 +243,13 @@
                 answers.insert(number, reply);
                 link.speaker.send(&FromOld::Operate { number, operation }, &[]).await
             }
+            Word::Mail(ToDecider::OlderGone) => {
+                let mut sent = Ok(());
+                for came in decider.lost_with_older() {
+                    sent = link.speaker.send(&FromOld::Passed(came), &[]).await;
+                }
+                sent
+            }
             // The other one has its own list and settings, and it is asked itself.
             Word::Mail(_) => Ok(()),
             Word::Frame(FromNew::Reply { number, reply }) => match (replies.remove(&number), reply) {
