Play heirs and owners that go wrong at each step of the hand-over

Need: the old process must serve on whatever the new one does before it owns, and a new one must wait for an owner that it cannot understand. Change: steps of the scenario language that speak the hand-over themselves; six more scenarios (wrong token and form, an heir that leaves after each step or is silent, one that dies as the owner, an owner that answers noise, a hung one, three processes in a row, leftover files).

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -9,6 +9,9 @@
 /// New work may go to an endpoint for so long after the forwarder was told that it drains.
 const DRAIN_GRACE: Micros = 250_000;
 
+/// So many hand-ins may end at the door in one replacement.
+const AT_THE_DOOR: usize = 2;
+
 /// What is let through, as clocks on two sides never agree to the microsecond.
 #[derive(Clone, Copy, Debug)]
 pub struct Slack {
@@ -49,6 +52,8 @@
     Drains,
     /// A partner that returns is not pushed over.
     PushedOver,
+    /// Hardly a hand-in ends at the door while a process is replaced.
+    Door,
     /// Only messages that were handed in are sent, and only to their own partner.
     Strays,
 }
@@ -65,6 +70,7 @@
             Rule::Waits => "waits",
             Rule::Drains => "drains",
             Rule::PushedOver => "pushed-over",
+            Rule::Door => "door",
             Rule::Strays => "strays",
         }
     }
@@ -171,6 +177,15 @@
         self.broken.push(Breach { rule, at, forwarder, message: None, what: what.into() });
     }
 
+    /// A forwarder's process was replaced; so many hand-ins ended at the door meanwhile.
+    pub fn replaced(&mut self, at: Micros, forwarder: usize, at_the_door: usize) {
+        if at_the_door > AT_THE_DOOR {
+            let what = format!("{at_the_door} hand-ins ended at the door, {AT_THE_DOOR} allowed");
+            let (rule, forwarder) = (Rule::Door, Some(forwarder));
+            self.broken.push(Breach { rule, at, forwarder, message: None, what });
+        }
+    }
+
     /// A message is handed in to a forwarder; messages are numbered as they come.
     pub fn taken(&mut self, now: Micros, forwarder: usize, handed_in: Micros, time_left: Micros) {
         let (forwarder, deadline) = (forwarder as u32, now + time_left);
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -98,11 +98,9 @@
         let from = moment(&t.at);
         (number(&t.partner.value), from, from + t.lasts.0, t.trouble())
     });
-    let stops = scenario.stops.iter().map(|s| StopAt {
-        forwarder: s.forwarder.value - 1,
-        at: moment(&s.at),
-        signal: s.signal,
-        back: s.back.0,
+    let stops = scenario.stops.iter().flat_map(|s| {
+        let (forwarder, first, signal, back) = (s.forwarder.value - 1, moment(&s.at), s.signal, s.back.0);
+        (0..s.times as u64).map(move |n| StopAt { forwarder, at: first + n * s.every.0, signal, back })
     });
     let mut stops: Vec<StopAt> = stops.collect();
     stops.sort_by_key(|s| s.at);
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -115,6 +115,17 @@
     }
 }
 
+/// A forwarder's process that was replaced while it served.
+#[derive(Clone, Copy, Debug)]
+pub struct Upgrade {
+    /// From the start of the new one until it took clients.
+    pub ready: Micros,
+    /// From the old one's signal until it had left.
+    pub left: Micros,
+    /// Hand-ins that were not let in, closed on or left unread meanwhile.
+    pub at_the_door: usize,
+}
+
 /// The figures of one day.
 pub struct Figures {
     tries: Vec<Try>,
@@ -149,6 +160,8 @@
     pub delivered: u64,
     /// Attempts made.
     pub attempts: u64,
+    /// Processes that were replaced, in the order of time.
+    pub upgrades: Vec<Upgrade>,
 }
 
 impl Figures {
@@ -187,6 +200,7 @@
             failed: 0,
             delivered: 0,
             attempts: 0,
+            upgrades: Vec::new(),
         };
         for h in &world.hands {
             figures.side(figures.troubled[h.partner]).asked += h.worth;
--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -69,10 +69,16 @@
         }
         match ask(&stage, to, first, deadline - now, again).await {
             None => {
+                stage.at_the_door(to);
                 to = (to + 1) % couriers;
                 Timer::after(Duration::from_micros(ELSEWHERE)).await;
             }
-            Some((message, heard)) => return hear(&stage, message, heard),
+            Some((message, heard)) => {
+                if matches!(heard, Heard::Broken | Heard::Nothing) {
+                    stage.at_the_door(to);
+                }
+                return hear(&stage, message, heard);
+            }
         }
     }
 }
--- a/crates/lab/src/live/daemon.rs
+++ b/crates/lab/src/live/daemon.rs
@@ -2,7 +2,9 @@
 //! keeper, which asks the system to end it with its parent.
 
 use super::{Failure, Stage, MUST_LEAVE};
-use crate::words::config;
+use crate::figures::Upgrade;
+use crate::scenario;
+use crate::words::{config, Places};
 use async_io::{Async, Timer};
 use cedarbridge::net::http::Wire;
 use cedarbridge::Micros;
@@ -18,20 +20,35 @@
 /// How often a process or an address is looked at.
 const LOOK: Duration = Duration::from_millis(5);
 
-/// A forwarder: ended when this is dropped.
+/// A new process must take clients so long after its start.
+const MUST_TAKE: Duration = Duration::from_secs(6);
+/// What an old process still does at the door is counted up to so long after its end.
+const DOOR: Duration = Duration::from_millis(300);
+
+/// A process: ended when this is dropped.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A forwarder, with the process that is being replaced.
 pub struct Daemon {
     folder: PathBuf,
-    listen: SocketAddr,
-    child: Option<Child>,
+    ip: [u8; 4],
+    places: Places,
+    child: Option<Process>,
+    older: Option<Process>,
 }
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
+/// Which of a forwarder's processes.
+#[derive(Clone, Copy)]
+enum Which {
+    Own,
+    Older,
 }
 
 fn system(what: &str) -> impl Fn(std::io::Error) -> Failure + '_ {
@@ -45,35 +62,56 @@
         let state = folder.join("state");
         std::fs::create_dir_all(&state).map_err(system("cannot make a forwarder's folder"))?;
         let ip = [127, 88, 1 + (forwarder / 250) as u8, 1 + (forwarder % 250) as u8];
-        let picked = TcpListener::bind(SocketAddr::from((ip, 0)));
-        let listen = picked.and_then(|l| l.local_addr()).map_err(system("no address for a forwarder"))?;
-        let text = config(&stage.world, forwarder, listen, agent, &state).to_string();
-        std::fs::write(folder.join("config.json"), text).map_err(system("cannot write a configuration"))?;
-        Ok(Daemon { folder, listen, child: None })
+        let listen = pick(ip)?;
+        // Operators call only where a day has them replace something.
+        let replaced = stage.world.stops.iter().any(|s| s.signal == scenario::Signal::Upgrade);
+        let operator = replaced.then(|| pick(ip)).transpose()?;
+        let daemon =
+            Daemon { folder, ip, places: Places { listen, operator, agent }, child: None, older: None };
+        daemon.configure(stage, forwarder)?;
+        Ok(daemon)
+    }
+
+    fn configure(&self, stage: &Stage, forwarder: usize) -> Result<(), Failure> {
+        let text = config(&stage.world, forwarder, self.places, &self.folder.join("state")).to_string();
+        std::fs::write(self.folder.join("config.json"), text).map_err(system("cannot write a configuration"))
     }
 
     /// Where it listens.
     pub fn listen(&self) -> Option<SocketAddr> {
-        self.child.as_ref().map(|_| self.listen)
+        self.child.as_ref().map(|_| self.places.listen)
     }
 
     /// Where it listens when it is there.
     pub fn address(&self) -> SocketAddr {
-        self.listen
+        self.places.listen
     }
 
-    fn pid(&self) -> Option<Pid> {
-        self.child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32))
+    fn process(&mut self, which: Which) -> &mut Option<Process> {
+        match which {
+            Which::Own => &mut self.child,
+            Which::Older => &mut self.older,
+        }
+    }
+
+    fn pid(&mut self, which: Which) -> Option<Pid> {
+        self.process(which).as_ref().and_then(|c| Pid::from_raw(c.0.id() as i32))
     }
 
     /// How it ended, once it has.
-    fn gone(&mut self) -> Option<ExitStatus> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        self.child = None;
+    fn gone(&mut self, which: Which) -> Option<ExitStatus> {
+        let process = self.process(which);
+        let status = process.as_mut()?.0.try_wait().ok()??;
+        *process = None;
         Some(status)
     }
 }
 
+fn pick(ip: [u8; 4]) -> Result<SocketAddr, Failure> {
+    let picked = TcpListener::bind(SocketAddr::from((ip, 0)));
+    picked.and_then(|l| l.local_addr()).map_err(system("no address for a forwarder"))
+}
+
 /// Starts a forwarder.
 pub fn start(stage: &Stage, forwarder: usize) -> Result<(), Failure> {
     let d = &mut stage.daemons.borrow_mut()[forwarder];
@@ -96,19 +134,21 @@
         "ROUTER_DISCOVERY",
         "ROUTER_STATE",
         "ROUTER_CONFIG",
+        "ROUTER_OPERATOR",
         "CEDARBRIDGE_SITE",
     ] {
         command.env_remove(name);
     }
     command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-    d.child = Some(command.spawn().map_err(system("cannot start a forwarder"))?);
+    d.child = Some(Process(command.spawn().map_err(system("cannot start a forwarder"))?));
     Ok(())
 }
 
-async fn healthy(address: SocketAddr) -> bool {
+async fn healthy(address: SocketAddr, path: &str) -> bool {
     let asked = async {
         let mut wire = Wire::new(Async::<TcpStream>::connect(address).await.ok()?);
-        wire.write(b"GET /_health HTTP/1.1\r\nHost: kit\r\nConnection: close\r\n\r\n").await.ok()?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: kit\r\nConnection: close\r\n\r\n");
+        wire.write(request.as_bytes()).await.ok()?;
         Some(wire.read_answer().await.ok()?.status == 200)
     };
     let late = async {
@@ -120,13 +160,22 @@
 
 /// Waits until a forwarder has answered that it is ready.
 pub async fn until_ready(stage: &Stage, forwarder: usize, within: Duration) -> Result<(), String> {
-    let address = stage.daemons.borrow()[forwarder].listen;
+    let address = stage.daemons.borrow()[forwarder].places.listen;
+    until_healthy(stage, forwarder, (address, "/_health"), within).await
+}
+
+async fn until_healthy(
+    stage: &Stage,
+    forwarder: usize,
+    asked: (SocketAddr, &str),
+    within: Duration,
+) -> Result<(), String> {
     let until = Instant::now() + within;
     while Instant::now() < until {
-        if healthy(address).await {
+        if healthy(asked.0, asked.1).await {
             return Ok(());
         }
-        let gone = stage.daemons.borrow_mut()[forwarder].gone();
+        let gone = stage.daemons.borrow_mut()[forwarder].gone(Which::Own);
         if let Some(status) = gone {
             let log = stage.daemons.borrow()[forwarder].folder.join("log");
             return Err(format!(
@@ -142,17 +191,21 @@
 
 /// Sends a signal to a forwarder.
 pub fn signal(stage: &Stage, forwarder: usize, signal: Signal) {
-    if let Some(pid) = stage.daemons.borrow()[forwarder].pid() {
+    signal_to(stage, forwarder, Which::Own, signal);
+}
+
+fn signal_to(stage: &Stage, forwarder: usize, which: Which, signal: Signal) {
+    if let Some(pid) = stage.daemons.borrow_mut()[forwarder].pid(which) {
         // It may just have ended, which is seen elsewhere.
         let _ = kill_process(pid, signal);
     }
 }
 
 /// Waits for a forwarder's end; after its time it is killed, which is a mishap.
-async fn until_gone(stage: &Stage, forwarder: usize) {
+async fn until_gone(stage: &Stage, forwarder: usize, which: Which) {
     let until = Instant::now() + MUST_LEAVE;
     loop {
-        let gone = stage.daemons.borrow_mut()[forwarder].gone();
+        let gone = stage.daemons.borrow_mut()[forwarder].gone(which);
         match gone {
             Some(status) if !status.success() => {
                 return stage.mishap(format!("forwarder {} ended with {status}", forwarder + 1));
@@ -160,8 +213,8 @@
             Some(_) => return,
             None if Instant::now() > until => {
                 stage.mishap(format!("forwarder {} was there 3.7 s after SIGTERM", forwarder + 1));
-                signal(stage, forwarder, Signal::KILL);
-                while stage.daemons.borrow_mut()[forwarder].gone().is_none() {
+                signal_to(stage, forwarder, which, Signal::KILL);
+                while stage.daemons.borrow_mut()[forwarder].gone(which).is_none() {
                     Timer::after(LOOK).await;
                 }
                 return;
@@ -177,10 +230,10 @@
     stage.audit.borrow_mut().excuse(forwarder, stage.now(), Micros::MAX);
     if in_order {
         signal(stage, forwarder, Signal::TERM);
-        until_gone(stage, forwarder).await;
+        until_gone(stage, forwarder, Which::Own).await;
     } else {
         signal(stage, forwarder, Signal::KILL);
-        while stage.daemons.borrow_mut()[forwarder].gone().is_none() {
+        while stage.daemons.borrow_mut()[forwarder].gone(Which::Own).is_none() {
             Timer::after(LOOK).await;
         }
     }
@@ -196,8 +249,39 @@
     stage.audit.borrow_mut().excused_until(forwarder, stage.now() + AGAIN_DUE);
 }
 
+/// Replaces a forwarder's process while it serves, as the platform does: a second one on the same folder, with an
+/// operators' address of its own, and SIGTERM to the first once the second takes clients.
+pub async fn upgrade(stage: &Rc<Stage>, forwarder: usize) {
+    let begun = stage.now();
+    stage.door.borrow_mut()[forwarder] = Some(0);
+    let placed = {
+        let d = &mut stage.daemons.borrow_mut()[forwarder];
+        d.older = d.child.take();
+        pick(d.ip).and_then(|operator| {
+            d.places.operator = Some(operator);
+            d.configure(stage, forwarder).map(|()| operator)
+        })
+    };
+    let operator = match placed.and_then(|operator| start(stage, forwarder).map(|()| operator)) {
+        Ok(operator) => operator,
+        Err(e) => return stage.mishap(e.to_string()),
+    };
+    let taken = until_healthy(stage, forwarder, (operator, "/admin/health"), MUST_TAKE).await;
+    let ready = stage.now() - begun;
+    if let Err(why) = taken {
+        stage.mishap(why);
+    }
+    signal_to(stage, forwarder, Which::Older, Signal::TERM);
+    until_gone(stage, forwarder, Which::Older).await;
+    let left = stage.now() - begun - ready;
+    Timer::after(DOOR).await;
+    let at_the_door = stage.door.borrow_mut()[forwarder].take().unwrap_or_default();
+    stage.audit.borrow_mut().replaced(stage.now(), forwarder, at_the_door);
+    stage.figures.borrow_mut().upgrades.push(Upgrade { ready, left, at_the_door });
+}
+
 /// Ends a forwarder for good.
 pub async fn end(stage: &Stage, forwarder: usize) {
     signal(stage, forwarder, Signal::TERM);
-    until_gone(stage, forwarder).await;
+    until_gone(stage, forwarder, Which::Own).await;
 }
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -186,6 +186,8 @@
     tells: RefCell<Histogram<u32>>,
     mishaps: RefCell<Vec<String>>,
     pools: RefCell<Vec<Vec<Wire>>>,
+    /// For each forwarder whose process is being replaced, the hand-ins that ended at its door meanwhile.
+    door: RefCell<Vec<Option<usize>>>,
     /// Calls out at partners.
     out: Cell<usize>,
     /// A task has panicked: what follows would tell nothing.
@@ -211,6 +213,11 @@
         self.plan.as_ref().map_or(Timing::default(), |p| p.timing(to, Some(kind), ClassId(0)))
     }
 
+    /// A hand-in was not let in, closed on or left unread.
+    fn at_the_door(&self, forwarder: usize) {
+        self.door.borrow_mut()[forwarder].iter_mut().for_each(|n| *n += 1);
+    }
+
     fn mishap(&self, what: String) {
         self.mishaps.borrow_mut().push(what);
     }
@@ -345,6 +352,7 @@
         late: RefCell::new((times, 0, 0)),
         mishaps: RefCell::default(),
         pools: RefCell::new((0..couriers).map(|_| Vec::new()).collect()),
+        door: RefCell::new(vec![None; couriers]),
         out: Cell::new(0),
         panicked: async_channel::bounded(1),
         begun: Cell::new(None),
@@ -441,6 +449,7 @@
                 Signal::Hup => daemon::signal(&stage, stop.forwarder, rustix::process::Signal::HUP),
                 Signal::Kill => daemon::restart(&stage, stop.forwarder, false, stop.back).await,
                 Signal::Term => daemon::restart(&stage, stop.forwarder, true, stop.back).await,
+                Signal::Upgrade => daemon::upgrade(&stage, stop.forwarder).await,
             }
             let _ = stopped.send(()).await;
         });
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -468,6 +468,8 @@
                 self.tell(stop.forwarder, Event::Settings(settings));
             }
             Signal::Kill => self.die(stop.forwarder, stop.back),
+            // All that the module knows passes to the new process.
+            Signal::Upgrade => {}
             Signal::Term => {
                 let (forwarder, since, back) = (stop.forwarder, self.now, stop.back);
                 self.at(self.now + LINGERS, What::Leaves { forwarder, since, back });
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -313,6 +313,8 @@
     Kill,
     /// Not at all: it reads its configuration again.
     Hup,
+    /// Another process replaces it while it serves, and then it is ended in order.
+    Upgrade,
 }
 
 /// A forwarder that is ended, or told to read its files again.
@@ -328,6 +330,20 @@
     /// It is started again so long after it has ended.
     #[serde(default = "back")]
     pub back: Span,
+    /// So often in all.
+    #[serde(default = "once")]
+    pub times: usize,
+    /// From one time to the next.
+    #[serde(default = "every")]
+    pub every: Span,
+}
+
+fn once() -> usize {
+    1
+}
+
+fn every() -> Span {
+    Span(10_000_000)
 }
 
 fn back() -> Span {
@@ -588,11 +604,13 @@
 
     fn check_stops(&self, found: &mut Vec<Refusal>) {
         // In order it takes up to 3.7 s to end; a second stop must find the forwarder running.
-        let away = |s: &Stop| match s.signal {
+        let once = |s: &Stop| match s.signal {
             Signal::Hup => 0,
             Signal::Term => 3_700_000 + s.back.0,
             Signal::Kill => s.back.0,
+            Signal::Upgrade => 5_000_000,
         };
+        let away = |s: &Stop| once(s) + s.every.0 * (s.times as u64).saturating_sub(1);
         for (n, s) in self.stops.iter().enumerate() {
             let place = s.forwarder.referenced;
             if !(1..=self.forwarders.count).contains(&s.forwarder.value) {
@@ -602,6 +620,9 @@
             let word =
                 Spanned { value: String::from("stop"), referenced: place, defined: s.forwarder.defined };
             self.check_moment(&s.at, &word, 0, found);
+            if s.times == 0 || s.times > 1 && s.every.0 < once(s) {
+                found.push(Refusal::at(place, "`times` is 1 at least, and `every` leaves time for one"));
+            }
             let at = self.moment(&s.at);
             let hits = |o: &Stop| {
                 let (Some(a), Some(b)) = (at, self.moment(&o.at)) else { return false };
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -2,7 +2,7 @@
 //! JUnit for other people's CI. Worth delivered against worth asked stands at the top of each.
 
 use crate::audit::{Breach, Rule};
-use crate::figures::{Figures, Tally, OUTCOMES, WINDOW};
+use crate::figures::{Figures, Tally, Upgrade, OUTCOMES, WINDOW};
 use crate::report::Drawn;
 use crate::scenario::Scenario;
 use crate::world::{World, START};
@@ -206,6 +206,25 @@
         if partners.len() > ROWS {
             let _ = writeln!(out, "... and {} more that fared better", partners.len() - ROWS);
         }
+        if !f.upgrades.is_empty() {
+            let of = |what: fn(&Upgrade) -> u64| {
+                let mut all: Vec<u64> = f.upgrades.iter().map(what).collect();
+                all.sort_unstable();
+                (all[all.len() / 2] as f64 / 1e3, all[all.len() - 1] as f64 / 1e3)
+            };
+            let (ready, left) = (of(|u| u.ready), of(|u| u.left));
+            let door: usize = f.upgrades.iter().map(|u| u.at_the_door).sum();
+            let _ = writeln!(
+                out,
+                "\n{} processes replaced: the new one took clients after {:.0} ms at the median, {:.0} ms at most; the old \
+                 one left after {:.0} ms, {:.0} ms at most; {door} hand-ins ended at the door",
+                f.upgrades.len(),
+                ready.0,
+                ready.1,
+                left.0,
+                left.1
+            );
+        }
         for b in self.broken.iter().take(10) {
             let _ = writeln!(out, "BROKEN {b}");
         }
@@ -244,6 +263,8 @@
             "live": matches!(self.how, How::Live(_)), "seconds": self.took.as_secs_f64(),
             "messages": self.world.hands.len(), "delivered": f.delivered, "refused": f.refused,
             "failed": f.failed, "attempts": f.attempts, "outcomes": outcomes,
+            "upgrades": f.upgrades.iter().map(|u| json!({"ready_us": u.ready, "left_us": u.left,
+                "at_the_door": u.at_the_door})).collect::<Vec<_>>(),
             "channels": named(&self.world.names.tenants, &f.by_channel),
             "partners": named(&self.world.partner_names, &f.by_partner),
             "breakers": self.world.partner_names.iter().zip(&f.breakers).map(|(name, line)| {
@@ -291,6 +312,7 @@
             Rule::Waits,
             Rule::Drains,
             Rule::PushedOver,
+            Rule::Door,
             Rule::Strays,
         ];
         for rule in rules {
--- a/crates/lab/src/words.rs
+++ b/crates/lab/src/words.rs
@@ -13,15 +13,26 @@
     of as f64 / 1e3
 }
 
+/// The addresses of a forwarder.
+#[derive(Clone, Copy, Debug)]
+pub struct Places {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
+    /// Where the platform's agent listens.
+    pub agent: SocketAddr,
+}
+
 /// The configuration of a forwarder.
-pub fn config(world: &World, forwarder: usize, listen: SocketAddr, agent: SocketAddr, state: &Path) -> Value {
+pub fn config(world: &World, forwarder: usize, places: Places, state: &Path) -> Value {
     let s = &world.settings;
     let class = &s.classes[0];
     let full: f64 = s.tenants.iter().map(|t| t.quota_per_s).sum();
     let realm = |(name, t): (&String, &cedarbridge::Tenant)| json!({"name": name, "portion": t.quota_per_s / full, "quota-per-s": t.quota_per_s});
     json!({
-        "name": format!("forwarder-{}", forwarder + 1), "listen": listen.to_string(),
-        "discovery": agent.to_string(), "seed": format!("{:x}", 0x5eed + forwarder), "state": state,
+        "name": format!("forwarder-{}", forwarder + 1), "listen": places.listen.to_string(),
+        "operator": places.operator.map(|o| o.to_string()), "discovery": places.agent.to_string(), "seed": format!("{:x}", 0x5eed + forwarder), "state": state,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS.max(64 + 4 * s.slots), "disk_mb": 16},
         "settings": {
             "azs": world.names.zones, "zone": world.names.zones[0], "balancers": s.couriers,
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -15,7 +15,7 @@
 use slog::{info, warn};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A call must have come whole so long after its connection was taken.
 const SLOW: Duration = Duration::from_millis(700);
@@ -122,6 +122,7 @@
 impl Call {
     /// Reads a call and answers it: what it was, and why its connection ends.
     async fn converse(mut self) -> (String, &'static str) {
+        let since = Instant::now();
         let guest = self.lobby.enter(Stay::Reading);
         let reading = async {
             let head = self.wire.read_request().await?;
@@ -148,7 +149,7 @@
         let (what, answer, reason) = match read {
             Some(Ok((head, body))) => {
                 let what = format!("{} {}", head.method, head.target);
-                let answer = within(DONE - SLOW, self.answer(&head, &body)).await;
+                let answer = within(DONE.saturating_sub(since.elapsed()), self.answer(&head, &body)).await;
                 let late = || Answer::plain(503, "it took too long and may yet happen\n");
                 (what, answer.unwrap_or_else(late), "answered")
             }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,7 +9,12 @@
 //! | `with operator=on`, `o health 200`, `o cordon e1 200`, `o quiesce 200` | operators may call; a call, and its status |
 //! | `o raw 400 TEXT`, `o crowd 20 TEXT` | a call as it is written; so many callers that write no more than that and stay |
 //! | `upgrade`, `upgrading` | starts a second process on the same folder, with and without waiting until it says yes |
+//! | `fails` | waits for its end, which is no success |
+//! | `keep`, `first kill` | the old one is kept as the first of three |
 //! | `back`, `old term`, `old kill`, `old stop`, `old exit`, `old log TEXT`, `old o …` | the new one is forgotten; the one that it replaces; user agents stay where they connected |
+//! | `heir asks 200 [token=X] [format=9]`, `heir reads`, `heir owns`, `heir leaves` | plays a process that wants to replace the one that runs |
+//! | `older owns`, `older answers TEXT`, `older leaves` | plays a process that owns the folder, ahead of `upgrading` |
+//! | `upgraded` | waits until a process that was started by `upgrading` serves |
 //! | `health 503` | waits until the clients' address answers so about its health |
 //! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
@@ -35,7 +40,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
@@ -245,11 +250,16 @@
     }
 
     fn exit(&mut self) {
+        let status = self.ended();
+        assert!(status.success(), "{status}");
+    }
+
+    fn ended(&mut self) -> ExitStatus {
         // Kept until it has ended: one that hangs is killed with the world.
         let program = self.program.as_mut().expect("started");
         let status = soon("the end of the program", || program.try_wait().expect("a child"));
         self.program = None;
-        assert!(status.success(), "{status}");
+        status
     }
 
     fn logged(&self, text: &str) {
@@ -289,6 +299,10 @@
     run: Run,
     /// The process that the one that runs is to replace.
     old: Run,
+    /// The one before that.
+    first: Run,
+    heir: Option<BufReader<TcpStream>>,
+    older: Option<(fs::File, TcpListener)>,
     listen: Option<SocketAddr>,
     operators: bool,
     open: u64,
@@ -358,6 +372,9 @@
             crowd,
             run,
             old,
+            first: Run::default(),
+            heir: None,
+            older: None,
             listen,
             operators: false,
             open,
@@ -398,6 +415,12 @@
             }
             "upgrade" => self.upgrade(true),
             "upgrading" => self.upgrade(false),
+            "upgraded" => self.serves(),
+            "keep" => self.first = std::mem::take(&mut self.old),
+            "first" => self.first.kill(),
+            "fails" => assert!(!self.run.ended().success()),
+            "heir" => self.heir(&words[1..]),
+            "older" => self.older(&words[1..], rest),
             "old" => match words[1] {
                 "stop" => self.old.signal("STOP"),
                 "continue" => self.old.signal("CONT"),
@@ -514,6 +537,10 @@
 
     fn start(&mut self) {
         self.spawn();
+        self.serves();
+    }
+
+    fn serves(&mut self) {
         if self.operators {
             let run = &self.run;
             let told = soon("operators' address", || run.told("operators may call", "operator: "));
@@ -535,6 +562,77 @@
         self.spawn();
     }
 
+    /// Speaks as a process that wants to take over.
+    fn heir(&mut self, words: &[&str]) {
+        match words {
+            ["asks", status, more @ ..] => {
+                let owner = fs::read(self.folder.join("state/owner")).expect("an owner");
+                let owner: Value = serde_json::from_slice(&owner).expect("JSON");
+                let told = |name: &str| more.iter().find_map(|m| m.strip_prefix(name)?.strip_prefix('='));
+                let token = told("token").unwrap_or(owner["token"].as_str().expect("a token"));
+                let format = told("format").unwrap_or("1");
+                let operator: SocketAddr =
+                    owner["operator"].as_str().expect("text").parse().expect("an address");
+                let mut stream = TcpStream::connect(operator).expect("it listens");
+                stream.set_read_timeout(Some(PATIENCE)).expect("set");
+                let head =
+                    format!("POST /admin/handover HTTP/1.1\r\nX-Token: {token}\r\nX-Format: {format}\r\n");
+                stream.write_all((head + "Content-Length: 0\r\n\r\n").as_bytes()).expect("written");
+                let mut stream = BufReader::new(stream);
+                let (head, _) = read_message(&mut stream).expect("an answer");
+                assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+                self.heir = Some(stream);
+            }
+            ["reads"] => assert!(self.frame()["State"]["module"].is_object()),
+            ["owns"] => {
+                let text = b"\"Owns\"";
+                let mut frame = vec![text.len() as u8, 0, 0, 0, 0, 0, 0, 0];
+                frame.extend_from_slice(text);
+                self.heir.as_mut().expect("asked").get_mut().write_all(&frame).expect("written");
+                assert_eq!(self.frame(), "Granted");
+            }
+            ["leaves"] => self.heir = None,
+            _ => panic!("no such step of an heir"),
+        }
+    }
+
+    /// What the process that runs says next to the one that wants to take over.
+    fn frame(&mut self) -> Value {
+        let stream = self.heir.as_mut().expect("asked");
+        let mut sizes = [0; 8];
+        stream.read_exact(&mut sizes).expect("a frame");
+        let size = |at: usize| u32::from_le_bytes(sizes[at..at + 4].try_into().expect("four")) as usize;
+        let mut bytes = vec![0; size(0) + size(4)];
+        stream.read_exact(&mut bytes).expect("a whole frame");
+        serde_json::from_slice(&bytes[..size(0)]).expect("JSON")
+    }
+
+    /// Speaks as the process that owns the folder.
+    fn older(&mut self, words: &[&str], rest: &str) {
+        match words {
+            ["owns"] => {
+                let path = self.folder.join("state/owner");
+                let mut file = fs::File::create(path).expect("a file");
+                file.lock().expect("locked");
+                let listener = listening(bound(), 8);
+                let operator = listener.local_addr().expect("bound");
+                let owner = json!({"operator": operator, "token": "t"}).to_string();
+                file.write_all(owner.as_bytes()).expect("written");
+                self.older = Some((file, listener));
+            }
+            ["answers", ..] => {
+                let (mut stream, _) = self.older.as_ref().expect("owns").1.accept().expect("a caller");
+                let (head, _) =
+                    read_message(&mut BufReader::new(stream.try_clone().expect("a handle"))).expect("a call");
+                assert!(head.contains("X-Token: t\r\n"), "{head}");
+                let text = unescape(rest.trim_start_matches("answers").trim_start());
+                stream.write_all(text.as_bytes()).expect("written");
+            }
+            ["leaves"] => self.older = None,
+            _ => panic!("no such step of an owner"),
+        }
+    }
+
     fn spawn(&mut self) {
         self.configure();
         // As the platform tells it; the variable stays as it is while the program runs.
@@ -812,7 +910,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        (self.run, self.old) = Default::default();
+        (self.run, self.old, self.first) = Default::default();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -144,3 +144,152 @@
          old exit",
     );
 }
+
+/// Whatever the new one does up to the moment at which it owns, the old one serves on as if nothing had been.
+#[test]
+fn an_heir_that_goes_wrong_before_it_owns_changes_nothing() {
+    play(
+        "with e1=1 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         heir asks 404 token=guessed
+         heir asks 415 format=9
+         heir asks 200
+         heir leaves
+         log not handed over
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         heir asks 200
+         heir reads
+         e1 send m2 200
+         o cordon e1 503
+         log not handed over
+         heir leaves
+         u1 send m3
+         u1 expect 202
+         e1 send m1 200
+         wait delivered=2 open=1 user_agents=2
+         o uncordon e1 200
+         e1 expect m3
+         e1 send m3 200
+         wait delivered=3
+         kill
+         start
+         wait restored=0",
+    );
+}
+
+/// An end that comes while another process reads the folder must be in the journal if that one goes.
+#[test]
+fn an_heir_that_dies_as_the_owner_leaves_an_old_process_that_ends_and_a_journal_that_is_whole() {
+    play(
+        "with e1=1 e2=2 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         u2 send m2 dest=2
+         u2 expect 202
+         e2 expect m2
+         e2 send m2 200
+         wait delivered=1
+         heir asks 200
+         heir reads
+         heir owns
+         heir leaves
+         log the process that took over is gone
+         fails
+         start
+         wait restored=1
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1",
+    );
+}
+
+#[test]
+fn one_that_cannot_be_understood_is_left_to_its_end() {
+    play(
+        "with e1=1 operator=on
+         older owns
+         upgrading
+         older answers HTTP/1.1 503 No\\r\\nContent-Length: 0\\r\\n\\r\\n
+         older answers HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\nnoise without end
+         log no hand-over yet, error: too-large
+         older leaves
+         upgraded
+         u1 send m1
+         u1 expect 202
+         e1 expect m1",
+    );
+}
+
+#[test]
+fn a_hung_process_is_waited_for_and_its_messages_come_from_the_journal() {
+    play(
+        "with e1=1 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         stop
+         upgrading
+         log no hand-over yet
+         old kill
+         upgraded
+         wait restored=1
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1",
+    );
+}
+
+/// The first one passes on to the second, and that to the third: what is out at the first comes back through both.
+#[test]
+fn a_third_process_takes_over_from_a_second_that_has_just_done_so() {
+    play(
+        "with e1=1 e2=2 operator=on
+         start
+         u1 send m1
+         u1 expect 202
+         u2 send m2 dest=2
+         u2 expect 202
+         e1 expect m1
+         e2 expect m2
+         upgrade
+         keep
+         upgrade
+         wait inherited=2
+         e1 send m1 200
+         wait delivered=1 open=1
+         u1 send m3
+         u1 expect 202 Connection: close
+         e1 expect m3
+         e1 send m3 200
+         wait delivered=2 open=1
+         first kill
+         e2 expect m2
+         e2 send m2 200
+         wait delivered=3 open=0
+         old term
+         old exit",
+    );
+}
+
+#[test]
+fn what_a_dead_process_left_in_the_folder_is_no_owner() {
+    play(
+        "with e1=1 operator=on
+         start
+         kill
+         state-holds owner
+         state-holds next
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1",
+    );
+}
