--- a/crates/lab/tests/rehearsal.rs
+++ b/crates/lab/tests/rehearsal.rs
@@ -142,6 +142,23 @@
     assert!(played.is_some_and(|n| n > 0 && n <= day.lines.len()), "{again}");
 }
 
+/// Guards against a hand-over that loses, repeats or turns away what comes meanwhile: the audit sees both sides.
+#[test]
+fn a_forwarder_replaced_under_load_keeps_every_rule_and_its_door() {
+    let folder = Folder::new("replaced");
+    let scenario = folder.scenario(
+        "title: Replaced\nrate: 40\nforwarders: {count: 1, held: 100}\npartners:\n  \
+         - {name: operator, kind: cable-operator, share: 3, work: 60ms, headroom: 1.5, endpoints: 2}\n  \
+         - {name: shop, kind: small-partner, share: 1, work: 200ms, headroom: 1.5, tells-wait: 300ms}\n\
+         phases:\n  - {name: all, for: 17s, load: 0.9, clumps: 0.1}\nstops:\n  \
+         - {forwarder: 1, signal: upgrade, at: {after: 1s}, times: 3, every: 5s}\n",
+    );
+    let out = start(&folder, &scenario, &[]).wait_with_output().expect("an end");
+    let told = told(&folder, &out);
+    assert_kept(&told);
+    assert_eq!(told["upgrades"].as_array().expect("a list").len(), 3, "{told:#}");
+}
+
 const FAULTS: &str = "title: Faults
 rate: 40
 forwarders: {count: 1, held: 24}
