--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,8 +38,6 @@
 const BACKOFF: (Micros, Micros) = (200 * MS, 1600 * MS);
 /// Below this share of a reported limit left, a courier keeps to its even share.
 const LOW_LEFT: f64 = 0.3;
-/// With less than this left of a limit, it is the limit that refuses.
-const SPENT: f64 = 0.05;
 /// Latency assumed before anything was seen, and the weight of a new sample.
 const FIRST_LATENCY: f64 = 400.0 * MS as f64;
 const LATENCY_GAIN: f64 = 0.1;
@@ -203,8 +201,6 @@
     /// A refusal as full; a failure only if nothing else came for one Timeout.
     fn refused(&mut self, now: Micros, sent: Micros, told: bool, trial: bool, s: &Settings, draw: f64) {
         let since = *self.trouble_since.get_or_insert(now);
-        // With nothing left of a told limit it is that which refuses: no outage, and no cold return to spare.
-        let limited = !self.outage && self.limit.is_some_and(|l| l.rate > 0.0 && l.left < SPENT);
         // Refusals of calls that were out together count once. In a large fleet all would come again at once,
         // above all at the end of a told wait, so each takes its turn; small ones keep to the plain pause.
         if sent >= self.paused_at {
@@ -215,9 +211,7 @@
             } else {
                 (s.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) / 3, self.backoff)
             };
-            let turn = self.turn(now, now - since + more, 0, s, draw) as f64;
-            let turn =
-                (if limited { turn * s.cold_from * s.fall_multiple * COLD_PACE } else { turn }) as Micros;
+            let turn = self.turn(now, now - since + more, 0, s, draw);
             self.wait_until = self.wait_until.max(now) + if turn > more * 3 / 2 { turn } else { plain };
             // What a pause saves up would go all at once at its end, and be refused again.
             if !self.outage {
@@ -225,7 +219,7 @@
             }
             self.backoff = if told { self.backoff } else { (2 * self.backoff).min(BACKOFF.1) };
         }
-        if trial || now - since >= TIMEOUT && !limited {
+        if trial || now - since >= TIMEOUT {
             self.fail(now, trial, s, draw, false);
         }
     }
