Play bytes one by one on every side, a drain amid an upgrade, and an endpoint called back after it left

Change: a step of the scenario language after which user agents, endpoints, operators and the platform's watch write byte by byte; three scenarios.

--- a/tests/net.rs
+++ b/tests/net.rs
@@ -789,3 +789,36 @@
          wait error=1",
     );
 }
+
+/// Peers write pieces of any size: nothing may depend on what comes in one read.
+#[test]
+fn bytes_that_come_one_by_one_on_every_side_are_read_as_if_they_had_come_at_once() {
+    play(
+        "with e1=1 e2=2:many e3=3:one:hidden operator=on
+         start
+         drip
+         u1 send m1 size=40
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200 X-Load:x0=0.4,x1=25
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 429 X-RateLimit-Wait-Ms:100
+         e1 expect m2
+         e1 send m2 200
+         u1 send m3 dest=2
+         u1 expect 202
+         e2 expect m3
+         e2 send m3 200 m3=delivered
+         p send e3=active
+         wait lists=2
+         u1 send m4 dest=3
+         u1 expect 202
+         e3 expect m4
+         o cordon e3 200
+         e3 send m4 200
+         wait delivered=4 reset=0 bad_requests=0",
+    );
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -93,7 +93,11 @@
          kill
          start
          wait restored=1 passes=0
+         p send e1=left
+         wait lists=2
          o uncordon e1 200
+         o uncordon e1 404
+         p send e1=active
          e1 expect m1
          e1 send m1 200
          wait delivered=1
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -16,6 +16,7 @@
 //! | `older owns`, `older answers TEXT`, `older leaves` | plays a process that owns the folder, ahead of `upgrading` |
 //! | `upgraded` | waits until a process that was started by `upgrading` serves |
 //! | `health 503` | waits until the clients' address answers so about its health |
+//! | `drip` | from here on user agents, endpoints, operators and the platform's watch write byte by byte |
 //! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
 //! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
@@ -197,7 +198,7 @@
 
     fn tell(&self, line: &str) {
         let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-        self.watches.lock().expect("unpoisoned").retain_mut(|w| w.1.write_all(chunk.as_bytes()).is_ok());
+        self.watches.lock().expect("unpoisoned").retain_mut(|w| put(&mut w.1, chunk.as_bytes()).is_ok());
     }
 
     fn serve(&self, place: u32, mut stream: TcpStream, notices: &Sender<Value>, watched: &Sender<String>) {
@@ -229,6 +230,22 @@
     }
 }
 
+/// Whether what is written goes out byte by byte, each in a packet of its own; one scenario plays in a thread.
+fn put(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    if !DRIPS.get() {
+        return stream.write_all(bytes);
+    }
+    stream.set_nodelay(true)?;
+    bytes.chunks(1).try_for_each(|b| {
+        thread::sleep(Duration::from_micros(200));
+        stream.write_all(b)
+    })
+}
+
+thread_local! {
+    static DRIPS: std::cell::Cell<bool> = const { std::cell::Cell::new(false) };
+}
+
 /// A process of the program.
 #[derive(Default)]
 struct Run {
@@ -413,6 +430,7 @@
                 }
                 self.run.signal("HUP");
             }
+            "drip" => DRIPS.set(true),
             "upgrade" => self.upgrade(true),
             "upgrading" => self.upgrade(false),
             "upgraded" => self.serves(),
@@ -788,11 +806,7 @@
                 let body: String = ends.map(|(id, end)| format!("{id} {end}\r\n")).collect();
                 let answer =
                     format!("HTTP/1.1 {status} X\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
-                e.answered
-                    .get_mut(*id)
-                    .expect("expected before")
-                    .write_all(answer.as_bytes())
-                    .expect("written");
+                put(e.answered.get_mut(*id).expect("expected before"), answer.as_bytes()).expect("written");
             }
             ["send-raw", id, ..] => {
                 let text = unescape(rest.split_once(id).expect("the id").1.trim_start());
@@ -832,7 +846,7 @@
                      Idempotency-Key: key-{id}\r\nX-Addressing: dest={}\r\nContent-Length: {}\r\n\r\n{body}",
                     of("class", "notice"), of("deadline", "9000m"), of("dest", "1"), body.len(),
                 );
-                agent.get_mut().write_all(head.as_bytes()).expect("written");
+                put(agent.get_mut(), head.as_bytes()).expect("written");
             }
             ["connect"] => {}
             ["send-raw", ..] => {
@@ -884,7 +898,7 @@
     };
     let since = Instant::now();
     let mut stream = connect();
-    stream.write_all(text.as_bytes()).expect("written");
+    put(&mut stream, text.as_bytes()).expect("written");
     let mut answer = String::new();
     stream.read_to_string(&mut answer).expect("an answer and an end");
     assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -293,3 +293,23 @@
          e1 expect m1",
     );
 }
+
+/// What operators ask of the old process is done by the one that decides.
+#[test]
+fn a_quiesce_amid_an_upgrade_sends_user_agents_away_from_the_new_process() {
+    play(
+        "with e1=1 operator=on
+         start
+         upgrade
+         old o quiesce 200
+         o health 503
+         health 503
+         old term
+         old exit
+         o resume 200
+         health 200
+         u1 send m1
+         u1 expect 202
+         e1 expect m1",
+    );
+}
