Give back the slots of messages that were withdrawn with their attempt out at a dead process

So an attempt of a withdrawn message that was out at the old process when that died stayed out for the module: its slot, and a trial of its destination, for good. Change: all attempts that are out at an older process are kept by themselves, for a third process too, and each comes back as lost with it.

--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -94,8 +94,6 @@
     endpoint: EndpointId,
     /// Dropped to call it off.
     call: Sender<()>,
-    /// It is out at the process that this one has replaced.
-    older: bool,
 }
 
 /// The actor round the module.
@@ -119,6 +117,9 @@
     closed: bool,
     /// The process that is to replace this one.
     heir: Option<Heir>,
+    /// The attempts that are out at the process that this one has replaced, those of messages that are over too: the
+    /// module waits for each.
+    older: BTreeMap<(MessageId, u32), EndpointId>,
     /// Messages handed in by each channel since the start, those that were turned away too.
     handed_in: Vec<u64>,
 }
@@ -150,6 +151,7 @@
             last_step: 0,
             closed: false,
             heir: None,
+            older: BTreeMap::new(),
         }
     }
 
@@ -212,12 +214,18 @@
             since: held.transaction.since,
             out: held.out.as_ref().map(|o| (o.attempt, o.endpoint)),
         });
+        // What is over and out at a process before this one has no record here any more.
+        let over = self.older.iter().filter(|o| !self.held.contains_key(&o.0 .0));
+        let over = over.map(|((id, attempt), endpoint)| {
+            let out = Some((*attempt, *endpoint));
+            handover::Message { id: *id, attempts: attempt + 1, since: None, out }
+        });
         State {
             clock: self.context.clock.now(),
             wall: super::clock::wall(),
             module: serde_json::to_value(&self.courier).unwrap_or_default(),
             last_id: self.next,
-            messages: messages.collect(),
+            messages: messages.chain(over).collect(),
             timers: self.timers.iter().map(|t| t.0).collect(),
             handed_in: self.handed_in.clone(),
             user_agents: self.context.user_agents.get(),
@@ -243,6 +251,7 @@
         let mut kept: BTreeMap<u64, Kept> = kept.into_iter().collect();
         for message in &state.messages {
             let id = message.id;
+            self.older.extend(message.out.map(|(attempt, endpoint)| ((id, attempt), endpoint)));
             let class = |k: &Kept| self.names.classes.iter().position(|c| *c == k.class);
             let live = kept.remove(&id.0).filter(|k| k.verdict.is_none());
             let Some((kept, class)) = live.and_then(|k| class(&k).map(|c| (k, c))) else {
@@ -254,7 +263,7 @@
             transaction.since = message.since;
             let out = message.out.map(|(attempt, endpoint)| {
                 let call = older.call_off(&self.context, id, attempt);
-                Out { attempt, endpoint, call, older: true }
+                Out { attempt, endpoint, call }
             });
             self.enter(transaction, out, None);
             self.context.counters.inherited.add();
@@ -267,14 +276,12 @@
     /// What was out at the process that this one has replaced, which is gone: it may have run. That process ended, not
     /// the endpoint, so no breaker may count it.
     pub fn lost_with_older(&mut self) -> Vec<Came> {
-        let now = self.context.clock.now();
-        let older = |h: &mut Held| h.out.take_if(|o| o.older);
-        let out = self.held.iter_mut().filter_map(|(id, h)| older(h).map(|o| (*id, o)));
-        let came = |(id, o): (MessageId, Out)| {
+        let sent = self.context.clock.now();
+        let came = |(part, endpoint)| {
             let ended = Ended::alike(1, End::of(Outcome::Stale));
-            Came { endpoint: o.endpoint, sent: now, parts: vec![(id, o.attempt)], ended }
+            Came { endpoint, sent, parts: vec![part], ended }
         };
-        out.map(came).collect()
+        std::mem::take(&mut self.older).into_iter().map(came).collect()
     }
 
     /// Another process decides from here on; only the calls that are out are still this one's.
@@ -516,6 +523,7 @@
         let told = ended.ends.iter().any(|e| matches!(e.outcome, Outcome::Full(Some(_))));
         for ((id, attempt), end) in parts.into_iter().zip(&ended.ends) {
             self.context.counters.outcome(end.outcome);
+            self.older.remove(&(id, attempt));
             let transaction = self.held.get_mut(&id).map(|held| {
                 held.out = held.out.take().filter(|o| o.attempt != attempt);
                 held.transaction.clone()
@@ -636,7 +644,7 @@
             for part in &parts {
                 if let Some(held) = self.held.get_mut(&part.transaction.id) {
                     let (attempt, call) = (part.attempt, call.clone());
-                    held.out = Some(Out { attempt, endpoint, call, older: false });
+                    held.out = Some(Out { attempt, endpoint, call });
                 }
             }
             let pass = Pass { endpoint, parts, sent: now, called_off };
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -313,3 +313,42 @@
          e1 expect m1",
     );
 }
+
+/// Guards against slots that are never given back: a message that was withdrawn is in no journal, and yet its attempt
+/// was out at the process that died.
+#[test]
+fn what_was_withdrawn_and_out_when_the_old_process_dies_gives_its_slot_back() {
+    // On a connection that is there already the attempt is written before the withdrawal is known.
+    let warm: String = (1..5)
+        .map(|n| format!("u5 send w{n} dest={n}\nu5 expect 202\ne{n} expect w{n}\ne{n} send w{n} 200\n"))
+        .collect();
+    play(&format!(
+        "with e1=1 e2=2 e3=3 e4=4 operator=on tick=300
+         start
+         {warm}
+         wait delivered=4
+         u1 send m1
+         u2 send m2 dest=2
+         u3 send m3 dest=3
+         u4 send m4 dest=4
+         wait lists=1 delivered=4
+         u1 send-raw X
+         u2 send-raw X
+         u3 send-raw X
+         u4 send-raw X
+         u1 expect 400
+         e1 expect m1
+         e2 expect m2
+         e3 expect m3
+         e4 expect m4
+         wait withdrawn=4 open=0
+         upgrade
+         old kill
+         u5 connect
+         u6 send m5
+         u6 expect 202
+         e1 expect m5
+         e1 send m5 200
+         wait delivered=1 open=0"
+    ));
+}
