End a process at SIGTERM that still waits for the owner of its folder

Cause: found by reading the change once more. src/net/mod.rs, `start`, takes the signals over before it claims the folder and attends to them only once it serves; behind an owner that hangs, or speaks another form, SIGTERM did nothing, though docs/oncall.md says that any signal backs out. Change: the claim and the signals are waited for together; SIGTERM and SIGINT end it with success and the link to the owner closes, SIGHUP has nothing to change yet.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -227,7 +227,16 @@
     let folder = |e: std::io::Error| format!("state folder `{}`: {e}", config.state.display());
     let (mut claim, sockets, (journal, restored)) = loop {
         let claim = match config.operator {
-            Some(_) => Some(handover::claim(&config, &log, &executor).await.map_err(folder)?),
+            Some(_) => {
+                let claimed = async { Some(handover::claim(&config, &log, &executor).await) };
+                match future::or(claimed, until_ended(&mut signals)).await {
+                    Some(claim) => Some(claim.map_err(folder)?),
+                    None => {
+                        info!(log, "ended while another process owned the folder");
+                        return Ok(());
+                    }
+                }
+            }
             None => None,
         };
         let opened = Journal::open(&config.state, config.journal_disk()).map_err(folder)?;
@@ -328,6 +337,12 @@
     }
 }
 
+/// Nothing, once a signal ends the program; a SIGHUP that comes before it serves has nothing to change yet.
+async fn until_ended<T>(signals: &mut Signals) -> Option<T> {
+    while let Some(Ok(Signal::Hup)) = signals.next().await {}
+    None
+}
+
 /// Where this process listens.
 struct Sockets {
     at: SocketAddr,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -352,3 +352,19 @@
          wait delivered=1 open=0"
     ));
 }
+
+/// Guards against a process that cannot be ended in order while it waits: the page for the person on call backs out so.
+#[test]
+fn a_new_process_that_waits_for_an_owner_ends_at_a_term() {
+    play(
+        "with e1=1 operator=on
+         older owns
+         upgrading
+         older answers HTTP/1.1 503 No\\\\r\\\\nContent-Length: 0\\\\r\\\\n\\\\r\\\\n
+         log no hand-over yet
+         term
+         exit
+         older leaves
+         start",
+    );
+}
