Heed a wait that was on its way to a call just given up, or whose body breaks off

`attend` in src/net/peer.rs dropped the connection at Stop::Cut and Stop::CalledOff, and `exchange` lost the wait of a read head when the body behind it broke off (Stop::Broke).

Change: a call given up after its last byte ends its sending and is listened to for 0.5 s more, on as many connections as there are slots; a wait binds as soon as its head is read. Rejected: holding the destination after each such call, which costs sends in every hang.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -80,6 +80,8 @@
     pub decider: Sender<ToDecider>,
     /// Idle connections to endpoints that are kept.
     pub idle_peers: Cell<usize>,
+    /// Connections of calls that were given up, on which a wait may still be told.
+    pub hearing_out: Cell<usize>,
     /// Calls under way.
     pub passes_out: Cell<usize>,
     /// Messages held and not ended.
@@ -262,6 +264,7 @@
         board: Board::new(clock, config.drain_grace),
         journal: RefCell::new(journal),
         idle_peers: Cell::new(0),
+        hearing_out: Cell::new(0),
         log,
         clock,
         executor,
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -1,7 +1,7 @@
 //! An endpoint's actor: its pool of connections and the calls on them.
 
 use super::http::{Answered, Broken, Wire};
-use super::proxy_pass::{End, Ended, Pass};
+use super::proxy_pass::{Came, End, Ended, Pass};
 use super::{Context, ToDecider};
 use crate::{EndpointId, LimitReport, Micros, Outcome};
 use async_channel::{Receiver, Sender, WeakSender};
@@ -31,6 +31,8 @@
 const STALL: Duration = Duration::from_millis(500);
 /// The same for the rest of one that has already said what matters.
 const REST: Duration = Duration::from_millis(50);
+/// How long an answer may still be on its way after its call was given up: as long as one may pause.
+const HEARS_OUT: Duration = STALL;
 /// A connection that breaks within this after the request was broken before: no destination works so fast.
 const AT_ONCE: Micros = 50_000;
 /// No destination takes more calls a second than that.
@@ -196,12 +198,14 @@
 ) -> Ended {
     let stage = Cell::new(Stage::Dialing);
     let written = Cell::new(None);
+    let told = Cell::new(None);
     let reused = used.is_some();
     let mut slot = used;
     let mut head = None;
     let clock = context.clock;
     let stop = {
-        let mut exchange = std::pin::pin!(exchange(context, pass, &mut slot, &stage, &written, &mut head));
+        let mut exchange =
+            std::pin::pin!(exchange(context, pass, &mut slot, &stage, &written, &mut head, &told));
         loop {
             let cut = async {
                 Timer::at(clock.at(pass.first_cut(waited_for))).await;
@@ -231,9 +235,10 @@
     let delivered = parts == 1 && (head == Some(200) || slot.as_ref().is_some_and(starts_with_ok));
     let nothing_came = head.is_none() && slot.as_ref().is_none_or(|w| w.buffer.bytes().is_empty());
     let since = written.get().map(|at| clock.now() - at).filter(|_| reused && nothing_came);
+    let given_up = matches!(stop, Stop::Cut | Stop::CalledOff) && stage.get() == Stage::Written;
     let (outcome, reason) = match stop {
         Stop::Answer(answer, body) => {
-            let ended = read_answer(context, pass, &answer, &body);
+            let ended = read_answer(context, pass, &answer, &body, told.get());
             match (slot.take(), back) {
                 (Some(wire), Some(back)) if answer.keeps && wire.buffer.bytes().is_empty() => {
                     let _ = back.send(ToPeer::Idle(wire)).await;
@@ -256,9 +261,42 @@
         Stop::CalledOff if stage.get() == Stage::Written => (Outcome::Cancelled, "called-off"),
         Stop::CalledOff => (Outcome::Moot, "called-off-before-sent"),
     };
-    drop(slot);
+    if let Some(wire) = slot.take().filter(|_| given_up && head.is_none()) {
+        hear_out(context, pass.endpoint, wire);
+    }
     closed(reason);
-    Ended::alike(parts, End::of(if delivered { Outcome::Ok } else { outcome }))
+    let end = End::of(if delivered { Outcome::Ok } else { outcome });
+    Ended { wait: told.get(), ..Ended::alike(parts, end) }
+}
+
+/// Listens a little longer on the connection of a call that was given up: what the endpoint had answered by then
+/// may tell a wait, which binds from the moment it was written. Guards against calls during a wait that nobody read.
+fn hear_out(context: &Rc<Context>, endpoint: EndpointId, mut wire: Wire) {
+    let hearing = context.hearing_out.get();
+    // The calls of half a second, all given up, are no more than that.
+    if hearing >= context.config().slots {
+        return;
+    }
+    wire.end_sending();
+    context.hearing_out.set(hearing + 1);
+    let executor = context.executor.clone();
+    let context = context.clone();
+    let listening = async move {
+        let late = async {
+            Timer::after(HEARS_OUT).await;
+            None
+        };
+        let answer = async { wire.read_answer().await.ok() };
+        if let Some(wait) = future::or(answer, late).await.as_ref().and_then(read_wait) {
+            info!(context.log, "wait heard late"; "endpoint" => endpoint.0, "ms" => wait / 1000);
+            context.board.told_wait(endpoint, wait);
+            let ended = Ended { wait: Some(wait), ..Ended::alike(0, End::of(Outcome::Moot)) };
+            let came = Came { endpoint, sent: context.clock.now(), parts: Vec::new(), ended };
+            let _ = context.decider.send(ToDecider::Passed(came)).await;
+        }
+        context.hearing_out.set(context.hearing_out.get() - 1);
+    };
+    executor.spawn(listening).detach();
 }
 
 /// What a broken connection means, with the code of the reason. What breaks at once was broken before: kept
@@ -286,6 +324,7 @@
     stage: &Cell<Stage>,
     written: &Cell<Option<Micros>>,
     status: &mut Option<u16>,
+    told: &Cell<Option<Micros>>,
 ) -> Stop {
     if slot.is_none() {
         match dial(context, pass.endpoint).await {
@@ -332,6 +371,8 @@
         Err(e) => return Stop::Broke(e),
     };
     *status = Some(answer.status);
+    // It binds whatever becomes of the body.
+    told.set(read_wait(&answer));
     if answer.status == 200 && pass.parts.len() == 1 {
         // It is delivered; the rest only decides on the connection.
         wire.stall = Some(REST);
@@ -385,10 +426,20 @@
     bytes
 }
 
-/// The ends that an answer gives.
-fn read_answer(context: &Context, pass: &Pass, answer: &Answered, body: &[u8]) -> Ended {
+/// The wait that the head of an answer tells.
+fn read_wait(answer: &Answered) -> Option<Micros> {
     let wait = answer.fields.get("X-RateLimit-Wait-Ms").and_then(|w| w.parse::<f64>().ok());
-    let wait = wait.filter(|w| w.is_finite() && *w > 0.0).map(|w| (w.min(1e10) * 1000.0) as Micros);
+    wait.filter(|w| w.is_finite() && *w > 0.0).map(|w| (w.min(1e10) * 1000.0) as Micros)
+}
+
+/// The ends that an answer gives.
+fn read_answer(
+    context: &Context,
+    pass: &Pass,
+    answer: &Answered,
+    body: &[u8],
+    wait: Option<Micros>,
+) -> Ended {
     let report = answer.fields.get("X-Load").and_then(read_load);
     let moot = |ended| End { outcome: Outcome::Moot, ended };
     let alike = match answer.status {
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -278,6 +278,49 @@
     );
 }
 
+/// Guards against a call during a wait that was on its way while the call that it answers was given up: the message
+/// of that call has ended, and the next one to the same partner must wait all the same.
+#[test]
+fn a_wait_told_to_a_call_that_was_just_cut_is_heeded() {
+    play(
+        "with e1=1
+         start
+         u1 send m1 deadline=400m
+         u1 expect 202
+         e1 expect m1
+         p expect m1 failed
+         e1 send m1 429 X-RateLimit-Wait-Ms:3000
+         log wait heard late
+         u1 send m2 deadline=1000m
+         u1 expect 503 Retry-After
+         u1 send m3
+         u1 expect 202
+         e1 expect m3
+         e1 send m3 200
+         wait delivered=1 attempts=2 moot=0",
+    );
+}
+
+/// Guards against a wait that is forgotten since the body behind it never came whole.
+#[test]
+fn a_wait_told_by_an_answer_that_breaks_off_is_heeded() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send-raw m1 HTTP/1.1 429 Busy\\r\\nX-RateLimit-Wait-Ms: 2500\\r\\nContent-Length: 9\\r\\n\\r\\nno
+         e1 close m1
+         wait reset=1
+         u1 send m2 deadline=1000m
+         u1 expect 503 Retry-After
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1 attempts=2 moot=0",
+    );
+}
+
 #[test]
 fn each_message_of_a_shared_call_gets_its_own_end() {
     play(
