Average what a partner tells of its limit: a whole fleet hears the same odd reading at once

`hear` in src/logic.rs kept only the last reading, so all forwarders were too fast, or too slow, together.

Change: `Told` in src/measured.rs averages readings, counts a repeated one once and takes one beyond 0.7 to 1.5 times the average as a change.

--- a/src/api.rs
+++ b/src/api.rs
@@ -366,7 +366,7 @@
     pub cold: bool,
     /// The usual time of its answers, in microseconds.
     pub latency: Option<f64>,
-    /// What it told last of its limit.
+    /// What it told of its limit: the share left last, the rate in the mean.
     pub limit: Option<LimitReport>,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! a free slot for the waiting destination with the least recent slot time. `docs/design.md`: what departs.
 
 use crate::api::*;
-use crate::measured::Measured;
+use crate::measured::{Measured, Told};
 use crate::routes::Timing;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -97,7 +97,7 @@
     tokens: f64,
     refilled: Micros,
     trim: f64,
-    limit: Option<LimitReport>,
+    limit: Told,
     latency: Option<f64>,
 }
 
@@ -241,7 +241,7 @@
 
     /// Calls a second that all couriers together may send, as far as it is told.
     fn base(&self, s: &Settings) -> Option<f64> {
-        let told = self.limit.map(|l| l.rate).filter(|r| *r > 0.0);
+        let told = self.limit.held.map(|l| l.rate).filter(|r| *r > 0.0);
         told.or(Some(self.weight).filter(|w| *w > 0.0 && s.weights != WeightSource::Off))
     }
 
@@ -260,7 +260,7 @@
 
     /// Calls a second that this courier may send.
     fn rate(&mut self, now: Micros, s: &Settings) -> f64 {
-        let known = self.limit.filter(|l| l.rate > 0.0);
+        let known = self.limit.held.filter(|l| l.rate > 0.0);
         // Refusals trim what a courier had beyond its even part of what is told: that part is its own.
         let even = self.base(s).map_or(0.0, |b| b / s.couriers as f64);
         if let Some(share) = self.cold_share(now, s) {
@@ -408,7 +408,7 @@
             let out = self.calls.values().filter(|c| c.destination == *id).count();
             let (held, wait, cold) =
                 (d.waiting.len(), b.wait_until.saturating_sub(now), b.cold_since.is_some());
-            let (destination, status, latency, limit) = (*id, b.status, b.latency, b.limit);
+            let (destination, status, latency, limit) = (*id, b.status, b.latency, b.limit.held);
             Shown { destination, status, held, out, wait, cold, latency, limit }
         })
     }
@@ -537,7 +537,7 @@
     /// part of a call may tell its own. One millisecond more makes up for what was cut off.
     fn hear(&mut self, now: Micros, id: EndpointId, outcome: Outcome, report: Option<LimitReport>) {
         for b in self.records(id) {
-            b.limit = report.or(b.limit);
+            b.limit.hear(report);
             if let Outcome::Full(Some(wait)) = outcome {
                 b.wait_until = b.wait_until.max(now.saturating_add(wait + MS));
             }
--- a/src/measured.rs
+++ b/src/measured.rs
@@ -1,6 +1,7 @@
-//! A rate as it is seen: counts over a time that fades. It decides nothing, and time is an argument.
+//! A rate as it is seen, counts over a time that fades, and a limit as it is told, late and with noise. It decides
+//! nothing, and time is an argument.
 
-use crate::Micros;
+use crate::{LimitReport, Micros};
 use serde::{Deserialize, Serialize};
 
 /// A second, in microseconds.
@@ -34,3 +35,60 @@
         self.count.max(1.0) * SECOND / (self.over + since).max(least) as f64
     }
 }
+
+/// Weight of a new reading of a limit in its average; readings of one limit were seen to spread by a third.
+const GAIN: f64 = 0.3;
+/// Beyond these multiples of the average a reading is no noise: the limit itself has changed.
+const NOISE: (f64, f64) = (0.7, 1.5);
+
+/// A limit as it is told: the average of noisy readings, which follows a change of the limit at once. A courier that
+/// calls seldom would otherwise go for seconds by a single reading that is a third too high or too low.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Told {
+    /// The share left as told last, and the rate in the mean; none before the first reading.
+    pub held: Option<LimitReport>,
+    last: Option<LimitReport>,
+}
+
+impl Told {
+    /// What an answer tells, if it does. The parts of one call all tell the same, which counts once.
+    pub fn hear(&mut self, told: Option<LimitReport>) {
+        let Some(told) = told.filter(|_| told != self.last) else { return };
+        self.last = Some(told);
+        let noise = |held: &LimitReport| {
+            let (least, most) = (held.rate * NOISE.0, held.rate * NOISE.1);
+            held.rate > 0.0 && (least..=most).contains(&told.rate)
+        };
+        let rate = self.held.filter(noise).map_or(told.rate, |h| h.rate + GAIN * (told.rate - h.rate));
+        self.held = Some(LimitReport { left: told.left, rate });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn after(rates: &[f64]) -> f64 {
+        let mut told = Told::default();
+        rates.iter().for_each(|rate| told.hear(Some(LimitReport { left: 0.5, rate: *rate })));
+        told.hear(None);
+        told.held.expect("a reading").rate
+    }
+
+    #[test]
+    fn noise_is_averaged_and_a_change_is_followed_at_once() {
+        assert_eq!(after(&[100.0]), 100.0);
+        assert!((after(&[100.0, 130.0]) - 109.0).abs() < 1e-9);
+        assert!((after(&[100.0, 75.0]) - 92.5).abs() < 1e-9);
+        assert_eq!(after(&[100.0, 50.0]), 50.0);
+        assert_eq!(after(&[50.0, 100.0]), 100.0);
+        // No limit, told or taken away.
+        assert_eq!((after(&[0.0, 0.0, 80.0]), after(&[80.0, 0.0])), (80.0, 0.0));
+    }
+
+    /// Guards against a call of ten messages that counts as ten readings.
+    #[test]
+    fn what_each_part_of_a_call_repeats_counts_once() {
+        assert_eq!(after(&[100.0, 130.0, 130.0, 130.0]), after(&[100.0, 130.0]));
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -379,3 +379,78 @@
     }
     panic!("only {calls} calls in a minute");
 }
+
+/// A fleet at one partner that takes `rate` calls a second, counted by the second, refused ones too.
+struct Limited {
+    handed_in: usize,
+    delivered: usize,
+    refused: usize,
+}
+
+/// A minute of a fleet with `load` of the rate, twice the rate for three seconds of each fifteen. What the partner tells of
+/// its rate is off by up to a third, and is the same for all that hear it in the same third of a second.
+fn limited(couriers: usize, rate: usize, load: f64, noise: [f64; 8]) -> Limited {
+    const STEP: Micros = 20 * MS;
+    let s = Settings { couriers, ..settings() };
+    let mut fleet: Vec<World> = (0..couriers as u64)
+        .map(|seed| {
+            let courier = Courier::new(s.clone(), seed).unwrap();
+            let mut w = World { courier, ..World::new(s.clone(), vec![]) };
+            w.step(vec![Event::List(ListNews::Whole(vec![weighing(rate as f64)]))]);
+            w
+        })
+        .collect();
+    let mut due: Vec<VecDeque<(u64, Event)>> = (0..couriers).map(|_| VecDeque::new()).collect();
+    let mut played = Limited { handed_in: 0, delivered: 0, refused: 0 };
+    let (mut second, mut taken, mut owed, mut next) = (0, 0, 0.0, 0);
+    for tick in 0..3000u64 {
+        let now = tick * STEP;
+        if now / SECOND != second {
+            (second, taken) = (now / SECOND, 0);
+        }
+        let clump = (6..9).contains(&(second % 15));
+        owed += rate as f64 * if clump { 2.0 } else { load } * STEP as f64 / SECOND as f64;
+        let mut news: Vec<Vec<Event>> = (0..couriers).map(|_| vec![]).collect();
+        while owed >= 1.0 {
+            // A stride that meets all couriers before it meets one again.
+            next = (next + 37) % couriers;
+            let m = fleet[next].message(SAFE, 1);
+            news[next].push(Event::Message(m));
+            played.handed_in += 1;
+            owed -= 1.0;
+        }
+        let told = noise[(now / (330 * MS)) as usize % noise.len()];
+        let report = Some(LimitReport { left: 0.5, rate: rate as f64 * told });
+        for (i, w) in fleet.iter_mut().enumerate() {
+            while due[i].front().is_some_and(|d| d.0 <= tick) {
+                news[i].extend(due[i].pop_front().map(|d| d.1));
+            }
+            for (id, endpoint) in sends(&w.at(STEP, std::mem::take(&mut news[i]))) {
+                taken += 1;
+                let ended = taken <= rate;
+                let wait = SECOND - now % SECOND;
+                let outcome = if ended { Outcome::Ok } else { Outcome::Full(Some(wait)) };
+                played.delivered += usize::from(ended);
+                played.refused += usize::from(!ended);
+                let (attempt, elapsed) = (w.attempt(id), 5 * STEP);
+                due[i].push_back((
+                    tick + 5,
+                    Event::Result { id, attempt, endpoint, outcome, elapsed, ended, report },
+                ));
+            }
+        }
+    }
+    played
+}
+
+/// Fleet days: a partner's reading of its limit is refreshed three times a second and off by up to a third. One forwarder
+/// hears an odd one and is soon told better; a hundred hear the same odd one, and all go too fast together.
+#[test]
+fn noise_in_what_a_partner_tells_of_its_limit_does_not_take_a_whole_fleet_over_it() {
+    let noise = [1.0, 0.75, 1.3, 0.9, 1.35, 0.72, 1.2, 0.8];
+    let (exact, noisy) = (limited(100, 50, 0.7, [1.0; 8]), limited(100, 50, 0.7, noise));
+    let (refused, delivered) = ((exact.refused, noisy.refused), (exact.delivered, noisy.delivered));
+    assert_eq!(exact.handed_in, noisy.handed_in);
+    assert!(refused.1 * 4 <= refused.0 * 5, "refused {refused:?}, without and with noise");
+    assert!(delivered.1 * 100 >= delivered.0 * 83, "delivered {delivered:?}, without and with noise");
+}
