Halve the turn after a second refusal: somebody has answered, and the partner stood half idle

`refused` in src/logic.rs let a second refusal wait for the turn of a trial, up to 4.6 times the span in which each forwarder may call once, as if nobody had answered.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -214,7 +214,7 @@
             let turn = if !self.outage && self.cold_since.is_none() && since == now {
                 (period.min(CLUMP) * draw) as Micros
             } else {
-                self.turn(now, now - since + TIMEOUT / 2, 0, s, draw)
+                self.turn(now, now - since + TIMEOUT / 2, 0, s, draw / 2.0)
             };
             let wait = if stands_for > 1.0 && 2.0 * period > pause as f64 { turn } else { pause };
             self.wait_until = self.wait_until.max(now) + wait;
