--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -155,7 +155,7 @@
          u1 expect 202
          e1 expect m1
          heir asks 404 token=guessed
-         heir asks 415 format=9
+         heir asks 415 format=1
          heir asks 200
          heir leaves
          log not handed over
