Take trials, turns after refusals and first watches by number and clock, not by draw

Cause: every wait that a fleet takes for one cause was drawn (`draw` in `turn`, `fail` and `refused` of src/logic.rs, fastrand in src/net/farm.rs), which leaves gaps and heaps; words.rs read only the count, not the own number (`me`). Without a usable `me` all goes by chance, told in one log line.

--- a/src/api.rs
+++ b/src/api.rs
@@ -109,6 +109,10 @@
 pub struct Settings {
     /// Couriers that share the traffic, this one included.
     pub couriers: usize,
+    /// This courier's number among them, from 0; without one it takes its turns by chance.
+    pub number: Option<u64>,
+    /// What the clock that all couriers read showed when this one's own showed 0.
+    pub ahead: Micros,
     /// Where this courier runs.
     pub zone: ZoneId,
     /// For each zone: points charged if every message went by a route apart there.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod routes;
 mod settings;
 pub mod site;
+pub mod turns;
 pub mod words;
 
 pub use api::*;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use super::eureka::snapshot::Snapshot;
 use crate::membership::RegistrySettings;
-use crate::words::{field, in_field, micros, settings, text, whole, Names};
+use crate::words::{field, in_field, micros, own_number, settings, text, whole, Names};
 use crate::{Kind, Micros, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -50,6 +50,8 @@
     pub slots: usize,
     /// Forwarders that share the traffic, this one included.
     pub couriers: usize,
+    /// Its number among them, or why it has none.
+    pub number: Result<u64, String>,
     /// The kinds of destination.
     pub kinds: Vec<Kind>,
     /// What classes, tenants, zones and kinds are called.
@@ -124,6 +126,7 @@
             max_open: settings.max_open,
             slots: settings.slots,
             couriers: settings.couriers,
+            number: own_number(raw),
             kinds: settings.kinds.clone(),
             names: Arc::new(names),
             keyed: of(crate::Effect::Keyed),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -255,9 +255,11 @@
     let older = claim.as_ref().and_then(Claim::speaker);
     let passed = claim.as_mut().and_then(|c| c.passed.take());
     let routes = settings.routes.clone();
-    let fresh = Courier::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
-    let (state, courier) = passed.map_or((None, fresh), |(state, module)| (Some(state), module));
+    let (state, passed) = passed.unzip();
     let clock = state.as_ref().map_or_else(Clock::start, |s| Clock::go_on(s.clock, s.wall));
+    let settings = Settings { ahead: clock.to_wall(0), ..settings };
+    let fresh = || Courier::new(settings.clone(), config.seed).map_err(|e| e.to_string());
+    let courier = passed.map_or_else(fresh, Ok)?;
     let (decider, mail) = async_channel::bounded(1024);
     let (close, closing) = async_channel::bounded(1);
     let context = Rc::new(Context {
@@ -292,6 +294,7 @@
         cordoned: RefCell::default(),
     });
     context.routes.apply(routes);
+    tell_number(&context);
     let config = context.config();
     let (notices, notices_mail) = async_channel::bounded(4096);
     let (farm_box, farm_mail) = async_channel::bounded(16);
@@ -432,7 +435,16 @@
     context.board.grace(config.drain_grace);
     context.routes.apply(settings.routes.clone());
     *context.config.borrow_mut() = Rc::new(config);
-    Ok(settings)
+    tell_number(context);
+    // A step of the machine's clock is followed here, and between reloads it moves no place.
+    Ok(Settings { ahead: context.clock.to_wall(0), ..settings })
+}
+
+/// Tells why the forwarder goes by chance where others take places, if it does.
+fn tell_number(context: &Context) {
+    if let Err(reason) = &context.config().number {
+        warn!(context.log, "no place among the forwarders, going by chance"; "reason" => reason);
+    }
 }
 
 /// Ends in order.
--- a/src/words.rs
+++ b/src/words.rs
@@ -115,6 +115,16 @@
     })
 }
 
+/// The instance's number among all, or why it has none that can be used: it then goes by chance.
+pub fn own_number(v: &Value) -> Result<u64, String> {
+    let number = in_field(v, "me", whole)?;
+    let count = in_field(v, "balancers", whole)?;
+    if number >= count {
+        return Err(format!("setting `me`: {number} is not under the count of {count}"));
+    }
+    Ok(number)
+}
+
 /// Reads the settings of an instance.
 pub fn settings(v: &Value) -> Result<(Settings, Names), String> {
     let special = field(v, "specifics")?;
@@ -140,6 +150,8 @@
     let tenant = |r: &Value| Ok(Tenant { quota_per_s: in_field(r, "quota-per-s", number)? });
     let settings = Settings {
         couriers: in_field(v, "balancers", whole)? as usize,
+        number: own_number(v).ok(),
+        ahead: 0,
         zone: ZoneId(index(&zones, &zone, "zone")?),
         tolls,
         cross_zone_fee: maybe(fees, "cross-zone", number)?,
