--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -10,7 +10,6 @@
 use crate::membership::{
     Approach, Carried, Change, Key, Listing, Membership, News, Policy, RegistrySettings, SourceId, State,
 };
-use crate::turns::{Turn, Turns};
 use crate::words::{in_field, index, text, whole, Names};
 use crate::{DestinationId, EndpointId, Entry, KindId, Lifecycle, ListNews, Micros, ZoneId};
 use async_channel::{Receiver, Sender};
@@ -89,8 +88,6 @@
 const LINES: usize = 100;
 /// So many that left are looked at again; in a storm the rest is not.
 const LEFT: usize = 10_000;
-/// The platform's number where partners have theirs, for the order in which forwarders come to it.
-const PLATFORM: u64 = u64::MAX;
 
 /// A watch: dropped, it closes its connection.
 struct Watch {
@@ -132,7 +129,6 @@
     next: Option<Watch>,
     watches: u64,
     approach: Approach,
-    turns: Turns,
     generation: Option<u64>,
     /// Where that version comes from; not known of the list that the configuration brings.
     source: Option<SocketAddr>,
@@ -162,7 +158,6 @@
             next,
             watches: 0,
             approach,
-            turns: Turns::new(fastrand::u64(..)),
             generation,
             source,
             registry,
@@ -527,18 +522,11 @@
         } else if !leads(&self.next) {
             // A process that starts with a list may be one of many that do; a new address is looked at at once.
             let first = self.watches == 0 && self.context.holds_list.get();
-            let turn = self.turn();
-            let pause = if first { self.approach.start(turn) } else { 0 };
+            let pause = if first { self.approach.start(fastrand::f64()) } else { 0 };
             self.open(Duration::from_micros(pause));
         }
     }
 
-    /// This forwarder's turn towards the platform, which is none of the partners.
-    fn turn(&mut self) -> Turn {
-        let (clock, config) = (self.context.clock, self.context.config());
-        self.turns.at(clock.to_wall(clock.now()), config.number.as_ref().ok().copied(), PLATFORM)
-    }
-
     fn open(&mut self, pause: Duration) {
         let address = self.context.config().discovery;
         // A version number is worth nothing at an address that did not give it: there, the whole list is asked for.
@@ -570,8 +558,7 @@
         self.next.take_if(over);
         let wanted = self.context.config().discovery;
         if self.next.is_none() && self.held.as_ref().is_none_or(|w| w.address != wanted) {
-            let turn = self.turn();
-            let pause = self.approach.pause(asked, turn);
+            let pause = self.approach.pause(asked, fastrand::f64());
             self.open(Duration::from_micros(pause));
         }
     }
