--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -152,9 +152,9 @@
 }
 
 impl Audit {
-    /// An audit of so many partners and endpoints.
-    pub fn new(settings: &Settings, partners: usize, endpoints: usize, slack: Slack) -> Self {
-        let forwarders = settings.couriers;
+    /// An audit of so many forwarders, partners and endpoints.
+    pub fn new(settings: &Settings, sizes: (usize, usize, usize), slack: Slack) -> Self {
+        let (forwarders, partners, endpoints) = sizes;
         Audit {
             class: settings.classes[0].clone(),
             slack,
@@ -268,6 +268,11 @@
         self.drains[forwarder].fill(None);
     }
 
+    /// A forwarder has gone for good, and another goes on with a message of its.
+    pub fn moved(&mut self, message: usize, to: usize) {
+        self.messages[message].forwarder = to as u32;
+    }
+
     /// No answer of a forwarder is overdue within this span.
     pub fn excuse(&mut self, forwarder: usize, from: Micros, to: Micros) {
         self.excused[forwarder].push((from, to));
@@ -366,7 +371,7 @@
     fn audit(effect: Effect) -> Audit {
         let mut settings = crate::world::platform().0;
         settings.classes[0].effect = effect;
-        let mut audit = Audit::new(&settings, 1, 1, VIRTUAL);
+        let mut audit = Audit::new(&settings, (1, 1, 1), VIRTUAL);
         audit.taken(0, 0, 0, 28_000_000);
         audit
     }
@@ -441,7 +446,7 @@
     #[test]
     fn on_sockets_what_only_seems_wrong_is_let_through() {
         let settings = crate::world::platform().0;
-        let mut a = Audit::new(&settings, 1, 1, SOCKETS);
+        let mut a = Audit::new(&settings, (1, 1, 1), SOCKETS);
         a.taken(0, 0, 0, 28_000_000);
         let t = Timing::default();
         a.sent(1, 1, (0, 0), 0, &t);
@@ -463,7 +468,7 @@
     #[test]
     fn a_notice_told_again_after_a_restart_is_the_same_one() {
         let settings = crate::world::platform().0;
-        let mut a = Audit::new(&settings, 1, 1, SOCKETS);
+        let mut a = Audit::new(&settings, (1, 1, 1), SOCKETS);
         let t = Timing::default();
         (0..2).for_each(|_| a.taken(0, 0, 0, 28_000_000));
         a.noticed(10, 0, &t, End::Refused);
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -3,7 +3,7 @@
 
 use crate::capture::Captured;
 use crate::scenario::{KindOf, PartnerOf, Scenario};
-use crate::world::{platform, Hand, StopAt, World, START};
+use crate::world::{plain_fleet, platform, Hand, StopAt, World, START};
 use cedarbridge::{DestinationId, EndpointId, Entry, KindId, Lifecycle, Micros, Tenant, ZoneId};
 use cedarbridge_partners::Model;
 use rand::{RngExt, SeedableRng};
@@ -120,6 +120,9 @@
         phases: phases.collect(),
         end: START + scenario.length(),
         network: NETWORK,
+        fleet: plain_fleet(forwarders),
+        sizes: Vec::new(),
+        told: 1.0,
         partner_names: names.into_iter().map(|n| n.0).collect(),
         names: words,
         partners,
@@ -143,7 +146,7 @@
         spread: of.spread,
         capacity,
         limit: limited.then_some(limit),
-        refused_count: small,
+        refused_count: of.refused_count.unwrap_or(small),
         tells_wait: of.tells_wait.map(|s| s.0),
         queue: of.queue.unwrap_or((capacity * QUEUE / of.endpoints as f64).ceil() as usize).max(1),
         per_call: if small { (1, 0.0) } else { (10, 0.12) },
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -81,6 +81,7 @@
     worth: f32,
     partner: u32,
     tenant: u16,
+    forwarder: u32,
     troubled: bool,
     delivered: bool,
 }
@@ -162,6 +163,14 @@
     pub attempts: u64,
     /// Processes that were replaced, in the order of time.
     pub upgrades: Vec<Upgrade>,
+    /// Worth by the forwarder that a message came to first.
+    pub by_forwarder: Vec<Worth>,
+    /// Connections made to endpoints; counted in virtual time.
+    pub connections: u64,
+    /// For each partner, the calls that reached it in each second of the day.
+    pub offered: Vec<Vec<u32>>,
+    /// For each partner, when messages were delivered, in the order of time.
+    pub deliveries: Vec<Vec<Micros>>,
 }
 
 impl Figures {
@@ -178,6 +187,7 @@
             worth: h.worth as f32,
             partner: h.partner as u32,
             tenant: h.tenant as u16,
+            forwarder: h.forwarder as u32,
             troubled: troubled[h.partner],
             delivered: false,
         });
@@ -190,7 +200,7 @@
             breakers: vec![Vec::new(); world.partners.len()],
             troubled,
             trouble: (from, to),
-            slots: world.settings.slots * world.settings.couriers,
+            slots: world.settings.slots * world.fleet.len(),
             windows: vec![Worth::default(); windows],
             troubled_worth: Worth::default(),
             other_worth: Worth::default(),
@@ -201,8 +211,13 @@
             delivered: 0,
             attempts: 0,
             upgrades: Vec::new(),
+            by_forwarder: vec![Worth::default(); world.fleet.len()],
+            connections: 0,
+            offered: vec![Vec::new(); world.partners.len()],
+            deliveries: vec![Vec::new(); world.partners.len()],
         };
         for h in &world.hands {
+            figures.by_forwarder[h.forwarder].asked += h.worth;
             figures.side(figures.troubled[h.partner]).asked += h.worth;
             figures.by_partner[h.partner].add(h.worth);
             figures.by_channel[h.tenant].add(h.worth);
@@ -224,6 +239,28 @@
         self.attempts += 1;
     }
 
+    /// A call reached a partner.
+    pub fn call(&mut self, now: Micros, partner: usize) {
+        let second = (now.saturating_sub(START) / SECOND) as usize;
+        let line = &mut self.offered[partner];
+        if line.len() <= second {
+            line.resize(second + 1, 0);
+        }
+        line[second] += 1;
+    }
+
+    /// How long after a time the next message was delivered at a partner.
+    pub fn next_delivery(&self, partner: usize, from: Micros) -> Option<Micros> {
+        let all = &self.deliveries[partner];
+        all.get(all.partition_point(|t| *t < from)).map(|t| t - from)
+    }
+
+    /// For each trouble that a partner returns from: how long after its end the first message was delivered there.
+    pub fn returns(&self, world: &World) -> Vec<(usize, Option<Micros>)> {
+        let back = world.troubles.iter().filter(|t| t.3.cools());
+        back.map(|t| (t.0, self.next_delivery(t.0, t.2))).collect()
+    }
+
     /// An attempt came back.
     pub fn outcome(&mut self, of: Outcome) {
         self.outcomes[outcome(of)] += 1;
@@ -250,6 +287,8 @@
         let got = f64::from(t.worth) * if age <= AIM { 1.0 } else { 0.5f64.powf(late).max(LATE) };
         let ms = (age / 1000).max(1);
         self.side(t.troubled).got += got;
+        self.by_forwarder[t.forwarder as usize].got += got;
+        self.deliveries[t.partner as usize].push(now);
         self.by_partner[t.partner as usize].deliver(now, got, ms);
         self.by_channel[t.tenant as usize].deliver(now, got, ms);
         self.windows[((t.at - START) / WINDOW) as usize].got += got;
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,341 @@
+//! Fleets of several sizes that share one day in virtual time: what each serves, what is refused, how soon it is back at
+//! a partner that returns, and how evenly its forwarders fare. It decides nothing and knows no sockets.
+
+use crate::draw::day;
+use crate::figures::Figures;
+use crate::play::play;
+use crate::report::{mean, Drawn};
+use crate::scenario::{Fleet, Scenario, Signal};
+use crate::verdict::{colour, escaped};
+use crate::world::{Member, SizeAt, StopAt, World, START};
+use cedarbridge::routes::Plan;
+use cedarbridge::Micros;
+use plotters::prelude::*;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use std::fmt::Write;
+use std::sync::Arc;
+
+const SECOND: Micros = 1_000_000;
+/// A partner is back at its rate once a second brings so much of what it took before.
+const BACK: f64 = 0.9;
+/// That second is looked for in steps of this.
+const STEP: Micros = SECOND / 10;
+/// So that the draws of the fleet are not those of the day.
+const APART: u64 = 0xf1ee7;
+
+/// How forwarders come to their turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// By the numbers that the file gives them.
+    Places,
+    /// By chance: none is told a number.
+    Chance,
+    /// One forwarder has all that the others would have together: what a fleet loses by its not talking shows against it.
+    One,
+}
+
+impl Way {
+    fn word(self) -> &'static str {
+        match self {
+            Way::Places => "places",
+            Way::Chance => "chance",
+            Way::One => "one for all",
+        }
+    }
+}
+
+/// What one day came to.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// The share of the worth that was delivered.
+    pub served: f64,
+    /// The same less the prices.
+    pub priced: f64,
+    /// Calls that were refused, as a share of all.
+    pub refused: f64,
+    /// Connections made, for each message.
+    pub connections: f64,
+    /// From a partner's return to its first delivery, the longest; nothing if there is no return.
+    pub first: Option<Micros>,
+    /// From there to its rate from before, the longest; what never comes counts up to the day's end.
+    pub rate: Option<Micros>,
+    /// Jain's index of the share that each forwarder served of what came to it: 1 if all served alike.
+    pub jain: f64,
+    /// The share of seconds in which a partner was sent more calls than its limit, over all that have one.
+    pub over: f64,
+    /// The worst such second, as a multiple of the limit.
+    pub worst: f64,
+    /// Rules broken.
+    pub broken: Vec<String>,
+}
+
+/// Days of one fleet.
+pub struct Row {
+    /// How many forwarders it has at the begin.
+    pub count: usize,
+    /// How they come to their turns.
+    pub way: Way,
+    /// The days, by seed.
+    pub days: Vec<Day>,
+}
+
+/// The day of a scenario for a fleet.
+pub fn draw(scenario: &Scenario, count: usize, way: Way, seed: u64) -> World {
+    let mut scenario = scenario.clone();
+    scenario.forwarders.count = if way == Way::One { 1 } else { count };
+    let mut world = day(&scenario, seed, None);
+    if let Some(fleet) = scenario.fleet.as_ref().filter(|_| way != Way::One) {
+        people(&mut world, &scenario, &fleet.value, way, seed);
+    }
+    world
+}
+
+/// Gives the day its forwarders, with their numbers, clocks, ends and parts of the traffic.
+fn people(world: &mut World, scenario: &Scenario, of: &Fleet, way: Way, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ APART);
+    let count = world.fleet.len();
+    let moment = |m| START + scenario.moment(m).expect("checked as it was read");
+    world.sizes = vec![SizeAt { at: START, count, within: 0 }];
+    let later =
+        of.sizes.iter().map(|s| SizeAt { at: moment(&s.at), count: s.count.value, within: s.within.0 });
+    world.sizes.extend(later);
+    let most = world.sizes.iter().map(|s| s.count).max().unwrap_or(count);
+    world.told = of.told;
+    world.fleet = (0..most as u64)
+        .map(|n| {
+            let clock = rng.random_range(0..=of.clocks.0);
+            let (bare, doubled) = (rng.random_bool(of.unnumbered), rng.random_bool(of.doubled));
+            let number = n - u64::from(doubled && n > 0);
+            Member { number: (!bare && way == Way::Places).then_some(number), clock }
+        })
+        .collect();
+    if let Some(dead) = &of.dead {
+        let mut all: Vec<usize> = (0..count).collect();
+        all.shuffle(&mut rng);
+        all.truncate((count as f64 * dead.share).round() as usize);
+        let (at, back) = (moment(&dead.at), dead.lasts.0);
+        world.stops =
+            all.into_iter().map(|forwarder| StopAt { forwarder, at, signal: Signal::Kill, back }).collect();
+    }
+    // Who has much traffic has it by chance, whatever its number.
+    let mut ranks: Vec<usize> = (0..most).collect();
+    ranks.shuffle(&mut rng);
+    let mut sum = 0.0;
+    let upto: Vec<f64> = ranks
+        .iter()
+        .map(|r| {
+            sum += 1.0 / ((r + 1) as f64).powf(of.uneven);
+            sum
+        })
+        .collect();
+    for hand in &mut world.hands {
+        let size = world.sizes.iter().rfind(|s| s.at <= hand.at).map_or(count, |s| s.count);
+        let draw = rng.random::<f64>() * upto[size - 1];
+        hand.forwarder = upto[..size].partition_point(|s| *s <= draw).min(size - 1);
+    }
+}
+
+/// Plays the day of one fleet.
+pub fn play_one(scenario: &Scenario, plan: Option<Arc<Plan>>, count: usize, way: Way, seed: u64) -> Day {
+    let world = draw(scenario, count, way, seed);
+    let (figures, broken) = play(&world, plan, seed);
+    let prices = scenario.fleet.as_ref().map(|f| f.value.prices).unwrap_or_default();
+    Day { broken: broken.iter().map(ToString::to_string).collect(), ..figured(&world, &figures, prices) }
+}
+
+fn figured(world: &World, f: &Figures, prices: crate::scenario::Prices) -> Day {
+    let messages = world.hands.len().max(1) as f64;
+    let (served, full) = (f.worth().share(), f.outcomes[2] as f64);
+    let connections = f.connections as f64 / messages;
+    let shares = f.by_forwarder.iter().filter(|w| w.asked > 0.0).map(|w| w.share());
+    let (n, sum, squares) = shares.fold((0.0, 0.0, 0.0), |a, x| (a.0 + 1.0, a.1 + x, a.2 + x * x));
+    let (mut seconds, mut over, mut worst) = (0u32, 0u32, 0.0f64);
+    for (partner, model) in world.partners.iter().enumerate() {
+        let Some(limit) = model.limit else { continue };
+        for (second, calls) in f.offered[partner].iter().enumerate() {
+            let at = START + second as Micros * SECOND;
+            let lowered = world.troubles.iter().filter(|t| t.0 == partner && t.1 <= at && at < t.2);
+            let now = limit * lowered.filter_map(|t| t.3.lowers()).product::<f64>();
+            let part = f64::from(*calls) / now;
+            (seconds, over, worst) = (seconds + 1, over + u32::from(part > 1.0), worst.max(part));
+        }
+    }
+    let returns = || world.troubles.iter().filter(|t| t.3.cools());
+    let end = |t: &(usize, Micros, Micros, _)| world.end.saturating_sub(t.2);
+    Day {
+        served,
+        priced: served - prices.refused * full / messages - prices.connections * connections,
+        refused: full / (f.attempts as f64).max(1.0),
+        connections,
+        first: returns().map(|t| f.next_delivery(t.0, t.2).unwrap_or(end(t))).max(),
+        rate: returns().map(|t| back_at_rate(f, t.0, (t.1, t.2)).unwrap_or(end(t))).max(),
+        jain: if squares > 0.0 { sum * sum / (n * squares) } else { 1.0 },
+        over: f64::from(over) / f64::from(seconds.max(1)),
+        worst,
+        broken: Vec::new(),
+    }
+}
+
+/// How long after a partner's return a second brings [`BACK`] of what it took in the mean before.
+fn back_at_rate(f: &Figures, partner: usize, (begin, end): (Micros, Micros)) -> Option<Micros> {
+    let all = &f.deliveries[partner];
+    let between =
+        |from: Micros, to: Micros| all.partition_point(|t| *t < to) - all.partition_point(|t| *t < from);
+    let before = between(START, begin) as f64 * SECOND as f64 / (begin - START).max(1) as f64;
+    let last = *all.last()?;
+    let mut at = end;
+    while at <= last {
+        if between(at, at + SECOND) as f64 >= BACK * before {
+            return Some(at - end);
+        }
+        at += STEP;
+    }
+    None
+}
+
+/// A figure of a day: its name, what it is, and how it is drawn.
+type Column = (&'static str, &'static str, fn(&Day) -> f64);
+
+const COLUMNS: [Column; 9] = [
+    ("served", "share of the worth delivered", |d| d.served),
+    ("priced", "the same less the prices", |d| d.priced),
+    ("refused", "refused calls of all", |d| d.refused),
+    ("connects", "connections made for each message", |d| d.connections),
+    ("first s", "from a return to the first delivery, s", |d| d.first.map_or(f64::NAN, |t| t as f64 / 1e6)),
+    ("rate s", "from a return to 90% of the rate, s", |d| d.rate.map_or(f64::NAN, |t| t as f64 / 1e6)),
+    ("jain", "Jain's index of the served shares", |d| d.jain),
+    ("over", "share of seconds over a limit", |d| d.over),
+    ("worst", "the worst second, in limits", |d| d.worst),
+];
+
+impl Row {
+    /// Mean and half of its 95% interval.
+    fn of(&self, figure: fn(&Day) -> f64) -> (f64, f64) {
+        mean(&self.days.iter().map(figure).collect::<Vec<_>>())
+    }
+
+    fn broken(&self) -> usize {
+        self.days.iter().map(|d| d.broken.len()).sum()
+    }
+}
+
+/// The table, and the rules that were broken.
+pub fn table(scenario: &Scenario, rows: &[Row]) -> String {
+    let days = rows.first().map_or(0, |r| r.days.len());
+    let mut out =
+        format!("{}: {days} days a row, means\n\n{:>10} {:<12}", scenario.title, "forwarders", "turns by");
+    COLUMNS.iter().for_each(|c| out += &format!(" {:>9}", c.0));
+    out += &format!(" {:>7}\n", "broken");
+    for row in rows {
+        let _ = write!(out, "{:>10} {:<12}", row.count, row.way.word());
+        for c in COLUMNS {
+            let value = row.of(c.2).0;
+            out += &if value.is_nan() { format!(" {:>9}", "-") } else { format!(" {value:>9.3}") };
+        }
+        let _ = writeln!(out, " {:>7}", row.broken());
+    }
+    for row in rows {
+        for what in row.days.iter().flat_map(|d| &d.broken).take(5) {
+            let _ = writeln!(out, "BROKEN {} {}: {what}", row.count, row.way.word());
+        }
+    }
+    out
+}
+
+/// The same for scripts.
+pub fn as_json(scenario: &Scenario, rows: &[Row]) -> Value {
+    let finite = |x: f64| if x.is_finite() { json!(x) } else { Value::Null };
+    let row = |r: &Row| {
+        let mut figures: serde_json::Map<String, Value> = COLUMNS
+            .iter()
+            .map(|c| {
+                let (value, half) = r.of(c.2);
+                (c.0.replace(' ', "_"), json!({"mean": finite(value), "half_interval": finite(half)}))
+            })
+            .collect();
+        figures.insert("forwarders".into(), json!(r.count));
+        figures.insert("turns".into(), json!(r.way.word()));
+        figures.insert("days".into(), json!(r.days.len()));
+        figures.insert("broken".into(), json!(r.broken()));
+        Value::Object(figures)
+    };
+    json!({"title": scenario.title, "fleets": rows.iter().map(row).collect::<Vec<_>>()})
+}
+
+/// What was not as the scenario expects it.
+pub fn unmet(scenario: &Scenario, rows: &[Row]) -> Vec<String> {
+    let mut all = Vec::new();
+    for row in rows.iter().filter(|r| r.way == Way::Places) {
+        let (count, expect) = (row.count, &scenario.expect);
+        if row.broken() > expect.broken {
+            all.push(format!("{count} forwarders: {} rules broken, {} allowed", row.broken(), expect.broken));
+        }
+        let least = row.days.iter().map(|d| d.served).fold(f64::INFINITY, f64::min);
+        if let Some(worth) = expect.worth.as_ref().filter(|w| least < w.value) {
+            all.push(format!("{count} forwarders: {least:.3} served, {} expected at least", worth.value));
+        }
+        let longest = row.days.iter().filter_map(|d| d.first).max().unwrap_or(0);
+        if let Some(most) = expect.returns.filter(|m| longest > m.0) {
+            let ms = (longest / 1000, most.0 / 1000);
+            all.push(format!(
+                "{count} forwarders: {} ms from a return to the first delivery, {} at most",
+                ms.0, ms.1
+            ));
+        }
+    }
+    all
+}
+
+const SIZE: (u32, u32) = (520, 260);
+
+/// A figure over the fleet's size, a line for each way.
+fn plot(rows: &[Row], column: Column, svg: &mut String) -> Drawn {
+    let value = |r: &Row| (r.count.max(1) as f64, r.of(column.2).0);
+    let all: Vec<(f64, f64)> = rows.iter().map(value).filter(|p| p.1.is_finite()).collect();
+    let most = all.iter().map(|p| p.1).fold(0.0, f64::max).max(1e-6) * 1.08;
+    let counts = all.iter().map(|p| p.0).fold((f64::INFINITY, 1.0f64), |a, x| (a.0.min(x), a.1.max(x)));
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(column.1, ("sans-serif", 14))
+        .margin(8)
+        .x_label_area_size(32)
+        .y_label_area_size(48)
+        .build_cartesian_2d((counts.0.min(counts.1) * 0.9..counts.1 * 1.1).log_scale(), 0.0..most)?;
+    chart.configure_mesh().x_desc("forwarders").x_label_formatter(&|x| format!("{x:.0}")).draw()?;
+    for (n, way) in [Way::Places, Way::Chance, Way::One].into_iter().enumerate() {
+        let points: Vec<_> =
+            rows.iter().filter(|r| r.way == way).map(value).filter(|p| p.1.is_finite()).collect();
+        let Some(first) = points.first().copied() else { continue };
+        let c = colour(n);
+        // One for all has a single figure, which holds across.
+        let line = if way == Way::One { vec![(counts.0, first.1), (counts.1, first.1)] } else { points };
+        let drawn = chart.draw_series(LineSeries::new(line, c.stroke_width(2)))?;
+        drawn
+            .label(way.word())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], c.stroke_width(2)));
+    }
+    chart.configure_series_labels().position(SeriesLabelPosition::LowerLeft).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+/// The page: the table and a plot of each figure.
+pub fn page(scenario: &Scenario, rows: &[Row]) -> Result<String, Box<dyn std::error::Error>> {
+    let title = escaped(&scenario.title);
+    let mut out = format!(
+        "<!doctype html>\n<html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>\n\
+         <body style=\"font-family: sans-serif; max-width: 80em; margin: 2em auto\">\n<h1>{title}</h1>\n<pre>\n{}</pre>\n",
+        escaped(&table(scenario, rows))
+    );
+    for column in COLUMNS {
+        let mut svg = String::new();
+        plot(rows, column, &mut svg)?;
+        out += &svg;
+        out.push('\n');
+    }
+    Ok(out + "</body></html>\n")
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod draw;
 pub mod experiment;
 pub mod figures;
+pub mod fleet;
 pub mod live;
 pub mod play;
 pub mod report;
--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -51,7 +51,7 @@
 
 async fn hand_in(stage: Rc<Stage>, first: usize, again: Option<Again>, planned: Micros) {
     let hand = stage.world.hands[first];
-    let couriers = stage.world.settings.couriers;
+    let couriers = stage.world.fleet.len();
     let mut to = match again {
         Some(_) => stage.rng.borrow_mut().random_range(0..couriers),
         None => hand.forwarder,
--- a/crates/lab/src/live/daemon.rs
+++ b/crates/lab/src/live/daemon.rs
@@ -249,6 +249,15 @@
     stage.audit.borrow_mut().excused_until(forwarder, stage.now() + AGAIN_DUE);
 }
 
+/// Stops a forwarder's process where it stands and lets it go on after a while. What it owes falls due a while after.
+pub async fn stall(stage: &Rc<Stage>, forwarder: usize, lasts: Micros) {
+    stage.audit.borrow_mut().excuse(forwarder, stage.now(), Micros::MAX);
+    signal(stage, forwarder, Signal::STOP);
+    Timer::after(Duration::from_micros(lasts)).await;
+    signal(stage, forwarder, Signal::CONT);
+    stage.audit.borrow_mut().excused_until(forwarder, stage.now() + AGAIN_DUE);
+}
+
 /// Replaces a forwarder's process while it serves, as the platform does: a second one on the same folder, with an
 /// operators' address of its own, and SIGTERM to the first once the second takes clients.
 pub async fn upgrade(stage: &Rc<Stage>, forwarder: usize) {
--- a/crates/lab/src/live/endpoint.rs
+++ b/crates/lab/src/live/endpoint.rs
@@ -10,7 +10,6 @@
 use cedarbridge_partners::{Answer, Fate, Trouble};
 use futures_lite::future;
 use socket2::{Domain, SockRef, Socket, Type};
-use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +20,7 @@
 
 /// Starts all endpoints for all forwarders.
 pub fn start(stage: &Rc<Stage>) -> Result<(), Failure> {
-    for forwarder in 0..stage.world.settings.couriers {
+    for forwarder in 0..stage.world.fleet.len() {
         for endpoint in 0..stage.world.list.len() {
             // An address of its own keeps its port from others while it refuses.
             let ip = [127, 100 + (forwarder % 100) as u8, (endpoint >> 8) as u8, 1 + (endpoint & 0xfe) as u8];
@@ -73,7 +72,6 @@
     address: SocketAddr,
 ) {
     let partner = stage.world.list[endpoint].1;
-    let open = Rc::new(Cell::new(0usize));
     let mut listener = Some(listener);
     let mut closed_to_all = None;
     loop {
@@ -112,13 +110,14 @@
             None
         };
         match future::or(other, taken).await {
-            Some(stream) if open.get() >= stage.world.connections[partner] => drop(stream),
+            // An endpoint holds so many from all forwarders together.
+            Some(stream) if stage.held[endpoint].get() >= stage.world.connections[partner] => drop(stream),
             Some(stream) => {
-                open.set(open.get() + 1);
-                let (stage, open) = (stage.clone(), open.clone());
+                stage.held[endpoint].set(stage.held[endpoint].get() + 1);
+                let stage = stage.clone();
                 stage.clone().spawn(async move {
                     converse(&stage, forwarder, endpoint, stream).await;
-                    open.set(open.get() - 1);
+                    stage.held[endpoint].set(stage.held[endpoint].get() - 1);
                 });
             }
             None => {}
@@ -153,6 +152,7 @@
         let Ok(head) = wire.read_request().await else { return };
         let Ok(body) = wire.request_body(&head, BODY).await else { return };
         let now = stage.now();
+        stage.figures.borrow_mut().call(now, partner);
         let batch = head.target == "/v1/messages:batch";
         let carried = match read(stage, &head, &body, batch) {
             Ok(carried) => carried,
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -190,6 +190,8 @@
     door: RefCell<Vec<Option<usize>>>,
     /// Calls out at partners.
     out: Cell<usize>,
+    /// By endpoint, the connections that it holds.
+    held: Vec<Cell<usize>>,
     /// A task has panicked: what follows would tell nothing.
     panicked: (Sender<()>, Receiver<()>),
 }
@@ -281,7 +283,7 @@
 
 /// What the scenario needs of the machine, held against what there is.
 fn fits(world: &World) -> Result<(), Failure> {
-    let couriers = world.settings.couriers;
+    let couriers = world.fleet.len();
     let listeners = couriers * (world.list.len() + 1);
     let calls = couriers * world.settings.slots;
     let clients = couriers * world.settings.max_open.min(2_000);
@@ -327,14 +329,18 @@
         changed: async_channel::bounded(1),
         struck: Vec::new(),
     });
-    let couriers = world.settings.couriers;
+    let couriers = world.fleet.len();
     let list = (0..world.list.len())
         .map(|e| if e < world.listed { Lifecycle::Listed } else { Lifecycle::Gone })
         .collect();
     let times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that are in order");
     let limit = options.limit;
     let stage = Rc::new(Stage {
-        audit: RefCell::new(Audit::new(&world.settings, world.partners.len(), world.list.len(), SOCKETS)),
+        audit: RefCell::new(Audit::new(
+            &world.settings,
+            (couriers, world.partners.len(), world.list.len()),
+            SOCKETS,
+        )),
         figures: RefCell::new(Figures::new(&world)),
         partners: RefCell::new(partners.collect()),
         handed: RefCell::default(),
@@ -354,6 +360,7 @@
         pools: RefCell::new((0..couriers).map(|_| Vec::new()).collect()),
         door: RefCell::new(vec![None; couriers]),
         out: Cell::new(0),
+        held: vec![Cell::new(0); world.list.len()],
         panicked: async_channel::bounded(1),
         begun: Cell::new(None),
         executor: executor.clone(),
@@ -395,7 +402,7 @@
         .enumerate()
         .filter_map(|(n, p)| Some((n, p.model.fallen()?)))
         .collect();
-    let mut audit = stage.audit.replace(Audit::new(&stage.world.settings, 0, 0, SOCKETS));
+    let mut audit = stage.audit.replace(Audit::new(&stage.world.settings, (0, 0, 0), SOCKETS));
     audit.close(now, fallen.into_iter());
     let (times, late_sends, sends) = stage.late.borrow().clone();
     let late = Lateness {
@@ -411,13 +418,13 @@
 
 async fn day(stage: &Rc<Stage>, view: Option<(Sender<Told>, Receiver<Ask>)>) -> Result<(), Failure> {
     endpoint::start(stage)?;
-    for forwarder in 0..stage.world.settings.couriers {
+    for forwarder in 0..stage.world.fleet.len() {
         let agent = agent::start(stage, forwarder)?;
         let daemon = Daemon::prepare(stage, forwarder, agent)?;
         stage.daemons.borrow_mut().push(daemon);
         daemon::start(stage, forwarder)?;
     }
-    for forwarder in 0..stage.world.settings.couriers {
+    for forwarder in 0..stage.world.fleet.len() {
         daemon::until_ready(stage, forwarder, READY).await.map_err(Failure::Daemon)?;
     }
     Timer::after(LEAD).await;
@@ -450,6 +457,7 @@
                 Signal::Kill => daemon::restart(&stage, stop.forwarder, false, stop.back).await,
                 Signal::Term => daemon::restart(&stage, stop.forwarder, true, stop.back).await,
                 Signal::Upgrade => daemon::upgrade(&stage, stop.forwarder).await,
+                Signal::Stall => daemon::stall(&stage, stop.forwarder, stop.back).await,
             }
             let _ = stopped.send(()).await;
         });
@@ -491,7 +499,7 @@
     };
     future::or(played, asked).await?;
     // In order, as an operator would end them.
-    let ends = (0..stage.world.settings.couriers).map(|f| daemon::end(stage, f));
+    let ends = (0..stage.world.fleet.len()).map(|f| daemon::end(stage, f));
     for end in ends.collect::<Vec<_>>() {
         end.await;
     }
@@ -519,7 +527,7 @@
 async fn sample(stage: Rc<Stage>, told: Option<Sender<Told>>) {
     loop {
         let mut reports = Vec::new();
-        for forwarder in 0..stage.world.settings.couriers {
+        for forwarder in 0..stage.world.fleet.len() {
             let address = stage.daemons.borrow().get(forwarder).and_then(|d| d.listen());
             let asked = Instant::now();
             let report = match address {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -24,6 +24,7 @@
   cedarbridge-lab sweep scenarios/overrun-110.yaml --vary headroom --from 0.8 --to 1.4 --steps 5
   cedarbridge-lab rehearse scenarios/overrun-110.yaml
   cedarbridge-lab simulate scenarios/large.yaml --html large.html
+  cedarbridge-lab fleet scenarios/fleet-growth.yaml --html fleet.html
   cedarbridge-lab check scenarios/*.yaml crates/lab/experiments/slow-partner.yaml
 
 Exit codes: 0 as expected, 1 a file was refused or the run was not as expected, 2 the call was wrong, 3 the machine
@@ -145,6 +146,13 @@
         #[arg(trailing_var_arg = true, allow_hyphen_values = true, required = true)]
         program: Vec<OsString>,
     },
+    /// Play a scenario in virtual time with fleets of several sizes, as its section `fleet` says
+    Fleet {
+        /// The scenario (YAML)
+        scenario: PathBuf,
+        #[command(flatten)]
+        how: rehearsal::Fleets,
+    },
     /// Play a scenario in virtual time, without sockets
     Simulate {
         /// The scenario (YAML)
@@ -243,6 +251,7 @@
             }
             Ok(verdict(fine))
         }
+        Command::Fleet { scenario, how } => rehearsal::fleet(&scenario, &how).map(verdict),
         Command::Simulate { scenario, how } => rehearsal::simulate(&scenario, &how).map(verdict),
         Command::Rehearse { scenario, how, live } => Ok(match rehearsal::rehearse(&scenario, &how, &live)? {
             Verdict::Passed => ExitCode::SUCCESS,
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -17,11 +17,13 @@
 use rand_chacha::ChaCha8Rng;
 use rayon::prelude::*;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::sync::Arc;
 
 const CLASS: ClassId = ClassId(0);
 const MS: Micros = 1_000;
+/// A connection that carries nothing is closed after this.
+const IDLE: Micros = 5_000_000;
 /// How long the list takes to tell a change.
 const LIST_DELAY: Micros = 1_000_000;
 /// A connection that is not made by then never comes.
@@ -37,6 +39,8 @@
 const LINGERS: Micros = 600 * MS;
 /// ... and decides for so long, if it still holds something.
 const DECIDES: Micros = 2_600 * MS;
+/// In place of the time after which a forwarder is started again.
+const NEVER: Micros = Micros::MAX;
 /// How often it looks.
 const LOOKS: Micros = 20 * MS;
 /// From so many forwarders on they step at common moments, up to a step's length later than alone.
@@ -54,6 +58,8 @@
     Back { call: usize, version: u32, part: Option<usize>, outcome: Outcome, report: Option<LimitReport> },
     Trouble,
     List { forwarder: usize, endpoint: usize, lifecycle: Lifecycle },
+    Size(usize),
+    Told(usize),
     Stop(usize),
     Leaves { forwarder: usize, since: Micros, back: Micros },
     Start(usize),
@@ -74,10 +80,35 @@
     endpoint: usize,
     sent: Micros,
     arrived: bool,
+    /// The endpoint holds no more connections.
+    unmade: bool,
     version: u32,
     parts: Vec<Part>,
 }
 
+/// A forwarder's connections to an endpoint.
+#[derive(Clone, Default)]
+struct Link {
+    /// Calls out, each on one of them.
+    out: u32,
+    /// The most that were out at once.
+    most: u32,
+    /// Those that lead nowhere.
+    stranded: u32,
+    /// Since when those that carry nothing have stood idle, the oldest first.
+    idle: VecDeque<Micros>,
+}
+
+impl Link {
+    /// Connections that are there.
+    fn held(&mut self, now: Micros) -> usize {
+        while self.idle.front().is_some_and(|since| since + IDLE <= now) {
+            self.idle.pop_front();
+        }
+        self.out as usize + self.idle.len()
+    }
+}
+
 /// A message as the emulator knows it: one a hand-in.
 struct Message {
     /// The client's first try, to which its worth and its later ones belong.
@@ -130,8 +161,10 @@
     free_calls: Vec<usize>,
     /// Calls out by partner.
     out: Vec<Vec<usize>>,
-    /// By forwarder and endpoint: calls out, the most that were at once, and connections that lead nowhere.
-    links: Vec<(u32, u32, u32)>,
+    /// By forwarder and endpoint.
+    links: Vec<Link>,
+    /// How many forwarders serve.
+    size: usize,
     heap: BinaryHeap<Reverse<(Micros, u64)>>,
     queue: Vec<Option<What>>,
     free: Vec<usize>,
@@ -162,30 +195,33 @@
 ) -> (Figures, Vec<Breach>) {
     let mut settings = world.settings.clone();
     settings.routes = plan.clone();
-    let couriers = settings.couriers;
+    let couriers = world.fleet.len();
+    let size = world.sizes.first().filter(|s| s.at <= START).map_or(couriers, |s| s.count);
     let list: Vec<Lifecycle> = (0..world.list.len())
         .map(|e| if e < world.listed { Lifecycle::Listed } else { Lifecycle::Gone })
         .collect();
-    let forwarders = (0..couriers as u64)
+    settings.couriers = size;
+    let forwarders = (0..couriers)
         .map(|n| Forwarder {
-            courier: courier(&settings, seed, n, 0),
+            courier: courier(world, &settings, seed, n, 0),
             events: Vec::new(),
             last_step: 0,
             due: None,
             list: list.clone(),
-            up: true,
-            takes: true,
+            up: n < size,
+            takes: n < size,
             starts: 0,
             open: 0,
         })
         .collect();
     let partners = world.partners.iter().zip(0u64..);
     let mut day = Day {
-        audit: Audit::new(&settings, world.partners.len(), world.list.len(), VIRTUAL),
+        audit: Audit::new(&settings, (couriers, world.partners.len(), world.list.len()), VIRTUAL),
         figures: Figures::new(world),
         partners: partners.map(|(m, n)| Partner::new(m.clone(), seed ^ n << 16)).collect(),
         out: vec![Vec::new(); world.partners.len()],
-        links: vec![(0, 0, 0); couriers * world.list.len()],
+        links: vec![Link::default(); couriers * world.list.len()],
+        size,
         world,
         plan,
         settings,
@@ -212,9 +248,11 @@
     (day.figures, day.audit.broken)
 }
 
-fn courier(settings: &cedarbridge::Settings, seed: u64, forwarder: u64, start: u64) -> Courier {
-    let seed = seed ^ (forwarder + 1) << 32 ^ start << 48;
-    Courier::new(settings.clone(), seed).expect("settings that make sense")
+fn courier(world: &World, of: &cedarbridge::Settings, seed: u64, forwarder: usize, start: u64) -> Courier {
+    let seed = seed ^ (forwarder as u64 + 1) << 32 ^ start << 48;
+    let routes = of.routes.clone();
+    let settings = cedarbridge::Settings { routes, ..world.told_to(forwarder, of.couriers) };
+    Courier::new(settings, seed).expect("settings that make sense")
 }
 
 impl Day<'_> {
@@ -231,9 +269,12 @@
     }
 
     fn begin(&mut self) {
-        for f in 0..self.forwarders.len() {
+        for f in 0..self.size {
             self.tell_whole_list(f);
         }
+        for (n, size) in self.world.sizes.iter().enumerate().filter(|s| s.1.at > START) {
+            self.at(size.at, What::Size(n));
+        }
         for (_, from, to, _) in &self.world.troubles {
             self.at(*from, What::Trouble);
             self.at(*to, What::Trouble);
@@ -269,7 +310,7 @@
                 What::Step(f) if self.grid => self.steps(f),
                 What::Step(f) => {
                     let mut one: Vec<Work> = self.prepare(f).into_iter().collect();
-                    one.iter_mut().for_each(|w| w.step(time));
+                    one.iter_mut().for_each(|w| w.step(time + self.world.fleet[f].clock));
                     one.into_iter().for_each(|w| self.carry_out(w));
                 }
                 What::Timer(f) => self.wake(f, time),
@@ -288,6 +329,8 @@
                         self.tell(forwarder, Event::List(ListNews::Patch(vec![entry])));
                     }
                 }
+                What::Size(n) => self.resize(n),
+                What::Told(forwarder) => self.tell_settings(forwarder),
                 What::Stop(n) => self.stop(n),
                 What::Leaves { forwarder, since, back } => self.leaves(forwarder, since, back),
                 What::Start(forwarder) => self.start(forwarder),
@@ -340,7 +383,7 @@
         let width = self.world.list.len();
         for (n, link) in self.links.iter_mut().enumerate() {
             if self.world.list[n % width].1 == partner {
-                link.2 = link.1;
+                link.stranded = link.most;
             }
         }
     }
@@ -407,8 +450,7 @@
         }
         self.looking -= usize::from(!fresh);
         // A client that comes again may come to any forwarder.
-        let to =
-            if again.is_some() { self.rng.random_range(0..self.forwarders.len()) } else { hand.forwarder };
+        let to = if again.is_some() { self.rng.random_range(0..self.size) } else { hand.forwarder };
         let deadline = hand.at + self.world.settings.classes[0].deadline;
         if self.now >= deadline {
             return;
@@ -463,10 +505,8 @@
     fn stop(&mut self, number: usize) {
         let stop = self.world.stops[number];
         match stop.signal {
-            Signal::Hup => {
-                let settings = Box::new(self.settings.clone());
-                self.tell(stop.forwarder, Event::Settings(settings));
-            }
+            Signal::Hup => self.tell_settings(stop.forwarder),
+            Signal::Stall => self.stall(stop.forwarder, stop.back),
             Signal::Kill => self.die(stop.forwarder, stop.back),
             // All that the module knows passes to the new process.
             Signal::Upgrade => {}
@@ -477,6 +517,43 @@
         }
     }
 
+    fn tell_settings(&mut self, forwarder: usize) {
+        if self.forwarders[forwarder].up {
+            let routes = self.settings.routes.clone();
+            let told = self.world.told_to(forwarder, self.settings.couriers);
+            self.tell(forwarder, Event::Settings(Box::new(cedarbridge::Settings { routes, ..told })));
+        }
+    }
+
+    /// More forwarders serve from now on, or fewer; each of the others is told so at a time of its own.
+    fn resize(&mut self, number: usize) {
+        let to = self.world.sizes[number];
+        let before = std::mem::replace(&mut self.size, to.count);
+        self.settings.couriers = to.count;
+        (before..to.count).for_each(|f| self.at(self.now, What::Start(f)));
+        for forwarder in to.count..before {
+            let since = self.now;
+            self.at(self.now + LINGERS, What::Leaves { forwarder, since, back: NEVER });
+        }
+        for forwarder in 0..before.min(to.count) {
+            let later = self.rng.random_range(0..=to.within);
+            self.at(self.now + later, What::Told(forwarder));
+        }
+    }
+
+    /// It takes no step until it goes on; what comes meanwhile waits for it.
+    fn stall(&mut self, forwarder: usize, lasts: Micros) {
+        let until = self.now + lasts;
+        self.audit.excuse(forwarder, self.now, until + 1_500 * MS);
+        let f = &mut self.forwarders[forwarder];
+        if f.up {
+            // The next step may not come sooner after this one.
+            f.last_step = until.saturating_sub(self.world.settings.granularity);
+            f.due = None;
+            self.wake(forwarder, until);
+        }
+    }
+
     /// It takes nothing any more and leaves once all it holds has ended, or in the end without that.
     fn leaves(&mut self, forwarder: usize, since: Micros, back: Micros) {
         self.forwarders[forwarder].takes = false;
@@ -491,8 +568,8 @@
         (f.up, f.takes, f.due) = (false, false, None);
         f.events.clear();
         self.audit.died(self.now, forwarder);
-        let ready = self.now + back + STARTS;
-        self.audit.excuse(forwarder, self.now, ready + 1_500 * MS);
+        let ready = self.now.saturating_add(back).saturating_add(STARTS);
+        self.audit.excuse(forwarder, self.now, ready.saturating_add(1_500 * MS));
         for number in 0..self.calls.len() {
             let c = &mut self.calls[number];
             if c.forwarder == forwarder && c.parts.iter().any(|p| p.waited_for) {
@@ -500,17 +577,42 @@
                     p.waited_for = false;
                     self.messages[p.message].call = None;
                 }
-                self.release(number);
+                self.release(number, false);
+            }
+        }
+        let width = self.world.list.len();
+        for link in &mut self.links[forwarder * width..(forwarder + 1) * width] {
+            link.idle.clear();
+        }
+        if back < NEVER {
+            return self.at(ready, What::Start(forwarder));
+        }
+        // It leaves for good: what its folder held is handed to others.
+        for id in 0..self.messages.len() {
+            if self.messages[id].forwarder as usize == forwarder && !self.messages[id].over {
+                let other = self.rng.random_range(0..self.size);
+                self.messages[id].forwarder = other as u32;
+                self.forwarders[forwarder].open -= 1;
+                self.forwarders[other].open += 1;
+                self.audit.moved(id, other);
+                self.give_again(other, id);
             }
         }
-        self.at(ready, What::Start(forwarder));
+    }
+
+    /// A message that was held by a process that is gone.
+    fn give_again(&mut self, forwarder: usize, id: usize) {
+        let m = &self.messages[id];
+        let ran = m.attempts > 0;
+        let deadline = self.world.hands[m.first as usize].at + self.world.settings.classes[0].deadline;
+        self.give(forwarder, id, deadline, !ran, ran);
     }
 
     /// It is back with what its journal holds.
     fn start(&mut self, forwarder: usize) {
         let f = &mut self.forwarders[forwarder];
         f.starts += 1;
-        f.courier = courier(&self.settings, self.seed, forwarder as u64, f.starts);
+        f.courier = courier(self.world, &self.settings, self.seed, forwarder, f.starts);
         (f.up, f.takes) = (true, true);
         for (endpoint, lifecycle) in f.list.clone().into_iter().enumerate() {
             self.audit.lists(self.now, forwarder, endpoint, lifecycle);
@@ -519,10 +621,7 @@
         for id in 0..self.messages.len() {
             let m = &self.messages[id];
             if m.forwarder as usize == forwarder && !m.over {
-                let ran = m.attempts > 0;
-                let deadline =
-                    self.world.hands[m.first as usize].at + self.world.settings.classes[0].deadline;
-                self.give(forwarder, id, deadline, !ran, ran);
+                self.give_again(forwarder, id);
             }
         }
     }
@@ -545,7 +644,8 @@
             self.free.push(slot);
         }
         let mut work: Vec<Work> = due.into_iter().filter_map(|f| self.prepare(f)).collect();
-        work.par_iter_mut().for_each(|w| w.step(now));
+        let fleet = &self.world.fleet;
+        work.par_iter_mut().for_each(|w| w.step(now + fleet[w.forwarder].clock));
         work.into_iter().for_each(|w| self.carry_out(w));
     }
 
@@ -573,6 +673,7 @@
 
     fn carry_out(&mut self, work: Work) {
         let (now, forwarder) = (self.now, work.forwarder);
+        let clock = self.world.fleet[forwarder].clock;
         self.forwarders[forwarder].courier = work.courier;
         let mut open: Option<(u64, usize)> = None;
         for action in work.actions {
@@ -583,13 +684,17 @@
                         None => self.begin_call(forwarder, endpoint),
                     };
                     open = Some((call, number));
-                    self.add_part(number, id.0 as usize, cut_at, last);
+                    self.add_part(number, id.0 as usize, cut_at.saturating_sub(clock), last);
                 }
                 Action::Refuse { id, retry_after } => self.end(id.0 as usize, Some(retry_after)),
                 Action::Fail { id } => self.end(id.0 as usize, None),
                 Action::Cancel { id, attempt } => self.cancel(id.0 as usize, attempt),
                 Action::Timer { delay, .. } => self.at(now + delay, What::Timer(forwarder)),
-                Action::Probe { .. } | Action::CloseIdle { .. } | Action::Watch | Action::Log(_) => {}
+                Action::CloseIdle { endpoint } => {
+                    let at = forwarder * self.world.list.len() + endpoint.0 as usize - 1;
+                    self.links[at].idle.clear();
+                }
+                Action::Probe { .. } | Action::Watch | Action::Log(_) => {}
             }
         }
     }
@@ -597,9 +702,9 @@
     fn begin_call(&mut self, forwarder: usize, endpoint: EndpointId) -> usize {
         let endpoint = endpoint.0 as usize - 1;
         let number = self.free_calls.pop().unwrap_or_else(|| {
-            let empty =
-                Call { forwarder: 0, endpoint: 0, sent: 0, arrived: false, version: 0, parts: Vec::new() };
-            self.calls.push(empty);
+            let parts = Vec::new();
+            let (forwarder, endpoint, sent, arrived, unmade, version) = Default::default();
+            self.calls.push(Call { forwarder, endpoint, sent, arrived, unmade, version, parts });
             self.calls.len() - 1
         });
         let c = &mut self.calls[number];
@@ -607,25 +712,44 @@
         c.parts.clear();
         let version = c.version;
         self.out[self.world.list[endpoint].1].push(number);
-        let link = &mut self.links[forwarder * self.world.list.len() + endpoint];
-        link.0 += 1;
-        link.1 = link.1.max(link.0);
+        self.calls[number].unmade = !self.connect(forwarder, endpoint);
         let there = self.now + self.network();
         self.at(there, What::Arrives(number, version));
         number
     }
 
-    /// A call is over: what is still planned for it counts for nothing, and its room is used again.
-    fn release(&mut self, number: usize) {
+    /// A call takes an idle connection, or has one made; false if the endpoint holds no more.
+    fn connect(&mut self, forwarder: usize, endpoint: usize) -> bool {
+        let (now, width) = (self.now, self.world.list.len());
+        let most = self.world.connections[self.world.list[endpoint].1];
+        let at = forwarder * width + endpoint;
+        self.links[at].held(now);
+        let reused = self.links[at].idle.pop_back().is_some();
+        let mut held =
+            || self.links.iter_mut().skip(endpoint).step_by(width).map(|l| l.held(now)).sum::<usize>();
+        let made = reused || most == usize::MAX || held() < most;
+        let link = &mut self.links[at];
+        link.out += u32::from(made);
+        link.most = link.most.max(link.out);
+        self.figures.connections += u64::from(made && !reused);
+        made
+    }
+
+    /// A call is over: what is still planned for it counts for nothing, and its room is used again. Its connection
+    /// stays, if an answer came on it.
+    fn release(&mut self, number: usize, answered: bool) {
         let c = &mut self.calls[number];
         c.version = c.version.wrapping_add(1);
-        let (forwarder, endpoint) = (c.forwarder, c.endpoint);
+        let (forwarder, endpoint, unmade) = (c.forwarder, c.endpoint, c.unmade);
         let out = &mut self.out[self.world.list[endpoint].1];
         if let Some(at) = out.iter().position(|o| *o == number) {
             out.swap_remove(at);
         }
         let link = &mut self.links[forwarder * self.world.list.len() + endpoint];
-        link.0 = link.0.saturating_sub(1);
+        if !unmade {
+            link.out = link.out.saturating_sub(1);
+            link.idle.extend(answered.then_some(self.now));
+        }
         self.free_calls.push(number);
     }
 
@@ -653,15 +777,20 @@
             return;
         }
         call.arrived = true;
+        if call.unmade {
+            let back = self.now + self.network();
+            return self.settle(number, Some((back, Outcome::ConnectFailed)), None, true);
+        }
         let (forwarder, endpoint, sent, parts) = (call.forwarder, call.endpoint, call.sent, call.parts.len());
         let (_, partner, place) = self.world.list[endpoint];
         let link = &mut self.links[forwarder * self.world.list.len() + endpoint];
-        if link.2 > 0 {
-            link.2 -= 1;
+        if link.stranded > 0 {
+            link.stranded -= 1;
             if self.partners[partner].trouble() == Some(Trouble::HalfOpen) {
                 return self.settle(number, None, None, false);
             }
         }
+        self.figures.call(self.now, partner);
         let fate = self.partners[partner].call(self.now, place, parts);
         let back = self.network();
         let report = fate.report.map(|(left, rate)| LimitReport { left, rate });
@@ -734,7 +863,8 @@
             .collect();
         if call.parts.iter().all(|p| !p.waited_for) && !due.is_empty() {
             self.figures.slot(self.now, partner, self.now - sent);
-            self.release(number);
+            let answered = matches!(outcome, Outcome::Ok | Outcome::Full(_) | Outcome::Error);
+            self.release(number, answered);
         }
         for (message, attempt) in due {
             self.audit.back(self.now, partner, message, sent, outcome);
--- a/crates/lab/src/rehearsal.rs
+++ b/crates/lab/src/rehearsal.rs
@@ -7,6 +7,7 @@
 use cedarbridge_lab::draw::day;
 use cedarbridge_lab::experiment::Unfit;
 use cedarbridge_lab::figures::Figures;
+use cedarbridge_lab::fleet::{self, Row, Way};
 use cedarbridge_lab::live::fault::Fault;
 use cedarbridge_lab::live::{self, Options};
 use cedarbridge_lab::play::{play, play_telling};
@@ -247,6 +248,80 @@
     tell(&run, how)
 }
 
+/// How fleets of several sizes are played.
+#[derive(Args)]
+pub struct Fleets {
+    /// The sizes, in place of the scenario's
+    #[arg(long, value_name = "COUNT", value_delimiter = ',')]
+    counts: Vec<usize>,
+    /// Days for each, in place of the scenario's
+    #[arg(long)]
+    seeds: Option<usize>,
+    /// Play each size also with turns by chance
+    #[arg(long)]
+    chance: bool,
+    /// Where to write the page with plots
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+    /// Where to write the figures as JSON; `-` prints them in place of the table
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// Plays a scenario in virtual time with each of its fleets, and one forwarder in place of all; true if all was as
+/// expected.
+pub fn fleet(path: &Path, how: &Fleets) -> Result<bool, Unfit> {
+    let ready = Ready::read(path)?;
+    let scenario = &ready.scenario;
+    let Some(section) = &scenario.fleet else {
+        return Err(Unfit::Site(format!("{}:1:1: it has no section `fleet`", path.display())));
+    };
+    let counts = match &how.counts[..] {
+        [] => section.value.counts.iter().map(|c| c.value).collect(),
+        given => given.to_vec(),
+    };
+    if counts.contains(&0) || how.seeds == Some(0) {
+        return Err(Unfit::Figures(path.into(), "`--counts` and `--seeds` are 1 at least".into()));
+    }
+    let days = how.seeds.unwrap_or(section.value.seeds) as u64;
+    let mut fleets = vec![(1, Way::One)];
+    for count in counts {
+        fleets.push((count, Way::Places));
+        fleets.extend(how.chance.then_some((count, Way::Chance)));
+    }
+    let mut rows = Vec::new();
+    for (count, way) in fleets {
+        let begun = Instant::now();
+        let seeds = scenario.seed..scenario.seed + days;
+        let one = |seed| -> Result<_, Unfit> {
+            let plan = ready.plan(&fleet::draw(scenario, count, way, seed))?;
+            Ok(fleet::play_one(scenario, plan, count, way, seed))
+        };
+        rows.push(Row { count, way, days: seeds.map(one).collect::<Result<_, _>>()? });
+        eprintln!("{count} forwarders, {way:?}: {days} days in {:.1} s", begun.elapsed().as_secs_f64());
+    }
+    let unread = |path: &Path| {
+        let path = path.to_owned();
+        move |e| Unfit::Unread(path, e)
+    };
+    let json = format!("{:#}\n", fleet::as_json(scenario, &rows));
+    match &how.json {
+        Some(to) if to.as_os_str() == "-" => print!("{json}"),
+        Some(to) => std::fs::write(to, json).map_err(unread(to))?,
+        None => {}
+    }
+    if how.json.as_ref().is_none_or(|to| to.as_os_str() != "-") {
+        print!("{}", fleet::table(scenario, &rows));
+    }
+    if let Some(to) = &how.html {
+        std::fs::write(to, fleet::page(scenario, &rows).expect("plots of finite figures"))
+            .map_err(unread(to))?;
+    }
+    let unmet = fleet::unmet(scenario, &rows);
+    unmet.iter().for_each(|what| eprintln!("NOT AS EXPECTED: {what}"));
+    Ok(unmet.is_empty())
+}
+
 /// What a scenario is played with, for a comparison.
 enum Side {
     /// In virtual time, with a site file or without one, and maybe another scenario's figures.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -15,6 +15,11 @@
 const MOST_PARTNERS: usize = 10_000;
 /// No rehearsal has more forwarders.
 const MOST_FORWARDERS: usize = 100;
+/// No fleet in virtual time has more.
+const MOST_FLEET: usize = 2_000;
+const MOST_SEEDS: usize = 1_000;
+/// Clocks of one fleet are not further apart.
+const MOST_CLOCK: Micros = 3_600_000_000;
 /// No phase asks for more than so many times full load.
 const MOST_LOAD: f64 = 5.0;
 
@@ -57,6 +62,9 @@
     /// Endpoints that are drained and replaced by others.
     #[serde(default)]
     pub replacements: Vec<Replacement>,
+    /// The fleets that `cedarbridge-lab fleet` plays the day with.
+    #[serde(default)]
+    pub fleet: Option<Spanned<Fleet>>,
     /// What must come of it.
     #[serde(default)]
     pub expect: Expect,
@@ -170,6 +178,8 @@
     pub connections: usize,
     /// What a refusal tells to wait.
     pub tells_wait: Option<Span>,
+    /// Refused calls use up the limit too; by default they do at small partners.
+    pub refused_count: Option<bool>,
     /// Share of calls that fail on a good day.
     #[serde(default)]
     pub errors: f64,
@@ -261,6 +271,8 @@
     Reset,
     /// Leaves the connections it has silent; new ones are as ever.
     HalfOpen,
+    /// Takes a share of its limit.
+    Lowered,
 }
 
 impl TroubleKind {
@@ -275,6 +287,7 @@
             TroubleKind::Silent => Trouble::Silent,
             TroubleKind::Reset => Trouble::Reset,
             TroubleKind::HalfOpen => Trouble::HalfOpen,
+            TroubleKind::Lowered => Trouble::Lowered(size),
         }
     }
 }
@@ -285,7 +298,7 @@
 pub struct TroubleOf {
     /// Which.
     pub kind: Spanned<TroubleKind>,
-    /// How bad: a factor for `slow`, a share for `fail`.
+    /// How bad: a factor for `slow`, a share for `fail` and `lowered`.
     pub size: Option<f64>,
     /// Whose.
     pub partner: Word,
@@ -313,6 +326,8 @@
     Kill,
     /// Not at all: it reads its configuration again.
     Hup,
+    /// Not at all: it stands still (SIGSTOP) for the time of `back`, and goes on (SIGCONT).
+    Stall,
     /// Another process replaces it while it serves, and then it is ended in order.
     Upgrade,
 }
@@ -362,6 +377,80 @@
     pub drains: Span,
 }
 
+/// Fleets of several sizes that share the same day, in virtual time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Fleet {
+    /// How many forwarders there are, in one play after another.
+    pub counts: Vec<Spanned<usize>>,
+    /// Days for each, from the scenario's seed on.
+    #[serde(default = "single")]
+    pub seeds: usize,
+    /// How unevenly messages come to forwarders: the exponent of the Zipf law, 0 for evenly.
+    #[serde(default)]
+    pub uneven: f64,
+    /// The clocks of any two differ by this at most.
+    #[serde(default = "none")]
+    pub clocks: Span,
+    /// The count that forwarders are told, over the true one.
+    #[serde(default = "whole")]
+    pub told: f64,
+    /// The share of them that is told no number.
+    #[serde(default)]
+    pub unnumbered: f64,
+    /// The share of them that is told the number of the one before.
+    #[serde(default)]
+    pub doubled: f64,
+    /// Forwarders that are killed together.
+    #[serde(default)]
+    pub dead: Option<Dead>,
+    /// How many serve, from some time on.
+    #[serde(default)]
+    pub sizes: Vec<Size>,
+    /// What is taken off the served share.
+    #[serde(default)]
+    pub prices: Prices,
+}
+
+/// Forwarders that are killed together and come back together.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Dead {
+    /// Their share of the fleet.
+    pub share: f64,
+    /// When.
+    pub at: Moment,
+    /// They are started again after this.
+    #[serde(rename = "for")]
+    pub lasts: Span,
+}
+
+/// A fleet that grows or shrinks while it serves.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Size {
+    /// When.
+    pub at: Moment,
+    /// How many serve from then on.
+    pub count: Spanned<usize>,
+    /// Each forwarder is told so at some time within this.
+    pub within: Span,
+}
+
+/// Prices, as points of the served share.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Prices {
+    /// If as many calls were refused as there are messages.
+    pub refused: f64,
+    /// If as many connections were made as there are messages.
+    pub connections: f64,
+}
+
+fn none() -> Span {
+    Span(0)
+}
+
 /// What must come of it.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -374,6 +463,8 @@
     pub failed: Option<u64>,
     /// Rules broken, at most.
     pub broken: usize,
+    /// After each trouble that a partner returns from, its first delivery comes within this.
+    pub returns: Option<Span>,
 }
 
 /// What is wrong with a scenario, and where.
@@ -526,12 +617,14 @@
             let fits = match (t.kind.value, t.size) {
                 (TroubleKind::Slow, Some(factor)) => factor > 1.0 && factor.is_finite(),
                 (TroubleKind::Fail, Some(share)) => share > 0.0 && share <= 1.0,
-                (TroubleKind::Slow | TroubleKind::Fail, None) => false,
+                (TroubleKind::Lowered, Some(share)) => share > 0.0 && share < 1.0,
+                (TroubleKind::Slow | TroubleKind::Fail | TroubleKind::Lowered, None) => false,
                 (_, size) => size.is_none(),
             };
             if !fits {
                 let reason =
-                    "`slow` needs a `size` above 1, `fail` one above 0 and up to 1; the others have none";
+                    "`slow` needs a `size` above 1, `fail` one above 0 and up to 1, `lowered` one between \
+                              0 and 1; the others have none";
                 found.push(Refusal::at(t.kind.referenced, reason));
             }
         }
@@ -540,6 +633,9 @@
             self.check_moment(&r.at, &r.partner, r.drains.0, found);
         }
         self.check_stops(found);
+        if let Some(fleet) = &self.fleet {
+            self.check_fleet(fleet, found);
+        }
         if let Some(worth) = self.expect.worth.as_ref().filter(|w| !(0.0..=1.0).contains(&w.value)) {
             found.push(Refusal::at(worth.referenced, "the expected `worth` is a share from 0 to 1"));
         }
@@ -602,12 +698,51 @@
         }
     }
 
+    fn check_fleet(&self, of: &Spanned<Fleet>, found: &mut Vec<Refusal>) {
+        let (f, place) = (&of.value, of.referenced);
+        let share = |x: f64| (0.0..=1.0).contains(&x);
+        let price = |x: f64| (0.0..=10.0).contains(&x);
+        let rules = [
+            (
+                !f.counts.is_empty() && (1..=MOST_SEEDS).contains(&f.seeds),
+                "`fleet` has a list of `counts`, and `seeds` from 1 to 1000",
+            ),
+            (share(f.unnumbered) && share(f.doubled), "`unnumbered` and `doubled` are shares from 0 to 1"),
+            ((0.0..=5.0).contains(&f.uneven), "`uneven` is an exponent from 0 to 5"),
+            (f.told > 0.0 && f.told <= 1000.0, "`told` is above 0 and at most 1000"),
+            (f.clocks.0 <= MOST_CLOCK, "`clocks` differ by an hour at most"),
+            (price(f.prices.refused) && price(f.prices.connections), "`prices` are from 0 to 10"),
+        ];
+        let unmet = rules.iter().filter(|r| !r.0).map(|r| Refusal::at(place, r.1));
+        found.extend(unmet);
+        for c in f.counts.iter().chain(f.sizes.iter().map(|s| &s.count)) {
+            if !(1..=MOST_FLEET).contains(&c.value) {
+                found.push(Refusal::at(c.referenced, format!("a fleet has 1 to {MOST_FLEET} forwarders")));
+            }
+        }
+        let word = Spanned { value: String::from("fleet"), referenced: place, defined: of.defined };
+        if let Some(dead) = &f.dead {
+            self.check_moment(&dead.at, &word, dead.lasts.0, found);
+            if !share(dead.share) {
+                found.push(Refusal::at(place, "the `share` of `dead` is from 0 to 1"));
+            }
+        }
+        f.sizes.iter().for_each(|s| self.check_moment(&s.at, &word, s.within.0, found));
+        let times: Vec<_> = f.sizes.iter().filter_map(|s| self.moment(&s.at)).collect();
+        if times.windows(2).any(|t| t[0] >= t[1]) {
+            found.push(Refusal::at(place, "`sizes` come one after the other"));
+        }
+        if !self.stops.is_empty() {
+            found.push(Refusal::at(place, "a day with `fleet` has `dead` and `sizes` in place of `stops`"));
+        }
+    }
+
     fn check_stops(&self, found: &mut Vec<Refusal>) {
         // In order it takes up to 3.7 s to end; a second stop must find the forwarder running.
         let once = |s: &Stop| match s.signal {
             Signal::Hup => 0,
             Signal::Term => 3_700_000 + s.back.0,
-            Signal::Kill => s.back.0,
+            Signal::Kill | Signal::Stall => s.back.0,
             Signal::Upgrade => 5_000_000,
         };
         let away = |s: &Stop| once(s) + s.every.0 * (s.times as u64).saturating_sub(1);
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -97,6 +97,13 @@
                 all.push((name, seen <= most, format!("{seen} {name}, {most} expected at most")));
             }
         }
+        if let Some(most) = e.returns {
+            let returns = f.returns(self.world);
+            let longest = returns.iter().map(|r| r.1.unwrap_or(Micros::MAX)).max().unwrap_or(0);
+            let ms = |t: Micros| if t == Micros::MAX { "never".into() } else { format!("{} ms", t / 1000) };
+            let what = format!("first delivery after a return: {}, {} at most", ms(longest), ms(most.0));
+            all.push(("returns", longest <= most.0, what));
+        }
         let mishaps = self.mishaps.join("; ");
         all.push((
             "run",
@@ -556,6 +563,7 @@
         Trouble::Silent => "silent".into(),
         Trouble::Reset => "resets".into(),
         Trouble::HalfOpen => "half-open".into(),
+        Trouble::Lowered(share) => format!("limit at {:.0}%", share * 100.0),
     }
 }
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -57,6 +57,26 @@
     pub back: Micros,
 }
 
+/// A forwarder, as it is set up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Member {
+    /// The number that it is told, if it is told one.
+    pub number: Option<u64>,
+    /// How far its clock is ahead of the slowest one.
+    pub clock: Micros,
+}
+
+/// A fleet's size from some time on.
+#[derive(Clone, Copy, Debug)]
+pub struct SizeAt {
+    /// When it begins.
+    pub at: Micros,
+    /// How many forwarders serve.
+    pub count: usize,
+    /// Each is told so at some time within this.
+    pub within: Micros,
+}
+
 /// A day, before it is played.
 pub struct World {
     /// By number; the busiest first.
@@ -65,8 +85,14 @@
     pub kinds: Vec<usize>,
     /// Its share of the traffic.
     pub traffic: Vec<f64>,
-    /// What a forwarder is told; all are told the same.
+    /// What a forwarder is told; all are told the same but for their numbers.
     pub settings: Settings,
+    /// The forwarders.
+    pub fleet: Vec<Member>,
+    /// How many of them serve, where that changes.
+    pub sizes: Vec<SizeAt>,
+    /// The count that they are told, over the true one.
+    pub told: f64,
     /// What the settings call classes and kinds.
     pub names: Names,
     /// The list of endpoints, and for each its partner and its place there.
@@ -93,6 +119,11 @@
     pub end: Micros,
 }
 
+/// So many forwarders, numbered, whose clocks agree.
+pub fn plain_fleet(count: usize) -> Vec<Member> {
+    (0..count as u64).map(|n| Member { number: Some(n), clock: 0 }).collect()
+}
+
 fn pick(rng: &mut ChaCha8Rng, range: (f64, f64)) -> f64 {
     range.0 + (range.1 - range.0) * rng.random::<f64>()
 }
@@ -145,6 +176,12 @@
 }
 
 impl World {
+    /// The settings as one of so many forwarders is told them.
+    pub fn told_to(&self, forwarder: usize, count: usize) -> Settings {
+        let couriers = ((count as f64 * self.told).round() as usize).max(1);
+        Settings { couriers, number: self.fleet[forwarder].number, ..self.settings.clone() }
+    }
+
     /// Draws a day at a load, which is a share of full load.
     pub fn draw(experiment: &Experiment, load: (f64, f64), seed: u64) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -205,6 +242,9 @@
         let network = ((of.network_ms.0 * 1e3) as Micros, (of.network_ms.1 * 1e3) as Micros);
         let names = platform().1;
         World {
+            fleet: plain_fleet(experiment.forwarders),
+            sizes: Vec::new(),
+            told: 1.0,
             listed: list.len(),
             stops: Vec::new(),
             partner_names: (1..=partners.len()).map(|n| format!("partner-{n}")).collect(),
--- a/crates/partners/src/lib.rs
+++ b/crates/partners/src/lib.rs
@@ -72,12 +72,22 @@
     Reset,
     /// Connections from before it lead nowhere; new ones are as ever.
     HalfOpen,
+    /// It takes this share of its limit, and says so where it tells its limit.
+    Lowered(f64),
 }
 
 impl Trouble {
-    /// After it, the partner is cold.
-    fn cools(self) -> bool {
-        !matches!(self, Trouble::Slow(_) | Trouble::Reset | Trouble::HalfOpen)
+    /// After it, the partner is cold: it comes back from an outage.
+    pub fn cools(self) -> bool {
+        !matches!(self, Trouble::Slow(_) | Trouble::Reset | Trouble::HalfOpen | Trouble::Lowered(_))
+    }
+
+    /// The share of its limit that it takes, if this lowers it.
+    pub fn lowers(self) -> Option<f64> {
+        match self {
+            Trouble::Lowered(share) => Some(share),
+            _ => None,
+        }
     }
 
     /// What of a call that is under way as this begins: none if it goes on.
@@ -85,11 +95,13 @@
         match self {
             Trouble::Refuse => Some(Taken::Broken),
             Trouble::Hang | Trouble::Silent | Trouble::HalfOpen => Some(Taken::Silent),
-            Trouble::Slow(_) | Trouble::Fail(_) | Trouble::Shut | Trouble::Reset => None,
+            Trouble::Slow(_) | Trouble::Fail(_) | Trouble::Shut | Trouble::Reset | Trouble::Lowered(_) => {
+                None
+            }
         }
     }
 
-    /// Of several that hold at once, the one with the highest rank shows; slowness adds to any.
+    /// Of several that hold at once, the one with the highest rank shows; slowness and a lower limit add to any.
     fn rank(self) -> u8 {
         match self {
             Trouble::Silent => 7,
@@ -99,7 +111,7 @@
             Trouble::Reset => 3,
             Trouble::Fail(_) => 2,
             Trouble::HalfOpen => 1,
-            Trouble::Slow(_) => 0,
+            Trouble::Slow(_) | Trouble::Lowered(_) => 0,
         }
     }
 }
@@ -258,8 +270,13 @@
         }
     }
 
+    /// Calls a second that it takes just now, if there is a limit.
+    fn limit(&self) -> Option<f64> {
+        Some(self.model.limit? * self.troubles.iter().filter_map(|t| t.lowers()).product::<f64>())
+    }
+
     fn limit_report(&mut self, now: Micros) -> Option<(f64, f64)> {
-        let limit = self.model.limit?;
+        let limit = self.limit()?;
         let stale = self.told.is_none_or(|t| t.0 <= now);
         if stale {
             let age = self.rng.random_range(REPORT_AGE.0..REPORT_AGE.1);
@@ -270,7 +287,7 @@
 
     /// Takes one of the limit; false if there is none left.
     fn within_limit(&mut self, now: Micros) -> bool {
-        let Some(limit) = self.model.limit else { return true };
+        let Some(limit) = self.limit() else { return true };
         let most = (limit * BURST).max(1.0);
         let grown = limit * now.saturating_sub(self.refilled) as f64 / SECOND as f64;
         self.tokens = (self.tokens + grown).min(most);
@@ -367,6 +384,19 @@
         assert!((360..=450).contains(&through), "{through}");
     }
 
+    #[test]
+    fn a_lowered_limit_lets_its_share_through_is_told_and_rises_again() {
+        let mut p = Partner::new(model(), 1);
+        p.set_trouble(0, Some(Trouble::Lowered(0.5)));
+        let through = delivered(&mut p, SECOND, 20, 30);
+        assert!((100..=106).contains(&through), "{through}");
+        assert_eq!(p.call(30 * SECOND, 0, 1).report.expect("told").1, 5.0);
+        p.set_trouble(31 * SECOND, None);
+        assert!(!p.cold(31 * SECOND), "it was there all the time");
+        let through = delivered(&mut p, 31 * SECOND, 20, 30);
+        assert!((200..=210).contains(&through), "{through}");
+    }
+
     #[test]
     fn the_same_seed_gives_the_same_fates() {
         let fates = |seed| {
