Count the hand-over's form up: the module's record holds its turns and number now

Cause: Courier's record (src/logic.rs) has turns in place of a die, and its settings a number and the clock's distance; a process of the version before would send a record that this one cannot read, under the same form 2 (src/net/handover.rs).

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -27,7 +27,7 @@
 
 /// What passes between two processes has this form; one of another form waits for the end of the older process.
 /// Form 2 holds what is told of limits in the mean; read as form 1 it would be lost without a word.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 /// A frame holds no more than this: the state of many thousand messages, without their bodies.
 const LARGEST: usize = 64 << 20;
 /// The new process must have said that it owns all so long after it was sent the state; user agents wait meanwhile.
