--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -26,7 +26,7 @@
 use std::time::{Duration, Instant};
 
 /// What passes between two processes has this form; one of another form waits for the end of the older process.
-/// Form 2 holds what is told of limits in the mean; read as form 1 it would be lost without a word.
+/// Form 3 holds turns by number in place of a die, and form 2 held what is told of limits in the mean.
 pub const FORMAT: u32 = 3;
 /// A frame holds no more than this: the state of many thousand messages, without their bodies.
 const LARGEST: usize = 64 << 20;
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -591,7 +591,8 @@
                 let owner: Value = serde_json::from_slice(&owner).expect("JSON");
                 let told = |name: &str| more.iter().find_map(|m| m.strip_prefix(name)?.strip_prefix('='));
                 let token = told("token").unwrap_or(owner["token"].as_str().expect("a token"));
-                let format = told("format").unwrap_or("2");
+                let format = told("format")
+                    .map_or_else(|| cedarbridge::net::handover::FORMAT.to_string(), str::to_owned);
                 let operator: SocketAddr =
                     owner["operator"].as_str().expect("text").parse().expect("an address");
                 let mut stream = TcpStream::connect(operator).expect("it listens");
