Read what came while the process stood still before anything new is sent

Ruled out: the module (it had not been told), the grace on the board (as ever). Rejected: a look at the sockets before each byte, and the order of wake-ups.

--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -590,7 +590,8 @@
             true => News::Whole { version: None, listings },
             false => News::Patch { listings, removed: Vec::new() },
         };
-        let changes = self.membership.take(self.context.clock.now(), PUSHED, news);
+        let learnt = self.context.pulse.since(self.context.clock.now());
+        let changes = self.membership.take(learnt, PUSHED, news);
         self.tell(if complete { Telling::Whole } else { Telling::Patch }, changes).await;
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 pub mod owner;
 pub mod peer;
 pub mod proxy_pass;
+pub mod pulse;
 pub mod route_stats;
 pub mod transaction;
 
@@ -37,6 +38,7 @@
 use futures_lite::{future, StreamExt};
 use handover::Claim;
 use journal::Journal;
+use pulse::Pulse;
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
@@ -65,6 +67,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// What binds every first byte.
     pub board: Board,
+    /// Whether this process stood still.
+    pub pulse: Pulse,
     /// What outlasts the process.
     pub journal: RefCell<Journal>,
     /// Counts.
@@ -264,6 +268,7 @@
     let (close, closing) = async_channel::bounded(1);
     let context = Rc::new(Context {
         board: Board::new(clock, config.drain_grace),
+        pulse: Pulse::new(clock.now()),
         journal: RefCell::new(journal),
         idle_peers: Cell::new(0),
         hearing_out: Cell::new(0),
@@ -299,6 +304,7 @@
     let (notices, notices_mail) = async_channel::bounded(4096);
     let (farm_box, farm_mail) = async_channel::bounded(16);
     context.executor.spawn(notices::run(context.clone(), notices_mail)).detach();
+    context.executor.spawn(pulse::run(context.clone())).detach();
     let mut decider = Decider::new(context.clone(), courier, notices, farm_box.clone(), restored.last_id);
     let mut farm = Farm::new(context.clone(), farm_box.clone());
     if config.operator.is_some() {
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -633,6 +633,41 @@
     );
 }
 
+/// Guards against calls into a drain that was told while the process stood still (SIGSTOP) and lies unread as it goes on: what
+/// was handed in meanwhile went to the endpoint that it last knew.
+#[test]
+fn a_process_that_stood_still_reads_what_came_before_it_sends() {
+    let mut script = String::from(
+        "with e1=1 e2=1:one:hidden e3=1:one:hidden e4=1:one:hidden
+         start
+         u1 send m0 dest=1
+         u1 expect 202
+         e1 expect m0
+         e1 send m0 200
+         wait delivered=1
+         u2 connect
+         u3 connect
+         u4 connect
+         wait user_agents=5",
+    );
+    // Which of them is read first is chance, so it stands still three times.
+    for round in 0..3 {
+        let (from, to) = (format!("e{}", round + 1), format!("e{}", round + 2));
+        let of = |line: &str| {
+            (1..=4)
+                .map(|u| line.replace('U', &u.to_string()).replace('R', &round.to_string()))
+                .collect::<String>()
+        };
+        script += "\nstop";
+        script += &of("\nuU send mRU dest=1");
+        script += &format!("\np send {from}=leaving\np send {to}=active\nstands 700\ncontinue");
+        script += &of("\nuU expect 202");
+        script += &format!("\n{to} serves m{round}1 m{round}2 m{round}3 m{round}4");
+        script += &format!("\nwait delivered={0} attempts={0}", 5 + 4 * round);
+    }
+    play(&(script + "\nlog the process stood still"));
+}
+
 /// Guards against a number that is no number ending a forwarder, or being taken for one without a word.
 #[test]
 fn a_number_that_cannot_be_used_is_told_and_the_forwarder_serves_without_it() {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,6 +9,7 @@
 //! | `with operator=on`, `o health 200`, `o cordon e1 200`, `o quiesce 200` | operators may call; a call, and its status |
 //! | `o raw 400 TEXT`, `o crowd 20 TEXT` | a call as it is written; so many callers that write no more than that and stay |
 //! | `upgrade`, `upgrading` | starts a second process on the same folder, with and without waiting until it says yes |
+//! | `stands 900` | so many milliseconds go by while it is stopped |
 //! | `fails` | waits for its end, which is no success |
 //! | `keep`, `first kill` | the old one is kept as the first of three |
 //! | `back`, `old term`, `old kill`, `old stop`, `old exit`, `old log TEXT`, `old o …` | the new one is forgotten; the one that it replaces; user agents stay where they connected |
@@ -19,6 +20,7 @@
 //! | `drip` | from here on user agents, endpoints, operators and the platform's watch write byte by byte |
 //! | `crowd 300` | so many user agents connect, say nothing and stay |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
+//! | `e1 serves m1 m2` | the next calls at an endpoint hold these messages, one each and in any order; each is delivered |
 //! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
 //! | `e1 send-raw m1 TEXT` | whatever else is written to the connection that m1 came on |
 //! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled or closed endpoint accept |
@@ -452,6 +454,8 @@
             },
             "back" => self.run = std::mem::take(&mut self.old),
             "stop" => self.run.signal("STOP"),
+            // While it is stopped it shows nothing that could be waited on but time.
+            "stands" => thread::sleep(Duration::from_millis(rest.parse().expect("milliseconds"))),
             "continue" => self.run.signal("CONT"),
             "term" => self.run.signal("TERM"),
             "kill" => self.run.kill(),
@@ -803,6 +807,16 @@
                 assert_eq!(call.ids, ids, "the messages of the call");
                 e.answered.insert(call.ids[0].clone(), call.stream);
             }
+            ["serves", ids @ ..] => {
+                let mut left = ids.to_vec();
+                while !left.is_empty() {
+                    let mut call = e.calls.recv_timeout(PATIENCE).expect("a call");
+                    let before = left.len();
+                    left.retain(|id| !call.ids.iter().any(|c| c == id));
+                    assert_eq!(left.len() + call.ids.len(), before, "{:?} is among {ids:?}", call.ids);
+                    put(&mut call.stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+                }
+            }
             ["send", id, status, more @ ..] => {
                 let fields = more.iter().filter_map(|m| m.split_once(':'));
                 let fields: String = fields.map(|(n, v)| format!("{n}: {v}\r\n")).collect();
