Take prints that nobody reads out of the fleet tests

Need: two tests printed figures left over from setting their bounds, and a comment said less than the code. Change: the prints and the comment; no assertion changed.

--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -38,7 +38,7 @@
     all
 }
 
-/// The first delivery after a return, whenever it comes.
+/// In every fleet the first delivery comes within a second of the return.
 fn first_within_a_second(all: &[(usize, Day)]) {
     for (count, day) in all {
         let first = day.first.expect("a partner returned");
@@ -142,7 +142,6 @@
         for count in [48, 100, 300] {
             let day = play_one(&of, None, count, Way::Places, 5);
             assert_eq!(day.broken, Vec::<String>::new(), "{count} forwarders, {idle} idle");
-            eprintln!("{count} {idle} {day:?}");
             assert!(day.offered <= 1.12, "{count} forwarders, {idle} idle: {day:?}");
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -479,7 +479,6 @@
         for (what, report) in reports {
             let played = limited(couriers, 50, 0.7, |_| report);
             let (got, refused) = (played.delivered, played.refused);
-            eprintln!("{couriers} {what}: {got} of {}, {refused} refused", played.handed_in);
             assert!(
                 got * 100 >= played.handed_in * 70,
                 "{couriers} forwarders, {what}: {got} of {}",
