Answer all that was read before the end, half-close, and read away what still comes

Lines at fault, in: src/net/front.rs await_request closed a connection that had not sent its first request with the signal; converse returned at once after the last answer, so that bytes behind it lay unread and the close reset the connection, the answer with it; the listener's task was cancelled with connections in its queue (src/net/mod.rs, end); the process could leave before a last answer was read. A request that came together with the end of its sender's sending got no answer. An idle connection to an endpoint lost its first unasked byte to the look at it (src/net/http.rs, poll_disturbed), so a single byte went unseen and the next answer would have been read behind it; found by reading. Change: last answers say `Connection: close`, then the sending ends and what comes is read away up to its end or a second; a newcomer has 0.4 s for its first request after the signal; what is not whole when decisions end gets 503; the queue is taken before the listener closes; one that ends its sending with its request gets 503. Ruled out: the decider, which answered all that it was given.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol towards user agents.
 
 use super::config::BODY_LIMIT;
-use super::decider::Reply;
+use super::decider::{Reply, LATER};
 use super::http::{Asked, Broken, Wire};
 use super::lobby::{Lobby, Stay};
 use super::transaction::Request;
@@ -24,9 +24,12 @@
 const IDLE: Duration = Duration::from_secs(10);
 /// A request must have come whole so long after its first byte; the first one after the connection was taken.
 const SLOW: Duration = Duration::from_millis(2400);
-/// What a refused user agent still sends is read away for so long: closing on it would reset the connection,
+/// What a user agent still sends after its last answer is read away for so long: closing on it would reset the connection,
 /// and the answer could be lost with it.
 pub const LINGER: Duration = Duration::from_millis(1000);
+/// Where the program ends, one that has come and not yet sent its first request has so long for it; the platform's clients
+/// wait that long for an answer.
+const FIRST_WORD: Duration = Duration::from_millis(400);
 /// Where user agents are sent away, one that has no request under way may stay for so long.
 const REST: Duration = Duration::from_millis(1000);
 /// The advice to come again with a message for a destination that no version of the list has named.
@@ -53,19 +56,22 @@
 pub async fn serve(context: Rc<Context>, listener: Async<TcpListener>) {
     let lobby = Rc::new(Lobby::default());
     let room = || context.config().user_agents().saturating_sub(context.older_agents.get());
+    let full = || context.user_agents.get().saturating_sub(lobby.going()) >= room();
     loop {
-        while context.user_agents.get().saturating_sub(lobby.going()) >= room() {
-            // Where all are being served, what does not fit waits in the listener's queue.
-            if !lobby.make_room() {
-                Timer::after(Duration::from_millis(5)).await;
+        let accepted = async {
+            while full() {
+                // Where all are being served, what does not fit waits in the listener's queue.
+                if !lobby.make_room() {
+                    Timer::after(Duration::from_millis(5)).await;
+                }
             }
-        }
-        let accepted = async { Some(listener.accept().await) };
-        let handed_over = async {
-            context.handed_over.until_up().await;
+            Some(listener.accept().await)
+        };
+        let closes = async {
+            future::or(context.handed_over.until_up(), context.listener_closes.until_up()).await;
             None
         };
-        match future::or(handed_over, accepted).await {
+        match future::or(closes, accepted).await {
             Some(Ok((stream, address))) => welcome(&context, &lobby, stream, address),
             Some(Err(e)) => {
                 warn!(context.log, "cannot accept"; "error" => %e);
@@ -79,7 +85,8 @@
     // What waits in the queue would be reset with the listener. Nothing comes between the last look and its end but
     // what arrives in that very moment.
     let mut last = 0;
-    while let Ok((stream, address)) = listener.get_ref().accept() {
+    while !full() || lobby.make_room() {
+        let Ok((stream, address)) = listener.get_ref().accept() else { break };
         match Async::new(stream) {
             Ok(stream) => welcome(&context, &lobby, stream, address),
             Err(e) => warn!(context.log, "cannot accept"; "error" => %e),
@@ -99,7 +106,13 @@
 async fn attend(context: Rc<Context>, lobby: Rc<Lobby>, stream: Async<TcpStream>, address: SocketAddr) {
     let names = context.config().names.clone();
     let mut agent = UserAgent { context: context.clone(), names, lobby, wire: Wire::new(stream) };
-    let reason = agent.converse().await;
+    let reason = match agent.converse().await {
+        Parting::Gone(reason) => reason,
+        Parting::Closes(reason) => {
+            agent.take_leave().await;
+            reason
+        }
+    };
     context.user_agents.set(context.user_agents.get() - 1);
     info!(context.log, "connection ended"; "side" => "user-agent", "address" => %address, "reason" => reason);
 }
@@ -146,6 +159,14 @@
     }
 }
 
+/// How a connection ends, by the code of the reason.
+enum Parting {
+    /// The other side has ended it, or it is of no more use.
+    Gone(&'static str),
+    /// This side ends it; what the other side still sends is not taken in.
+    Closes(&'static str),
+}
+
 struct UserAgent {
     context: Rc<Context>,
     names: Arc<Names>,
@@ -155,18 +176,19 @@
 
 impl UserAgent {
     /// Serves request after request; the code of the reason why it ended.
-    async fn converse(&mut self) -> &'static str {
+    async fn converse(&mut self) -> Parting {
         // Silence and slowness of a newcomer count together: it is owed an end soon.
         let newcomer = Instant::now() + SLOW;
         let (mut stay, mut until) = (Stay::Silent, newcomer);
         loop {
-            if let Err(reason) = self.await_request(stay, until).await {
-                return reason;
+            if let Err(parting) = self.await_request(stay, until).await {
+                return parting;
             }
             let due = if stay == Stay::Silent { newcomer } else { Instant::now() + SLOW };
             let (head, body) = match self.read_in_time(due).await {
                 Some(Ok(request)) => request,
                 Some(Err(broken)) => return self.refuse_broken(broken).await,
+                None if self.context.undecided.is_up() => return self.turn_away().await,
                 None => return self.refuse(408, "the request took too long", "slow-request").await,
             };
             let came = self.context.clock.now();
@@ -178,7 +200,7 @@
             }
             let answer = match self.serve(&head, body, came, follows.is_some()).await {
                 Ok(answer) => answer,
-                Err(reason) => return reason,
+                Err(parting) => return parting,
             };
             let context = &self.context;
             let keeps = head.keeps && !context.closing() && !context.turns_away();
@@ -186,14 +208,14 @@
                 if let Some(id) = answer.taken {
                     self.withdraw(id).await;
                 }
-                return "agent-gone";
+                return Parting::Gone("agent-gone");
             }
             if !keeps {
-                return match () {
+                return Parting::Closes(match () {
                     () if self.context.closing() => "closing",
                     () if self.context.turns_away() => "sent-away",
                     () => "answered",
-                };
+                });
             }
             (stay, until) = (Stay::Idle, Instant::now() + IDLE);
         }
@@ -201,40 +223,47 @@
 
     /// Comes back once a request has begun. A connection between requests is closed when the program ends or
     /// has no room for another, but what has come by then is read first.
-    async fn await_request(&mut self, stay: Stay, until: Instant) -> Result<(), &'static str> {
+    async fn await_request(&mut self, stay: Stay, until: Instant) -> Result<(), Parting> {
         let guest = self.lobby.enter(stay);
         let closing = async {
             self.context.until_closing().await;
             if self.context.handed_over.is_up() {
                 // Another process is there for those who come again; the next answer says so.
                 Timer::after(PASSED_ON).await;
+            } else if stay == Stay::Silent {
+                // Its request is on its way, and has nowhere else to go: nobody may send it a second time unasked.
+                future::or(self.context.undecided.until_up(), async {
+                    Timer::after(FIRST_WORD).await;
+                })
+                .await;
             }
-            Err("closing")
+            Err(Parting::Closes("closing"))
         };
         let late = async {
             Timer::at(until).await;
-            Err(if stay == Stay::Silent { "silent" } else { "idle" })
+            Err(Parting::Closes(if stay == Stay::Silent { "silent" } else { "idle" }))
         };
         let asked = async {
             guest.asked_to_go().await;
-            Err("crowded")
+            Err(Parting::Closes("crowded"))
         };
         let away = async {
             self.context.sends_away.until_up().await;
             Timer::after(REST).await;
-            Err("sent-away")
+            Err(Parting::Closes("sent-away"))
         };
         let filled = async {
             match self.wire.fill().await {
-                Ok(0) => Err("agent-closed"),
+                Ok(0) => Err(Parting::Gone("agent-closed")),
                 Ok(_) => Ok(()),
-                Err(_) => Err("agent-reset"),
+                Err(_) => Err(Parting::Gone("agent-reset")),
             }
         };
         future::or(filled, future::or(closing, future::or(late, future::or(asked, away)))).await
     }
 
-    /// The request that has begun; none if it does not come whole in time, or while there is room.
+    /// The request that has begun; none if it does not come whole in time, or while there is room, or before the program
+    /// ends.
     async fn read_in_time(&mut self, due: Instant) -> Option<Result<(Asked, Vec<u8>), Broken>> {
         let guest = self.lobby.enter(Stay::Reading);
         let late = async {
@@ -242,7 +271,7 @@
             None
         };
         let asked = async {
-            guest.asked_to_go().await;
+            future::or(guest.asked_to_go(), self.context.undecided.until_up()).await;
             None
         };
         future::or(async { Some(read(&mut self.wire).await) }, future::or(late, asked)).await
@@ -256,34 +285,50 @@
         future::or(self.wire.write(answer.bytes(keeps).as_bytes()), late).await.is_ok()
     }
 
-    async fn refuse_broken(&mut self, broken: Broken) -> &'static str {
+    async fn refuse_broken(&mut self, broken: Broken) -> Parting {
         let (status, code) = match broken {
             Broken::Malformed(_) => (400, broken.code()),
             Broken::TooLarge => (413, broken.code()),
             Broken::Ended | Broken::Torn | Broken::Stalled => (400, "torn-request"),
-            Broken::Socket(_) => return "torn-request",
+            Broken::Socket(_) => return Parting::Gone("torn-request"),
         };
         self.refuse(status, &broken.to_string(), code).await
     }
 
-    async fn refuse_followed(&mut self) -> &'static str {
+    async fn refuse_followed(&mut self) -> Parting {
         self.refuse(400, "more than a request came before its answer", "followed").await
     }
 
+    /// Turns a request away that is not whole as the program ends.
+    async fn turn_away(&mut self) -> Parting {
+        self.context.counters.unavailable.add();
+        self.part_with(&Answer::unavailable(LATER), "closing").await
+    }
+
     /// Ends the connection with an error.
-    async fn refuse(&mut self, status: u16, why: &str, code: &'static str) -> &'static str {
+    async fn refuse(&mut self, status: u16, why: &str, code: &'static str) -> Parting {
         self.context.counters.bad_requests.add();
-        let guest = self.lobby.enter(Stay::Refused);
-        if !self.say(&Answer::plain(status, format!("{why}\n")), false).await {
-            return code;
+        self.part_with(&Answer::plain(status, format!("{why}\n")), code).await
+    }
+
+    async fn part_with(&mut self, answer: &Answer, code: &'static str) -> Parting {
+        let told = self.say(answer, false).await;
+        if told {
+            Parting::Closes(code)
+        } else {
+            Parting::Gone(code)
         }
+    }
+
+    /// Ends the sending, then reads away what still comes, up to the other side's end or a bounded time.
+    async fn take_leave(&mut self) {
+        let guest = self.lobby.enter(Stay::Leaving);
         self.wire.end_sending();
         let enough = async {
             Timer::after(LINGER).await;
         };
         let asked = guest.asked_to_go();
         future::or(future::or(enough, asked), self.wire.drain()).await;
-        code
     }
 
     /// Answers a request; `gone` if the user agent has ended its sending with it.
@@ -293,7 +338,7 @@
         body: Vec<u8>,
         came: Micros,
         gone: bool,
-    ) -> Result<Answer, &'static str> {
+    ) -> Result<Answer, Parting> {
         let path = head.target.split('?').next().unwrap_or_default();
         match (head.method.as_str(), path) {
             ("GET", "/_health") if self.context.takes_user_agents() => Ok(Answer::plain(200, "ready\n")),
@@ -303,7 +348,8 @@
             }
             ("GET", "/_counters") => Ok(Answer::plain(200, format!("{}\n", self.context.report()))),
             ("POST", "/api") => match self.read_message(head, body, came) {
-                Ok(_) if gone => Err("agent-gone"),
+                // It may have ended its sending only: it is told that this was not taken on.
+                Ok(_) if gone => Err(self.part_with(&Answer::unavailable(LATER), "agent-gone").await),
                 Ok(request) if !self.context.board.names(request.destination) => {
                     self.context.counters.unavailable.add();
                     info!(self.context.log, "unknown destination"; "destination" => request.destination.0);
@@ -374,7 +420,7 @@
     }
 
     /// Hands a message to the module's actor. A user agent that goes meanwhile takes its message with it.
-    async fn hand_in(&mut self, request: Request) -> Result<Answer, &'static str> {
+    async fn hand_in(&mut self, request: Request) -> Result<Answer, Parting> {
         let (reply, answer) = async_channel::bounded(1);
         if self.context.decider.send(ToDecider::Take { request, reply }).await.is_err() {
             return Ok(Answer::unavailable(1_000_000));
@@ -402,7 +448,7 @@
             self.withdraw(id).await;
         }
         match said {
-            None => Err("agent-gone"),
+            None => Err(Parting::Gone("agent-gone")),
             Some(_) if followed.get() => Err(self.refuse_followed().await),
             Some(Reply::Taken(_)) => Ok(Answer { taken, ..Answer::plain(202, "") }),
             Some(Reply::Unavailable(after)) => Ok(Answer::unavailable(after)),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -13,7 +13,8 @@
 const HEADER_COUNT: usize = 64;
 const FIRST_ROOM: usize = 2 * 1024;
 const KEPT_ROOM: usize = 16 * 1024;
-const SCRATCH: usize = 64 * 1024;
+/// Many connections are read away at once, and each has this much for it.
+const SCRATCH: usize = 4 * 1024;
 
 /// Why nothing more can be read from a connection.
 #[derive(Debug)]
@@ -466,13 +467,19 @@
         }
     }
 
-    /// Whether the other side has ended or sent something while nothing was asked, by the code of the reason.
+    /// Whether the other side has ended or sent something while nothing was asked, by the code of the reason. What it sent is
+    /// kept, so that whoever looks next sees it too.
     pub fn poll_disturbed(&mut self, cx: &mut std::task::Context<'_>) -> Option<&'static str> {
         use futures_lite::AsyncRead;
-        let mut one = [0u8; 1];
-        match std::pin::Pin::new(&mut self.stream).poll_read(cx, &mut one) {
+        if !self.buffer.bytes().is_empty() {
+            return Some("unasked");
+        }
+        match std::pin::Pin::new(&mut self.stream).poll_read(cx, self.buffer.room()) {
             Poll::Pending => None,
-            Poll::Ready(Ok(1)) => Some("unasked"),
+            Poll::Ready(Ok(got)) if got > 0 => {
+                self.buffer.end += got;
+                Some("unasked")
+            }
             Poll::Ready(_) => Some("peer-closed"),
         }
     }
--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -8,8 +8,8 @@
 /// Where a connection stands that may be let go when there is no room: the first ones go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stay {
-    /// It was refused and has its answer.
-    Refused,
+    /// It has its last answer.
+    Leaving,
     /// It never sent a request.
     Silent,
     /// It was served and is between requests.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -96,6 +96,12 @@
     pub user_agents: Cell<usize>,
     /// The module has a list to go by.
     pub holds_list: Cell<bool>,
+    /// The platform's agent has told its list to this process, or won't just now: calls may go out.
+    pub list_told: Flag,
+    /// The program is ending and takes no more connections.
+    pub listener_closes: Flag,
+    /// The program is ending and decides no more: what is not whole by now is turned away.
+    pub undecided: Flag,
     /// Operators want user agents sent away.
     pub sends_away: Flag,
     /// Another process is taking over, or has: nothing may change here meanwhile.
@@ -289,6 +295,9 @@
         notices_owed: Cell::new(0),
         user_agents: Cell::new(0),
         holds_list: Cell::new(false),
+        list_told: Flag::default(),
+        listener_closes: Flag::default(),
+        undecided: Flag::default(),
         sends_away: Flag::default(),
         handing: Cell::new(false),
         handed_over: Flag::default(),
@@ -459,14 +468,19 @@
     let since = std::time::Instant::now();
     close.close();
     Timer::after(LINGER).await;
-    let _ = front.cancel().await;
+    // It takes what waits in its queue, then closes.
+    context.listener_closes.raise();
+    front.await;
     let idle = || context.passes_out.get() == 0 && context.notices_owed.get() == 0;
     while since.elapsed() < DECIDES && !(idle() && context.open.get() == 0 && context.user_agents.get() == 0)
     {
         Timer::after(LOOK).await;
     }
+    context.undecided.raise();
     let _ = context.decider.send(ToDecider::Close).await;
-    while since.elapsed() < LEAVES && !(idle() && context.decider.is_empty()) {
+    // An answer is not given before it is written, and not safe before its reader has it.
+    let told = || context.decider.is_empty() && context.user_agents.get() == 0;
+    while since.elapsed() < LEAVES && !(idle() && told()) {
         Timer::after(LOOK).await;
     }
     // The mailbox is empty before its last word is dealt with; one more turn of the others sees to that.
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -163,7 +163,7 @@
         }
         self.wire.end_sending();
         // Closing on what still comes would reset the connection, and the answer could be lost with it.
-        let guest = self.lobby.enter(Stay::Refused);
+        let guest = self.lobby.enter(Stay::Leaving);
         let drained = async {
             within(LINGER, self.wire.drain()).await;
         };
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! | line | what it does |
 //! | --- | --- |
-//! | `with endpoints e1=1 e2=2:many:hidden e3=3:one:leaving … open=8 disk=1 grace=250 tick=5 me=0` | parties and limits, before `start` |
+//! | `with endpoints e1=1 e2=2:many:hidden e3=3:one:leaving:west … open=8 disk=1 grace=250 tick=5 me=0` | parties and limits, before `start` |
+//! | `knows`, `begin` | from the next start on the program is given the list as it is now; starts it without waiting for a list |
 //! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the program, signals it, waits for its end |
 //! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a user agent hands in a message |
-//! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 close` | the rest of a user agent's life |
+//! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 end-sending`, `u1 close` | the rest of a user agent's life |
 //! | `with operator=on`, `o health 200`, `o cordon e1 200`, `o quiesce 200` | operators may call; a call, and its status |
 //! | `o raw 400 TEXT`, `o crowd 20 TEXT` | a call as it is written; so many callers that write no more than that and stay |
 //! | `upgrade`, `upgrading` | starts a second process on the same folder, with and without waiting until it says yes |
@@ -25,6 +26,7 @@
 //! | `e1 send-raw m1 TEXT` | whatever else is written to the connection that m1 came on |
 //! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled or closed endpoint accept |
 //! | `p send e1=leaving`, `p expect m1 failed`, `p expect-watch 1`, `p mute`, `p speak`, `p quiet` | the platform |
+//! | `p note e1=leaving` | the list changes and the open watches are not told |
 //! | `p move`, `p hold`, `p unhold`, `p let-go` | it listens elsewhere; holds lists back; closes what leads to the old address |
 //! | `site YAML` | writes our own settings file, in one line; `start` names it from then on |
 //! | `registry` | starts a registry and a replica; a site file may name them as `{registry}` and `{replica}` |
@@ -97,6 +99,7 @@
 struct Endpoint {
     destination: u64,
     kind: String,
+    zone: String,
     address: SocketAddr,
     sender: Sender<Call>,
     calls: Receiver<Call>,
@@ -112,12 +115,12 @@
 }
 
 impl Endpoint {
-    fn new(destination: u64, kind: &str, state: &str) -> Self {
+    fn new(destination: u64, kind: &str, zone: &str, state: &str) -> Self {
         let socket = bound();
         let address = socket.local_addr().expect("bound").as_socket().expect("an address");
         let (sender, calls) = channel();
-        let (kind, answered) = (kind.to_owned(), BTreeMap::new());
-        let mut endpoint = Endpoint { destination, kind, address, sender, calls, answered, shut: None };
+        let (kind, zone, answered) = (kind.to_owned(), zone.to_owned(), BTreeMap::new());
+        let mut endpoint = Endpoint { destination, kind, zone, address, sender, calls, answered, shut: None };
         match state {
             "closed" => endpoint.shut = Some(Shut::Closed(socket)),
             "stalled" => {
@@ -324,6 +327,8 @@
     older: Option<(fs::File, TcpListener)>,
     listen: Option<SocketAddr>,
     operators: bool,
+    /// The list that the program is given at its start.
+    known: Option<Value>,
     open: u64,
     me: Value,
     disk: f64,
@@ -397,6 +402,7 @@
             older: None,
             listen,
             operators: false,
+            known: None,
             open,
             me: json!(0),
             disk,
@@ -411,6 +417,14 @@
         match words[0] {
             "with" => words[1..].iter().for_each(|w| self.set(w)),
             "start" => self.start(),
+            "begin" => {
+                self.spawn();
+                self.listens();
+            }
+            "knows" => {
+                let all = self.platform.list.lock().expect("unpoisoned").values().cloned().collect();
+                self.known = serde_json::from_str(&self.platform.line(true, all)).ok();
+            }
             "site" => {
                 let mut text = rest.to_owned();
                 if let Some((registry, replica)) = &self.registry {
@@ -510,7 +524,8 @@
                 let kind = if parts.contains(&"many") { "many" } else { "one" };
                 let destination = parts[0].parse().expect("a destination");
                 let state = parts.iter().find(|p| ["closed", "stalled"].contains(p)).unwrap_or(&"open");
-                let endpoint = Endpoint::new(destination, kind, state);
+                let zone = if parts.contains(&"west") { "west" } else { "east" };
+                let endpoint = Endpoint::new(destination, kind, zone, state);
                 self.endpoints.insert(name.to_owned(), endpoint);
                 if !parts.contains(&"hidden") {
                     self.list(name, if parts.contains(&"leaving") { "leaving" } else { "active" });
@@ -523,7 +538,7 @@
         let e = &self.endpoints[name];
         let lifecycle = if lifecycle == "moved" { "active" } else { lifecycle };
         let entry = json!({
-            "instanceId": name, "hostPort": e.address.to_string(), "zone": "east", "machineType": e.kind,
+            "instanceId": name, "hostPort": e.address.to_string(), "zone": e.zone, "machineType": e.kind,
             "cell": e.destination, "lifecycle": lifecycle, "weight": 50.0, "startedAtMs": 0,
         });
         self.platform.list.lock().expect("unpoisoned").insert(name.to_owned(), entry.clone());
@@ -531,13 +546,15 @@
     }
 
     fn configure(&self) {
-        let class = |name: &str, semantics: &str| {
+        let keyed = |name: &str, semantics: &str, span: f64, scope: &str| {
             json!({"name": name, "semantics": semantics, "promise": 2000.0, "deadline": 20000.0,
-                   "gain": 1.0, "late-worth": 0.3, "memory-span": 30000.0, "dedup-scope": "all"})
+                   "gain": 1.0, "late-worth": 0.3, "memory-span": span, "dedup-scope": scope})
         };
+        let class = |name: &str, semantics: &str| keyed(name, semantics, 30000.0, "all");
         let settings = json!({
-            "azs": ["east"], "zone": "east", "balancers": 1, "me": self.me, "kinds": ["one", "many"], "discovery": "pushed",
-            "categories": [class("notice", "token"), class("once", "side_effect"), class("free", "pure")],
+            "azs": ["east", "west"], "zone": "east", "balancers": 1, "me": self.me, "kinds": ["one", "many"], "discovery": "pushed",
+            "categories": [class("notice", "token"), class("once", "side_effect"), class("free", "pure"),
+                keyed("zoned", "token", 30000.0, "zone"), keyed("brief", "token", 2000.0, "all")],
             "realms": [{"name": "acme", "portion": 1.0, "quota-per-s": 1000.0}],
             "granularity": self.tick, "weight-source": "rough", "fees": {}, "callers": {"marks-retry": true},
             "permissions": {"max-open": self.open, "max-attempts": 3, "cancel": true, "retry-after": true,
@@ -550,6 +567,9 @@
             "state": self.folder.join("state"), "seed": "8c1f30d27a5be964", "settings": settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": self.disk},
         });
+        if let Some(known) = &self.known {
+            config["known"] = known.clone();
+        }
         if self.operators {
             config["operator"] = "127.0.0.1:0".into();
             if let Some(listen) = self.listen.filter(|_| self.old.program.is_some()) {
@@ -571,11 +591,15 @@
             let told = soon("operators' address", || run.told("operators may call", "operator: "));
             self.run.operator = Some(told);
         }
+        self.listens();
+        // Past the list that it may have known; from here on all news is news.
+        self.wait("lists>=1");
+    }
+
+    fn listens(&mut self) {
         let run = &self.run;
         self.listen = Some(soon("its address", || run.told("serving", "listen: ")));
         soon("its health", || self.get("/_health").starts_with("HTTP/1.1 200").then_some(()));
-        // Past the list that it may have known; from here on all news is news.
-        self.wait("lists>=1");
     }
 
     /// Starts a process that replaces the one that runs.
@@ -731,6 +755,12 @@
                 self.platform.generation.fetch_add(1, Ordering::SeqCst);
                 self.platform.tell(&self.platform.line(false, entries));
             }
+            ["note", changes @ ..] => {
+                let split =
+                    |c: &&str| c.split_once('=').map(|(n, l)| self.list(n, l)).expect("name=lifecycle");
+                changes.iter().for_each(|c| drop(split(c)));
+                self.platform.generation.fetch_add(1, Ordering::SeqCst);
+            }
             ["expect", id, state] => {
                 let notice = self.notices.recv_timeout(PATIENCE).expect("a notice");
                 assert_eq!((notice["id"].as_str(), notice["state"].as_str()), (Some(*id), Some(*state)));
@@ -871,6 +901,7 @@
                 let text = unescape(rest.trim_start_matches("send-raw "));
                 agent.get_mut().write_all(text.as_bytes()).expect("written");
             }
+            ["end-sending"] => agent.get_ref().shutdown(std::net::Shutdown::Write).expect("open"),
             ["expect", "end"] => {
                 let mut left = Vec::new();
                 agent.read_to_end(&mut left).expect("an orderly end");
