--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -496,6 +496,7 @@
             time_left: deadline.saturating_sub(self.now),
             destination: DestinationId(hand.partner as u64),
             orphan,
+            first: None,
             again,
             attempts: m.attempts,
         };
@@ -678,7 +679,7 @@
         let mut open: Option<(u64, usize)> = None;
         for action in work.actions {
             match action {
-                Action::Send { id, endpoint, call, cut_at, last } => {
+                Action::Send { id, endpoint, call, cut_at, last, .. } => {
                     let number = match open.filter(|o| o.0 == call) {
                         Some((_, number)) => number,
                         None => self.begin_call(forwarder, endpoint),
--- a/src/api.rs
+++ b/src/api.rs
@@ -274,6 +274,8 @@
     pub destination: DestinationId,
     /// It comes from a courier that died and may have sent it.
     pub orphan: bool,
+    /// When and where the first attempt was sent that may have run, if that is known.
+    pub first: Option<(Micros, ZoneId)>,
     /// Its client says that it was handed in before; see [`Settings::marks_retry`].
     pub again: bool,
     /// Attempts made before this courier had it; they count against [`Settings::max_attempts`].
@@ -387,6 +389,8 @@
         call: u64,
         /// When this attempt is abandoned.
         cut_at: Micros,
+        /// Its first byte must not be written later: a repeat would run twice, or find no time to run.
+        send_by: Micros,
         /// The message's time is up then: it will not be sent again.
         last: bool,
     },
--- a/src/bin/cedarbridge-simhost/wire.rs
+++ b/src/bin/cedarbridge-simhost/wire.rs
@@ -135,6 +135,7 @@
                     time_left: micros(field(5, "time-left")?)?,
                     destination: DestinationId(whole(field(7, "terminates-at")?)?),
                     orphan: attrs & 16 != 0,
+                    first: None,
                     again: attrs & 2 != 0,
                     attempts: 0,
                 })
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -502,8 +502,9 @@
                 worth *= self.s.over_share_worth;
             }
         }
-        // What a dead courier did is not known: its keyed messages count as sent when first handed in.
+        // A dead courier's keyed message counts as sent when first handed in, unless its journal tells more.
         let may_have_run = (m.orphan && class.effect == Effect::Keyed).then_some((born, None));
+        let may_have_run = m.first.map(|(at, zone)| (at, Some(zone))).or(may_have_run);
         let key = m.key.filter(|_| class.ordered);
         if let Some(k) = key {
             self.lines.entry(k).or_default().queue.push_back(m.id);
@@ -1029,6 +1030,7 @@
         let mut parts = Vec::new();
         while let Some(m) = next {
             let (timing, end) = (self.timing(&self.messages[&m]), self.end_of(&self.messages[&m]));
+            let send_by = self.last_send(&self.messages[&m]);
             let message = self.messages.get_mut(&m).unwrap();
             let longest = longest_cut(self.s.classes[message.class.0].effect);
             let adaptive = ((mean * CUT.0) as Micros).clamp(CUT.1, CUT.2) * (longest / CUT.2);
@@ -1041,7 +1043,7 @@
             message.attempts += 1;
             message.sent_zone = zone;
             self.destinations.get_mut(&id).unwrap().waiting.retain(|w| *w != m);
-            self.actions.push(Action::Send { id: m, endpoint: e, call: number, cut_at, last });
+            self.actions.push(Action::Send { id: m, endpoint: e, call: number, cut_at, send_by, last });
             let like = Some(timing);
             next = if parts.len() < most { self.choose(now, id, e, false, like) } else { None };
         }
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -44,6 +44,11 @@
     pub fn from_wall(&self, time: Micros) -> Micros {
         self.now() + time.saturating_sub(wall())
     }
+
+    /// A past point of the wall clock on this one; what this one can't show is its beginning, what is to come is now.
+    pub fn since_wall(&self, time: Micros) -> Micros {
+        self.now().saturating_sub(wall().saturating_sub(time))
+    }
 }
 
 /// The wall clock, in microseconds of Unix time.
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -2,7 +2,7 @@
 
 use super::farm::ToFarm;
 use super::handover::{self, Heir, Speaker, State};
-use super::journal::{Kept, Verdict};
+use super::journal::{Kept, Progress, Verdict};
 use super::notices::Notice;
 use super::operator::{self, No, Operation};
 use super::peer::{self, ToPeer};
@@ -14,7 +14,7 @@
 use crate::{
     Action, ClassId, Courier, DestinationId, EndpointId, Event, KindId, Lifecycle, ListNews, MessageId,
 };
-use crate::{Micros, Outcome, Settings, Shown, Status, TenantId};
+use crate::{Micros, Outcome, Settings, Shown, Status, TenantId, ZoneId};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
@@ -169,14 +169,14 @@
     pub async fn restore(&mut self, kept: Vec<(u64, Kept)>) {
         for (id, kept) in kept {
             self.context.counters.restored.add();
-            let may_have_run = kept.ran || kept.out;
+            let may_have_run = kept.progress.may_have_run();
             let class = self.names.classes.iter().position(|c| *c == kept.class);
             let id = MessageId(id);
             let unrepeatable = |c: usize| may_have_run && self.context.config().unsafe_twice[c];
             // The platform may have had the notice of a verdict: the message must not be sent after it. One
             // that may not run twice fails, as does one of a class that is no more.
             let verdict = match class {
-                _ if kept.verdict.is_some() => kept.verdict,
+                _ if kept.progress.verdict.is_some() => kept.progress.verdict,
                 Some(c) if !unrepeatable(c) => None,
                 None if !may_have_run => Some(Verdict::Returned(None)),
                 _ => Some(Verdict::Failed),
@@ -185,9 +185,15 @@
                 self.notify(id, kept.word, verdict).await;
                 continue;
             }
-            let attempts = kept.attempts;
+            let Progress { attempts, first, .. } = kept.progress.clone();
             let request = self.request(kept, class.unwrap_or_default(), may_have_run);
-            self.hold(Transaction::new(id, request, attempts), None);
+            let mut transaction = Transaction::new(id, request, attempts);
+            transaction.first = first.map(|sent| {
+                // A zone that is no more takes no repeat.
+                let zone = self.names.zones.iter().position(|z| *z == sent.zone).unwrap_or(usize::MAX);
+                (self.context.clock.since_wall(sent.at), ZoneId(zone))
+            });
+            self.hold(transaction, None);
         }
     }
 
@@ -253,7 +259,7 @@
             let id = message.id;
             self.older.extend(message.out.map(|(attempt, endpoint)| ((id, attempt), endpoint)));
             let class = |k: &Kept| self.names.classes.iter().position(|c| *c == k.class);
-            let live = kept.remove(&id.0).filter(|k| k.verdict.is_none());
+            let live = kept.remove(&id.0).filter(|k| k.progress.verdict.is_none());
             let Some((kept, class)) = live.and_then(|k| class(&k).map(|c| (k, c))) else {
                 // Over; only its attempt is still out, and the module knows.
                 continue;
@@ -435,8 +441,7 @@
             destination: request.destination.0,
             deadline: self.context.clock.to_wall(request.deadline),
             body: request.body.to_vec(),
-            ran: request.orphan,
-            ..Kept::default()
+            progress: Progress { ran: request.orphan, ..Progress::default() },
         };
         self.next += 1;
         let crowded = self.closed || self.open >= self.context.config().max_open;
@@ -589,8 +594,8 @@
         let mut passes: Vec<((u64, EndpointId), Vec<Part>)> = Vec::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, call, cut_at, last } => {
-                    self.gather(&mut passes, (call, endpoint), id, (cut_at, last));
+                Action::Send { id, endpoint, call, cut_at, send_by, last } => {
+                    self.gather(&mut passes, (call, endpoint), id, (cut_at, send_by, last));
                 }
                 Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)).await,
                 Action::Fail { id } => self.give_up(id, None).await,
@@ -627,11 +632,11 @@
         passes: &mut Vec<((u64, EndpointId), Vec<Part>)>,
         to: (u64, EndpointId),
         id: MessageId,
-        (cut_at, last): (Micros, bool),
+        (cut_at, send_by, last): (Micros, Micros, bool),
     ) {
         let Some(held) = self.held.get(&id) else { return };
         let attempt = held.transaction.next_attempt();
-        let part = Part { transaction: held.transaction.clone(), attempt, cut_at, last };
+        let part = Part { transaction: held.transaction.clone(), attempt, cut_at, send_by, last };
         match passes.last_mut().filter(|p| p.0 == to) {
             Some(pass) => pass.1.push(part),
             None => passes.push((to, vec![part])),
--- a/src/net/farm.rs
+++ b/src/net/farm.rs
@@ -430,7 +430,7 @@
         let Change { endpoint, listing: l, lifecycle, learnt, .. } = change;
         let (endpoint, lifecycle) = (*endpoint, *lifecycle);
         let apart = self.context.config().kinds[l.kind.0].apart;
-        self.context.board.list(endpoint, lifecycle, *learnt, Known::new(l.address, l.destination, apart));
+        self.context.board.list(endpoint, lifecycle, *learnt, Known::new(l.address, l.destination, l.zone, apart));
         let (destination, zone, kind, weight) = (l.destination, l.zone, l.kind, l.weight);
         Entry { endpoint, destination, zone, kind, lifecycle, weight }
     }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -1,6 +1,7 @@
 //! An endpoint's actor: its pool of connections and the calls on them.
 
 use super::http::{Answered, Broken, Wire};
+use super::journal::Sent;
 use super::proxy_pass::{Came, End, Ended, Pass};
 use super::{Context, ToDecider};
 use crate::{EndpointId, LimitReport, Micros, Outcome};
@@ -343,6 +344,8 @@
         Some("handed-over")
     } else if now >= pass.first_cut(&vec![true; pass.parts.len()]) {
         Some("cut")
+    } else if now >= pass.send_by() {
+        Some("too-late")
     } else {
         context.board.bars(pass.endpoint)
     };
@@ -351,8 +354,11 @@
         stage.set(Stage::Barred);
         return Stop::Barred;
     }
+    let zone = context.board.get(pass.endpoint).map(|k| context.config().names.zones[k.zone.0].clone());
     for part in &pass.parts {
-        if let Err(e) = context.journal.borrow_mut().attempt(part.transaction.id.0, part.attempt) {
+        let at = context.clock.to_wall(pass.sent);
+        let sent = Sent { at, zone: zone.clone().unwrap_or_default() };
+        if let Err(e) = context.journal.borrow_mut().attempt(part.transaction.id.0, part.attempt, sent) {
             warn!(context.log, "not sent"; "reason" => "journal", "error" => %e);
             stage.set(Stage::Barred);
             return Stop::Barred;
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -14,6 +14,8 @@
     pub attempt: u32,
     /// When this attempt is abandoned.
     pub cut_at: Micros,
+    /// Its first byte must not be written later.
+    pub send_by: Micros,
     /// The message's time is up then: it will not be sent again.
     pub last: bool,
 }
@@ -37,6 +39,11 @@
         parts.map(|p| p.0.cut_at).min().unwrap_or(0)
     }
 
+    /// Up to when the first byte may be written, for all parts.
+    pub fn send_by(&self) -> Micros {
+        self.parts.iter().map(|p| p.send_by).min().unwrap_or(0)
+    }
+
     /// When the last part is abandoned.
     pub fn last_cut(&self) -> Micros {
         self.parts.iter().map(|p| p.cut_at).max().unwrap_or(0)
--- a/src/net/transaction.rs
+++ b/src/net/transaction.rs
@@ -1,7 +1,7 @@
 //! A message that was taken on, from its request to its end.
 
 use super::route_stats::RouteStats;
-use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, TenantId};
+use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, TenantId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -39,6 +39,8 @@
     pub request: Request,
     /// When it was handed in, on the program's clock; none if that was at an earlier process.
     pub since: Option<Micros>,
+    /// When and where the first attempt was sent that may have run, where an earlier process noted it.
+    pub first: Option<(Micros, ZoneId)>,
     /// Where it is counted by route.
     pub stats: Option<Rc<RouteStats>>,
     attempts: Cell<u32>,
@@ -49,7 +51,7 @@
     /// A transaction that is under way, with the attempts that an earlier process made.
     pub fn new(id: MessageId, request: Request, attempts: u32) -> Self {
         let (attempts, over) = (Cell::new(attempts), Cell::new(false));
-        Transaction { id, request, since: None, stats: None, attempts, over }
+        Transaction { id, request, since: None, first: None, stats: None, attempts, over }
     }
 
     /// The number of its next attempt, from 0; it counts as begun.
@@ -83,6 +85,7 @@
             time_left: self.request.deadline.saturating_sub(now),
             destination: self.request.destination,
             orphan: self.request.orphan,
+            first: self.first,
             again: self.request.again,
             attempts: self.attempts.get(),
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,6 +103,7 @@
             time_left: 20 * SECOND,
             destination: DestinationId(destination),
             orphan: false,
+            first: None,
             again: false,
             attempts: 0,
         }
