Name the message with the most time left first in a shared call

Lines at fault: src/net/proxy_pass.rs lapsed, which goes on with a call whose first message is over; src/net/decider.rs gather kept the order in which messages gain most. Change: Pass::new puts the one abandoned last in front, so a call ends for all when its first message's time is up.

--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -652,7 +652,7 @@
                     held.out = Some(Out { attempt, endpoint, call });
                 }
             }
-            let pass = Pass { endpoint, parts, sent: now, called_off };
+            let pass = Pass::new(endpoint, parts, now, called_off);
             let Some(peer) = self.peer(endpoint) else {
                 warn!(self.context.log, "no such peer"; "endpoint" => endpoint.0);
                 self.not_sent(pass);
--- a/src/net/proxy_pass.rs
+++ b/src/net/proxy_pass.rs
@@ -2,7 +2,9 @@
 
 use super::transaction::Transaction;
 use crate::{EndpointId, LimitReport, MessageId, Micros, Outcome};
+use async_channel::Receiver;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::rc::Rc;
 
 /// A message in a call.
@@ -29,10 +31,17 @@
     /// When the module decided on it.
     pub sent: Micros,
     /// Closed when the call is called off.
-    pub called_off: async_channel::Receiver<()>,
+    pub called_off: Receiver<()>,
 }
 
 impl Pass {
+    /// A call; the message with the most time left is named first, as its time is taken for the call's. Guards against an answer
+    /// that comes once that is up: partners that hang named others as delivered then that were not.
+    pub fn new(endpoint: EndpointId, mut parts: Vec<Part>, sent: Micros, called_off: Receiver<()>) -> Self {
+        parts.sort_by_key(|p| Reverse(p.cut_at));
+        Pass { endpoint, parts, sent, called_off }
+    }
+
     /// When the part is abandoned that is abandoned first, of those that are still waited for.
     pub fn first_cut(&self, waited_for: &[bool]) -> Micros {
         let parts = self.parts.iter().zip(waited_for).filter(|p| *p.1);
