--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -1,4 +1,4 @@
-//! What every proxy pass looks at just before its first byte: who is in service, who told a wait.
+//! What every call looks at just before its first byte: who is in service, who told a wait.
 
 use super::clock::Clock;
 use crate::{DestinationId, EndpointId, Lifecycle, Micros, ZoneId};
@@ -43,7 +43,7 @@
     Endpoint(EndpointId),
 }
 
-/// The board: the farm and the answers write on it at once, ahead of the module's next step.
+/// The board: the membership's actor and the answers write on it at once, ahead of the module's next step.
 pub struct Board {
     clock: Clock,
     grace: Cell<Micros>,
--- a/src/net/call.rs
+++ b/src/net/call.rs
@@ -23,7 +23,7 @@
 }
 
 /// A call that the module has decided on.
-pub struct Pass {
+pub struct Call {
     /// Where to.
     pub endpoint: EndpointId,
     /// What it carries; at least one.
@@ -34,12 +34,12 @@
     pub called_off: Receiver<()>,
 }
 
-impl Pass {
+impl Call {
     /// A call; the message with the most time left is named first, as its time is taken for the call's. Guards against an answer
     /// that comes once that is up: partners that hang named others as delivered then that were not.
     pub fn new(endpoint: EndpointId, mut parts: Vec<Part>, sent: Micros, called_off: Receiver<()>) -> Self {
         parts.sort_by_key(|p| Reverse(p.cut_at));
-        Pass { endpoint, parts, sent, called_off }
+        Call { endpoint, parts, sent, called_off }
     }
 
     /// When the part is abandoned that is abandoned first, of those that are still waited for.
@@ -75,9 +75,9 @@
     }
 
     /// The same call with some of its parts only.
-    pub fn with(&self, parts: &[usize]) -> Pass {
+    pub fn with(&self, parts: &[usize]) -> Call {
         let parts = parts.iter().map(|i| self.parts[*i].clone()).collect();
-        Pass { parts, called_off: self.called_off.clone(), ..*self }
+        Call { parts, called_off: self.called_off.clone(), ..*self }
     }
 }
 
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -50,8 +50,8 @@
     bad_requests,
     /// Messages whose user agent went before its answer.
     withdrawn,
-    /// Proxy passes begun: calls, whether of one message or of several.
-    passes,
+    /// Calls begun, whether of one message or of several.
+    calls,
     /// Attempts written to an endpoint; a call of several messages holds as many.
     attempts,
     /// Attempts answered as delivered.
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -1,12 +1,12 @@
 //! The module's actor: it brings events to the decisions and carries out what they say.
 
-use super::farm::ToFarm;
+use super::call::{Call, Came, End, Ended, Part};
 use super::handover::{self, Heir, Speaker, State};
 use super::journal::{Kept, Progress, Verdict};
+use super::members::ToMembers;
 use super::notices::Notice;
 use super::operator::{self, No, Operation};
 use super::peer::{self, ToPeer};
-use super::proxy_pass::{Came, End, Ended, Part, Pass};
 use super::transaction::{Request, Transaction};
 use super::Context;
 use crate::membership::Carried;
@@ -102,7 +102,7 @@
     names: Arc<Names>,
     courier: Courier,
     notices: Sender<Notice>,
-    farm: Sender<ToFarm>,
+    members: Sender<ToMembers>,
     /// Endpoints that may be called, with whose they are, and the actors of those that were.
     listed: BTreeMap<EndpointId, DestinationId>,
     peers: BTreeMap<EndpointId, Sender<ToPeer>>,
@@ -130,7 +130,7 @@
         context: Rc<Context>,
         courier: Courier,
         notices: Sender<Notice>,
-        farm: Sender<ToFarm>,
+        members: Sender<ToMembers>,
         last_id: u64,
     ) -> Self {
         Decider {
@@ -139,7 +139,7 @@
             context,
             courier,
             notices,
-            farm,
+            members,
             listed: BTreeMap::new(),
             peers: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -161,8 +161,8 @@
     }
 
     /// The list's mailbox.
-    pub fn farm(&self) -> &Sender<ToFarm> {
-        &self.farm
+    pub fn members(&self) -> &Sender<ToMembers> {
+        &self.members
     }
 
     /// Gives back to the module what an earlier process had taken on and not ended.
@@ -241,7 +241,7 @@
 
     /// Goes on from where the process stopped that this one replaces. What its module held is in the journal, and what
     /// the journal alone holds is owed a notice.
-    /// The list that passes with it is for the farm.
+    /// The list that passes with it is for the membership's actor.
     pub async fn inherit(
         &mut self,
         state: State,
@@ -371,9 +371,9 @@
             ToDecider::HandOver(heir) => self.heir = Some(heir),
             ToDecider::Operate { operation, reply } => {
                 // It was meant for the process that did not take over after all.
-                let (context, farm) = (self.context.clone(), self.farm.clone());
+                let (context, members) = (self.context.clone(), self.members.clone());
                 let operating = async move {
-                    let _ = reply.try_send(operator::perform(&context, &farm, operation).await);
+                    let _ = reply.try_send(operator::perform(&context, &members, operation).await);
                 };
                 self.context.executor.spawn(operating).detach();
             }
@@ -605,7 +605,7 @@
                     self.pass_on(now, std::mem::take(&mut passes));
                     self.peers.get(&endpoint).map(|p| p.try_send(ToPeer::CloseIdle));
                 }
-                Action::Watch => drop(self.farm.try_send(ToFarm::Watch)),
+                Action::Watch => drop(self.members.try_send(ToMembers::Watch)),
                 Action::Probe { endpoint } => {
                     warn!(self.context.log, "no probes on this platform"; "endpoint" => endpoint.0)
                 }
@@ -652,15 +652,15 @@
                     held.out = Some(Out { attempt, endpoint, call });
                 }
             }
-            let pass = Pass::new(endpoint, parts, now, called_off);
+            let pass = Call::new(endpoint, parts, now, called_off);
             let Some(peer) = self.peer(endpoint) else {
                 warn!(self.context.log, "no such peer"; "endpoint" => endpoint.0);
                 self.not_sent(pass);
                 continue;
             };
-            if let Err(e) = peer.try_send(ToPeer::Pass(pass)) {
+            if let Err(e) = peer.try_send(ToPeer::Call(pass)) {
                 warn!(self.context.log, "mailbox"; "endpoint" => endpoint.0, "error" => %e);
-                if let ToPeer::Pass(pass) = e.into_inner() {
+                if let ToPeer::Call(pass) = e.into_inner() {
                     self.not_sent(pass);
                 }
             }
@@ -684,8 +684,8 @@
     }
 
     /// A call that could not even be handed to its peer comes back by the mailbox, as any other.
-    fn not_sent(&self, pass: Pass) {
-        let ended = Ended::alike(pass.parts.len(), super::proxy_pass::End::of(Outcome::Moot));
+    fn not_sent(&self, pass: Call) {
+        let ended = Ended::alike(pass.parts.len(), super::call::End::of(Outcome::Moot));
         let back = self.context.decider.clone();
         let telling = async move {
             let _ = back.send(ToDecider::Passed(pass.came(ended))).await;
--- a/src/net/eureka/mod.rs
+++ b/src/net/eureka/mod.rs
@@ -1,4 +1,4 @@
-//! The registry as a source of the list: asked again and again, its answers handed to the farm. What is believed of
+//! The registry as a source of the list: asked again and again, its answers handed to the membership's actor. What is believed of
 //! them is decided in [`crate::membership`]. Source of the protocol: Eureka's published REST operations.
 
 pub mod client;
@@ -9,7 +9,7 @@
 pub mod snapshot;
 pub mod xml;
 
-use super::farm::ToFarm;
+use super::members::ToMembers;
 use super::Context;
 use crate::membership::{Ask, Poller, Question, RegistrySettings};
 use crate::words::Names;
@@ -45,7 +45,7 @@
 }
 
 impl Counts {
-    /// All of them, with what the farm shows of the view.
+    /// All of them, with what the membership's actor shows of the view.
     pub fn report(&self, view: &Value, now: Micros) -> Value {
         let mut report = json!({
             "polls": self.polls.get(), "deltas": self.deltas.get(), "wholes": self.wholes.get(),
@@ -123,7 +123,7 @@
 }
 
 /// Asks without end and hands on what comes; ended by being dropped.
-pub async fn run(context: Rc<Context>, settings: Arc<RegistrySettings>, farm: Sender<ToFarm>) {
+pub async fn run(context: Rc<Context>, settings: Arc<RegistrySettings>, members: Sender<ToMembers>) {
     let names = context.config().names.clone();
     let clock = context.clock;
     let counts = &context.registry;
@@ -146,8 +146,8 @@
                     info!(context.log, "the registry's hash does not fit"; "address" => registry.address(next.address));
                 }
                 let (told, doubt) = async_channel::bounded(1);
-                let news = ToFarm::Registry { news: taken.news, learnt: clock.now(), doubt: told };
-                if farm.send(news).await.is_err() {
+                let news = ToMembers::Registry { news: taken.news, learnt: clock.now(), doubt: told };
+                if members.send(news).await.is_err() {
                     return;
                 }
                 let in_doubt = doubt.recv().await.unwrap_or(false);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -132,8 +132,8 @@
         Answer { status, extra: String::new(), body: body.into(), taken: None }
     }
 
-    /// The unavailable answer.
-    fn unavailable(after: Micros) -> Self {
+    /// A 503: what was handed in may come again after a while.
+    fn service_unavailable(after: Micros) -> Self {
         let extra = format!("Retry-After: {:.3}\r\n", after as f64 / 1e6);
         Answer { extra, ..Answer::plain(503, "") }
     }
@@ -302,7 +302,7 @@
     /// Turns a request away that is not whole as the program ends.
     async fn turn_away(&mut self) -> Parting {
         self.context.counters.unavailable.add();
-        self.part_with(&Answer::unavailable(LATER), "closing").await
+        self.part_with(&Answer::service_unavailable(LATER), "closing").await
     }
 
     /// Ends the connection with an error.
@@ -349,11 +349,14 @@
             ("GET", "/_counters") => Ok(Answer::plain(200, format!("{}\n", self.context.report()))),
             ("POST", "/api") => match self.read_message(head, body, came) {
                 // It may have ended its sending only: it is told that this was not taken on.
-                Ok(_) if gone => Err(self.part_with(&Answer::unavailable(LATER), "agent-gone").await),
+                Ok(_) if gone => {
+                    self.context.counters.unavailable.add();
+                    Err(self.part_with(&Answer::service_unavailable(LATER), "agent-gone").await)
+                }
                 Ok(request) if !self.context.board.names(request.destination) => {
                     self.context.counters.unavailable.add();
                     info!(self.context.log, "unknown destination"; "destination" => request.destination.0);
-                    Ok(Answer::unavailable(UNKNOWN_FOR))
+                    Ok(Answer::service_unavailable(UNKNOWN_FOR))
                 }
                 Ok(request) => self.hand_in(request).await,
                 Err(why) => {
@@ -423,7 +426,7 @@
     async fn hand_in(&mut self, request: Request) -> Result<Answer, Parting> {
         let (reply, answer) = async_channel::bounded(1);
         if self.context.decider.send(ToDecider::Take { request, reply }).await.is_err() {
-            return Ok(Answer::unavailable(1_000_000));
+            return Ok(Answer::service_unavailable(1_000_000));
         }
         let said = async { answer.recv().await.ok() };
         let followed = Cell::new(false);
@@ -451,7 +454,7 @@
             None => Err(Parting::Gone("agent-gone")),
             Some(_) if followed.get() => Err(self.refuse_followed().await),
             Some(Reply::Taken(_)) => Ok(Answer { taken, ..Answer::plain(202, "") }),
-            Some(Reply::Unavailable(after)) => Ok(Answer::unavailable(after)),
+            Some(Reply::Unavailable(after)) => Ok(Answer::service_unavailable(after)),
             Some(Reply::Failed) => Ok(Answer::plain(500, "failed\n")),
             Some(Reply::Held) => {
                 self.context.counters.bad_requests.add();
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,13 +1,13 @@
 //! How one process of a forwarder replaces another: the older one passes on all that it holds at one moment, and from
 //! then on only sends on what still comes to it. It decides nothing; `docs/operator.md` tells the steps.
 
+use super::call::Came;
 use super::config::Config;
 use super::decider::{Decider, Reply, ToDecider, LATER};
-use super::farm::ToFarm;
 use super::http::{frame, Broken, Wire};
+use super::members::ToMembers;
 use super::operator::{self, No, Operation};
 use super::owner::{self, Lock, Owner};
-use super::proxy_pass::Came;
 use super::transaction::Request;
 use super::{within, Context};
 use crate::membership::Carried;
@@ -165,7 +165,7 @@
 pub struct Heir {
     /// Its connection; it waits for the state.
     pub wire: Wire,
-    /// The list as the farm holds it; the farm changes nothing from here on.
+    /// The list as the membership's actor holds it, which changes nothing from here on.
     pub list: Carried,
 }
 
@@ -192,7 +192,7 @@
                 warn!(context.log, "journal"; "error" => %e);
             }
             context.handing.set(false);
-            let _ = decider.farm().send(ToFarm::GoOn).await;
+            let _ = decider.members().send(ToMembers::GoOn).await;
             return;
         }
     };
@@ -391,13 +391,13 @@
 
     /// Puts this process's name in the folder, gives up the place in line, and attends to what the older process sends
     /// on.
-    pub fn settle(self, context: &Rc<Context>, at: Owner, farm: &Sender<ToFarm>) -> io::Result<()> {
+    pub fn settle(self, context: &Rc<Context>, at: Owner, members: &Sender<ToMembers>) -> io::Result<()> {
         let mut owner = self.owner.ok_or_else(|| io::Error::other("the folder is not owned"))?;
         owner.name(&at)?;
         *context.token.borrow_mut() = at.token;
         *context.owner.borrow_mut() = Some(owner);
         if let Some(link) = self.link {
-            let attending = attend(context.clone(), link, farm.clone());
+            let attending = attend(context.clone(), link, members.clone());
             context.executor.spawn(attending).detach();
         }
         Ok(())
@@ -405,7 +405,7 @@
 }
 
 /// Attends to what the older process sends on, up to its end.
-async fn attend(context: Rc<Context>, mut link: Link, farm: Sender<ToFarm>) {
+async fn attend(context: Rc<Context>, mut link: Link, members: Sender<ToMembers>) {
     let reason = loop {
         let (word, body) = match link.read().await {
             Ok(read) => read,
@@ -431,10 +431,10 @@
                 context.decider.send(ToDecider::Passed(came)).await
             }
             FromOld::Operate { number, operation } => {
-                let (context, farm, speaker) = (context.clone(), farm.clone(), link.speaker.clone());
+                let (context, members, speaker) = (context.clone(), members.clone(), link.speaker.clone());
                 let executor = context.executor.clone();
                 let operating = async move {
-                    let answer = operator::perform(&context, &farm, operation).await;
+                    let answer = operator::perform(&context, &members, operation).await;
                     let _ = speaker.send(&FromNew::Operated { number, answer }, &[]).await;
                 };
                 executor.spawn(operating).detach();
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -1,4 +1,4 @@
-//! The farm: the platform's list of endpoints, watched as long as the program runs.
+//! The membership's actor: the platform's list of endpoints, watched as long as the program runs.
 
 use super::board::Known;
 use super::clock::wall;
@@ -40,8 +40,8 @@
 const FIRST_LIST: Duration = Duration::from_millis(1000);
 const LINE_LIMIT: usize = 4 * 1024 * 1024;
 
-/// What the farm can be told.
-pub enum ToFarm {
+/// What the membership's actor can be told.
+pub enum ToMembers {
     /// To watch now, without a pause.
     Watch,
     /// To look where the platform's agent and the registry listen: the configuration was read again.
@@ -135,10 +135,10 @@
 }
 
 /// The list as this program holds it.
-pub struct Farm {
+pub struct Members {
     context: Rc<Context>,
     names: Arc<Names>,
-    own: Sender<ToFarm>,
+    own: Sender<ToMembers>,
     membership: Membership,
     /// The watch that the list comes from.
     held: Option<Watch>,
@@ -163,15 +163,15 @@
     handed_over: bool,
 }
 
-impl Farm {
-    /// A farm that holds nothing; its mailbox is for its watches.
-    pub fn new(context: Rc<Context>, own: Sender<ToFarm>) -> Self {
+impl Members {
+    /// An actor that holds nothing yet; its mailbox is for its watches.
+    pub fn new(context: Rc<Context>, own: Sender<ToMembers>) -> Self {
         let names = context.config().names.clone();
         let approach = Approach::new(context.config().couriers);
         let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
         let membership = Membership::new(sources);
         let (held, opening, generation, source, registry, left) = Default::default();
-        Farm {
+        Members {
             context,
             names,
             own,
@@ -331,11 +331,11 @@
     }
 
     /// Keeps the list, by one watch after another and by the registry's answers, without end.
-    pub async fn run(mut self, mail: Receiver<ToFarm>) {
+    pub async fn run(mut self, mail: Receiver<ToMembers>) {
         let own = self.own.clone();
         let unheard = async move {
             Timer::after(FIRST_LIST).await;
-            let _ = own.send(ToFarm::Unheard).await;
+            let _ = own.send(ToMembers::Unheard).await;
         };
         self.context.executor.spawn(unheard).detach();
         self.look().await;
@@ -370,37 +370,37 @@
     }
 
     /// What another process goes on with is no matter of this one any more.
-    fn ignores(&self, news: &ToFarm) -> bool {
-        self.handed_over && !matches!(news, ToFarm::GoOn | ToFarm::HandOver { .. })
+    fn ignores(&self, news: &ToMembers) -> bool {
+        self.handed_over && !matches!(news, ToMembers::GoOn | ToMembers::HandOver { .. })
     }
 
-    async fn take(&mut self, news: ToFarm) {
+    async fn take(&mut self, news: ToMembers) {
         match news {
-            ToFarm::Look => self.look().await,
+            ToMembers::Look => self.look().await,
             // One that waits its turn is on its way: a fleet that is turned away must not ask all the more.
-            ToFarm::Watch if self.held.is_none() && self.opening.is_empty() => self.open(0),
-            ToFarm::Watch => {}
-            ToFarm::Line { watch, line } => self.take_line(watch, &line).await,
-            ToFarm::Silent { watch } => self.fell_silent(watch),
-            ToFarm::Ended { watch, over } => self.ended(watch, over),
-            ToFarm::Unheard if !self.context.list_told.is_up() => {
+            ToMembers::Watch if self.held.is_none() && self.opening.is_empty() => self.open(0),
+            ToMembers::Watch => {}
+            ToMembers::Line { watch, line } => self.take_line(watch, &line).await,
+            ToMembers::Silent { watch } => self.fell_silent(watch),
+            ToMembers::Ended { watch, over } => self.ended(watch, over),
+            ToMembers::Unheard if !self.context.list_told.is_up() => {
                 warn!(self.context.log, "no list yet, calling by the one that was known"; "reason" => "unheard");
                 self.context.list_told.raise();
             }
-            ToFarm::Unheard => {}
-            ToFarm::HandOver { reply } => {
+            ToMembers::Unheard => {}
+            ToMembers::HandOver { reply } => {
                 self.handed_over = true;
                 let _ = reply.try_send(self.membership.carried());
             }
-            ToFarm::GoOn => {
+            ToMembers::GoOn => {
                 // What was told meanwhile was missed: all is asked for anew.
                 self.handed_over = false;
                 (self.held, self.generation) = (None, None);
                 self.opening.clear();
                 self.open(0);
             }
-            ToFarm::Cordon { id, out, reply } => self.cordon(&id, out, &reply).await,
-            ToFarm::Registry { news, learnt, doubt } => {
+            ToMembers::Cordon { id, out, reply } => self.cordon(&id, out, &reply).await,
+            ToMembers::Registry { news, learnt, doubt } => {
                 let changes = self.membership.take(learnt, REGISTRY, news);
                 if let Some(asked) = &mut self.registry {
                     if !changes.is_empty() {
@@ -577,14 +577,14 @@
             let over = watch(address, after, number, patience, &own).await;
             match &over {
                 Over::TurnedAway(status, _) => {
-                    info!(context.log, "connection ended"; "side" => "farm", "reason" => "turned-away",
+                    info!(context.log, "connection ended"; "side" => "membership", "reason" => "turned-away",
                         "status" => status);
                 }
                 Over::Broke(e) => {
-                    info!(context.log, "connection ended"; "side" => "farm", "reason" => e.code());
+                    info!(context.log, "connection ended"; "side" => "membership", "reason" => e.code());
                 }
             };
-            let _ = own.send(ToFarm::Ended { watch: number, over }).await;
+            let _ = own.send(ToMembers::Ended { watch: number, over }).await;
         });
         self.opening.push_back(Watch { number, address, _task: task });
         if self.opening.len() > OPENING {
@@ -596,7 +596,7 @@
     fn fell_silent(&mut self, watch: u64) {
         let newest = self.opening.back().or(self.held.as_ref());
         if newest.is_some_and(|w| w.number == watch) {
-            info!(self.context.log, "the watch is silent, opening another"; "side" => "farm", "reason" => "silent");
+            info!(self.context.log, "the watch is silent, opening another"; "side" => "membership", "reason" => "silent");
             self.open(0);
             self.silences += 1;
         }
@@ -643,7 +643,7 @@
             let next = self.opening.remove(opened);
             self.opening.clear();
             if std::mem::replace(&mut self.held, next).is_some() {
-                info!(self.context.log, "connection ended"; "side" => "farm", "reason" => "moved");
+                info!(self.context.log, "connection ended"; "side" => "membership", "reason" => "moved");
             }
         }
         self.heard = now;
@@ -679,14 +679,14 @@
 async fn heard<T>(
     watch: u64,
     patience: Duration,
-    farm: &Sender<ToFarm>,
+    members: &Sender<ToMembers>,
     what: impl Future<Output = Result<T, Broken>>,
 ) -> Result<T, Broken> {
     let mut what = std::pin::pin!(what);
     if let Some(heard) = within(patience, what.as_mut()).await {
         return heard;
     }
-    let _ = farm.send(ToFarm::Silent { watch }).await;
+    let _ = members.send(ToMembers::Silent { watch }).await;
     in_time(what, GIVEN_UP.saturating_sub(patience)).await
 }
 
@@ -696,7 +696,7 @@
     after: Option<u64>,
     number: u64,
     patience: Duration,
-    farm: &Sender<ToFarm>,
+    members: &Sender<ToMembers>,
 ) -> Over {
     let opening = async {
         let mut wire = Wire::new(Async::<TcpStream>::connect(address).await.map_err(Broken::Socket)?);
@@ -713,7 +713,7 @@
         let first = wire.chunk(LINE_LIMIT).await?;
         Ok(Ok((wire, first)))
     };
-    let (mut wire, mut next) = match heard(number, patience, farm, opening).await {
+    let (mut wire, mut next) = match heard(number, patience, members, opening).await {
         Ok(Ok(opened)) => opened,
         Ok(Err((status, asked))) => return Over::TurnedAway(status, asked),
         Err(e) => return Over::Broke(e),
@@ -725,14 +725,14 @@
         while let Some(end) = line.iter().position(|b| *b == b'\n') {
             let rest = line.split_off(end + 1);
             let line = std::mem::replace(&mut line, rest);
-            if farm.send(ToFarm::Line { watch: number, line }).await.is_err() {
+            if members.send(ToMembers::Line { watch: number, line }).await.is_err() {
                 return Over::Broke(Broken::Ended);
             }
         }
         if line.len() > LINE_LIMIT {
             return Over::Broke(Broken::TooLarge);
         }
-        next = match heard(number, SILENCE, farm, wire.chunk(LINE_LIMIT)).await {
+        next = match heard(number, SILENCE, members, wire.chunk(LINE_LIMIT)).await {
             Ok(part) => part,
             Err(e) => return Over::Broke(e),
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,24 +1,24 @@
 //! The forwarder on sockets: everything that the decisions in [`crate::logic`] need around them.
 
 pub mod board;
+pub mod call;
 pub mod clock;
 pub mod config;
 pub mod cordons;
 pub mod counters;
 pub mod decider;
 pub mod eureka;
-pub mod farm;
 pub mod flag;
 pub mod front;
 pub mod handover;
 pub mod http;
 pub mod journal;
 pub mod lobby;
+pub mod members;
 pub mod notices;
 pub mod operator;
 pub mod owner;
 pub mod peer;
-pub mod proxy_pass;
 pub mod pulse;
 pub mod route_stats;
 pub mod transaction;
@@ -33,11 +33,11 @@
 use config::Config;
 use counters::Counters;
 use decider::{Decider, ToDecider};
-use farm::{Farm, ToFarm};
 use flag::Flag;
 use futures_lite::{future, StreamExt};
 use handover::Claim;
 use journal::Journal;
+use members::{Members, ToMembers};
 use pulse::Pulse;
 use serde_json::Value;
 use slog::{info, warn, Logger};
@@ -311,40 +311,40 @@
     tell_number(&context);
     let config = context.config();
     let (notices, notices_mail) = async_channel::bounded(4096);
-    let (farm_box, farm_mail) = async_channel::bounded(16);
+    let (members_box, members_mail) = async_channel::bounded(16);
     context.executor.spawn(notices::run(context.clone(), notices_mail)).detach();
     context.executor.spawn(pulse::run(context.clone())).detach();
-    let mut decider = Decider::new(context.clone(), courier, notices, farm_box.clone(), restored.last_id);
-    let mut farm = Farm::new(context.clone(), farm_box.clone());
+    let mut decider = Decider::new(context.clone(), courier, notices, members_box.clone(), restored.last_id);
+    let mut members = Members::new(context.clone(), members_box.clone());
     if config.operator.is_some() {
-        farm.take_cordons();
+        members.take_cordons();
     }
     match (state, older) {
         (Some(state), Some(older)) => {
             let list = decider.inherit(*state, restored.kept, &older, settings).await;
-            farm.inherit(list).await;
+            members.inherit(list).await;
         }
         _ => {
             if let Some(known) = &config.known {
-                farm.take_known(known).await;
+                members.take_known(known).await;
             }
             decider.restore(restored.kept).await;
         }
     }
     context.executor.spawn(decider.run(mail)).detach();
-    context.executor.spawn(farm.run(farm_mail)).detach();
+    context.executor.spawn(members.run(members_mail)).detach();
     let registration = register(&context);
     if let Some(((at, listener), claim)) = sockets.operators.zip(claim) {
         let token = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
-        let settled = claim.settle(&context, owner::Owner { operator: at, token }, &farm_box);
+        let settled = claim.settle(&context, owner::Owner { operator: at, token }, &members_box);
         settled.map_err(|e| format!("state folder `{}`: {e}", config.state.display()))?;
         info!(context.log, "operators may call"; "operator" => %at);
-        context.executor.spawn(operator::serve(context.clone(), farm_box.clone(), listener)).detach();
+        context.executor.spawn(operator::serve(context.clone(), members_box.clone(), listener)).detach();
     }
     let front = context.executor.spawn(front::serve(context.clone(), sockets.listener));
     info!(context.log, "serving"; "name" => &config.name, "listen" => %sockets.at, "restored" => context.open.get());
     drop(config);
-    let signalled = attend_signals(&context, &mut signals, load, &farm_box);
+    let signalled = attend_signals(&context, &mut signals, load, &members_box);
     future::or(signalled, handover::left_over(&context)).await;
     end(&context, close, front).await;
     if let Some((end, gone)) = registration {
@@ -420,14 +420,19 @@
 
 /// Reads the configuration again on each SIGHUP, up to the signal that ends the program. A SIGHUP that comes
 /// later finds it ending and changes nothing.
-async fn attend_signals(context: &Context, signals: &mut Signals, load: &Arc<Load>, farm: &Sender<ToFarm>) {
+async fn attend_signals(
+    context: &Context,
+    signals: &mut Signals,
+    load: &Arc<Load>,
+    members: &Sender<ToMembers>,
+) {
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         match reload(context, load).await {
             Ok(settings) => {
                 let discovery = context.config().discovery;
                 info!(context.log, "configuration reloaded"; "discovery" => %discovery);
                 let _ = context.decider.send(ToDecider::Settings(Box::new(settings))).await;
-                let _ = farm.send(ToFarm::Look).await;
+                let _ = members.send(ToMembers::Look).await;
                 context.counters.reloads.add();
             }
             Err(e) => {
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -1,11 +1,11 @@
-//! The operators' calls: one call a connection, each answered within a second. It changes nothing itself: the farm
-//! keeps cordons, a flag tells user agents.
+//! The operators' calls: one call a connection, each answered within a second. It changes nothing itself: the membership's
+//! actor keeps cordons, a flag tells user agents.
 
-use super::farm::ToFarm;
 use super::front::{Answer, LINGER};
 use super::handover::{Heir, FORMAT};
 use super::http::{Asked, Broken, Wire};
 use super::lobby::{Lobby, Stay};
+use super::members::ToMembers;
 use super::{config, within, Context, ToDecider};
 use crate::membership::Carried;
 use async_channel::Sender;
@@ -52,11 +52,11 @@
 }
 
 /// Does it; a yes only once it holds.
-pub async fn perform(context: &Context, farm: &Sender<ToFarm>, operation: Operation) -> Result<(), No> {
+pub async fn perform(context: &Context, members: &Sender<ToMembers>, operation: Operation) -> Result<(), No> {
     match operation {
         Operation::Cordon { id, out } => {
             let (reply, answer) = async_channel::bounded(1);
-            farm.send(ToFarm::Cordon { id, out, reply }).await.map_err(|_| No::Gone)?;
+            members.send(ToMembers::Cordon { id, out, reply }).await.map_err(|_| No::Gone)?;
             answer.recv().await.unwrap_or(Err(No::Gone))
         }
         Operation::SendAway(away) => {
@@ -71,7 +71,7 @@
 }
 
 /// Takes calls until the listener is dropped.
-pub async fn serve(context: Rc<Context>, farm: Sender<ToFarm>, listener: Async<TcpListener>) {
+pub async fn serve(context: Rc<Context>, members: Sender<ToMembers>, listener: Async<TcpListener>) {
     let lobby = Rc::new(Lobby::default());
     let here = Rc::new(());
     loop {
@@ -85,7 +85,7 @@
             Ok((stream, address)) => {
                 let call = Call {
                     context: context.clone(),
-                    farm: farm.clone(),
+                    members: members.clone(),
                     lobby: lobby.clone(),
                     wire: Wire::new(stream),
                 };
@@ -114,7 +114,7 @@
 
 struct Call {
     context: Rc<Context>,
-    farm: Sender<ToFarm>,
+    members: Sender<ToMembers>,
     lobby: Rc<Lobby>,
     wire: Wire,
 }
@@ -173,14 +173,14 @@
 
     /// Gives the connection to the module's actor, which hands all over on it.
     async fn hand_over(self, list: Carried) -> &'static str {
-        let Call { context, farm, mut wire, .. } = self;
+        let Call { context, members, mut wire, .. } = self;
         let yes = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         let written = within(SLOW, wire.write(yes)).await.is_some_and(|w| w.is_ok());
         if written && context.decider.send(ToDecider::HandOver(Heir { wire, list })).await.is_ok() {
             return "handed-over";
         }
         context.handing.set(false);
-        let _ = farm.send(ToFarm::GoOn).await;
+        let _ = members.send(ToMembers::GoOn).await;
         "operator-gone"
     }
 
@@ -226,7 +226,7 @@
             let _ = self.context.decider.send(ToDecider::Operate { operation, reply }).await;
             answer.recv().await.unwrap_or(Err(No::Gone))
         } else {
-            perform(&self.context, &self.farm, operation).await
+            perform(&self.context, &self.members, operation).await
         };
         match done {
             Ok(()) => Answer::plain(200, yes),
@@ -251,14 +251,14 @@
         self.context.handing.set(true);
         let (reply, answer) = async_channel::bounded(1);
         let list = async {
-            let _ = self.farm.send(ToFarm::HandOver { reply }).await;
+            let _ = self.members.send(ToMembers::HandOver { reply }).await;
             answer.recv().await.ok()
         };
         match within(SLOW, list).await.flatten() {
             Some(list) => Ok(list),
             None => {
                 self.context.handing.set(false);
-                let _ = self.farm.try_send(ToFarm::GoOn);
+                let _ = self.members.try_send(ToMembers::GoOn);
                 Err(Answer::plain(503, "not now\n"))
             }
         }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -1,8 +1,8 @@
 //! An endpoint's actor: its pool of connections and the calls on them.
 
+use super::call::{Call, Came, End, Ended};
 use super::http::{Answered, Broken, Wire};
 use super::journal::Sent;
-use super::proxy_pass::{Came, End, Ended, Pass};
 use super::{Context, ToDecider};
 use crate::{EndpointId, LimitReport, Micros, Outcome};
 use async_channel::{Receiver, Sender, WeakSender};
@@ -17,7 +17,7 @@
 /// What a peer can be told.
 pub enum ToPeer {
     /// Make this call.
-    Pass(Pass),
+    Call(Call),
     /// Close the connections that carry nothing now.
     CloseIdle,
     /// A call has left its connection fit to be used again.
@@ -35,7 +35,7 @@
 /// How long an answer may still be on its way after its call was given up: as long as one may pause.
 const HEARS_OUT: Duration = STALL;
 /// A connection that breaks within this after the request was broken before: no destination works so fast.
-const AT_ONCE: Micros = 50_000;
+pub const AT_ONCE: Micros = 50_000;
 /// No destination takes more calls a second than that.
 const MOST_CALLS: f64 = 1e6;
 
@@ -144,7 +144,7 @@
         };
         match future::or(async { Some(mail.recv().await) }, stirred).await {
             None => pool.tidy(),
-            Some(Ok(ToPeer::Pass(pass))) => {
+            Some(Ok(ToPeer::Call(pass))) => {
                 let used = pool.take();
                 // Where the list has let go of this peer, its last connections are not kept.
                 let back = own.upgrade();
@@ -158,7 +158,7 @@
 }
 
 /// Makes a call and reports its end.
-async fn call(context: Rc<Context>, pass: Pass, used: Option<Wire>, back: Option<Sender<ToPeer>>) {
+async fn call(context: Rc<Context>, pass: Call, used: Option<Wire>, back: Option<Sender<ToPeer>>) {
     context.passes_out.set(context.passes_out.get() + 1);
     let mut waited_for = vec![true; pass.parts.len()];
     let mut ended = attend(&context, &pass, used, back, &mut waited_for).await;
@@ -192,7 +192,7 @@
 
 async fn attend(
     context: &Rc<Context>,
-    pass: &Pass,
+    pass: &Call,
     used: Option<Wire>,
     back: Option<Sender<ToPeer>>,
     waited_for: &mut [bool],
@@ -303,7 +303,7 @@
 /// What a broken connection means, with the code of the reason. What breaks at once was broken before: kept
 /// connections die unnoticed, and that tells little of the endpoint. The time is that since the request was
 /// written, told only where the connection had been used before and no answer had begun.
-fn broke(e: &Broken, since: Option<Micros>) -> (Outcome, &'static str) {
+pub fn broke(e: &Broken, since: Option<Micros>) -> (Outcome, &'static str) {
     match e {
         Broken::Ended | Broken::Socket(_) if since.is_some_and(|t| t < AT_ONCE) => (Outcome::Stale, "stale"),
         e => (Outcome::Reset, e.code()),
@@ -320,7 +320,7 @@
 
 async fn exchange(
     context: &Rc<Context>,
-    pass: &Pass,
+    pass: &Call,
     slot: &mut Option<Wire>,
     stage: &Cell<Stage>,
     written: &Cell<Option<Micros>>,
@@ -367,7 +367,7 @@
     }
     stage.set(Stage::Writing);
     context.board.first_byte(pass.endpoint);
-    context.counters.passes.add();
+    context.counters.calls.add();
     context.counters.attempts.more(pass.parts.len());
     if let Err(e) = wire.write(&request(pass, now)).await {
         return Stop::Broke(Broken::Socket(e));
@@ -403,7 +403,7 @@
     Ok(Wire::new(stream))
 }
 
-fn request(pass: &Pass, now: Micros) -> Vec<u8> {
+fn request(pass: &Call, now: Micros) -> Vec<u8> {
     let patience = (pass.last_cut().saturating_sub(now) / 1000).max(1);
     let mut body = Vec::new();
     let mut head = String::new();
@@ -443,7 +443,7 @@
 /// The ends that an answer gives.
 fn read_answer(
     context: &Context,
-    pass: &Pass,
+    pass: &Call,
     answer: &Answered,
     body: &[u8],
     wait: Option<Micros>,
@@ -480,7 +480,7 @@
 }
 
 /// A report; one whose share or rate is out of range is left out, so that no decision rests on it.
-fn read_load(text: &str) -> Option<LimitReport> {
+pub fn read_load(text: &str) -> Option<LimitReport> {
     let value = |name: &str, range: std::ops::RangeInclusive<f64>| {
         let mut pairs = text.split(',').filter_map(|p| p.trim().split_once('='));
         let value = pairs.find(|p| p.0 == name)?.1.parse::<f64>().ok()?;
@@ -488,33 +488,3 @@
     };
     Some(LimitReport { left: value("x0", 0.0..=1.0)?, rate: value("x1", 0.0..=MOST_CALLS)? })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a breaker that opens over connections that were dead already.
-    #[test]
-    fn only_a_kept_connection_that_breaks_at_once_was_stale() {
-        let outcome = |e, since| broke(&e, since).0;
-        assert_eq!(outcome(Broken::Ended, Some(1000)), Outcome::Stale);
-        assert_eq!(outcome(Broken::Ended, Some(AT_ONCE)), Outcome::Reset);
-        assert_eq!(outcome(Broken::Ended, None), Outcome::Reset);
-        assert_eq!(outcome(Broken::Malformed("noise"), Some(1000)), Outcome::Reset);
-    }
-
-    /// Guards against a spoilt report that sets the pace: a rate of next to nothing would hold its destination's
-    /// messages up to their end.
-    #[test]
-    fn a_report_out_of_range_is_left_out() {
-        let rate = |text| read_load(text).map(|r| r.rate);
-        assert_eq!(rate("x0=0.4,x1=25"), Some(25.0));
-        assert_eq!(rate("x0=0, x1=0, x2=9"), Some(0.0));
-        for odd in
-            ["x0=0.4", "x0=0.4,x1=", "x0=1.1,x1=2", "x0=-1,x1=2", "x0=0,x1=-2", "x0=0,x1=1e9", "=,=", "%"]
-        {
-            assert_eq!(rate(odd), None, "{odd}");
-        }
-        assert_eq!(rate("x0=nan,x1=5").or(rate("x0=1,x1=inf")), None);
-    }
-}
--- a/src/net/pulse.rs
+++ b/src/net/pulse.rs
@@ -56,8 +56,14 @@
         self.still.get().filter(|s| now < s.1).map_or(now, |s| s.0)
     }
 
+    /// A beat: all that came before it has been read.
+    pub fn beat(&self, now: Micros) {
+        self.look(now);
+        self.beat.set(now);
+    }
+
     /// What came while the process stood still has been read, or it did not stand still.
-    fn caught_up(&self, now: Micros) -> bool {
+    pub fn caught_up(&self, now: Micros) -> bool {
         self.look(now);
         self.still.get().is_none_or(|s| now >= s.1)
     }
@@ -75,39 +81,9 @@
 pub async fn run(context: Rc<Context>) {
     loop {
         Timer::after(Duration::from_micros(BEAT)).await;
-        let now = context.clock.now();
-        context.pulse.look(now);
-        context.pulse.beat.set(now);
+        context.pulse.beat(context.clock.now());
         if let Some(stood) = context.pulse.untold.take() {
             warn!(context.log, "the process stood still"; "reason" => "stalled", "ms" => stood / 1000);
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const MS: Micros = 1_000;
-
-    #[test]
-    fn who_stood_still_reads_first_and_takes_what_he_reads_for_as_old_as_it_may_be() {
-        let p = Pulse::new(0);
-        assert!(p.caught_up(200 * MS) && p.since(200 * MS) == 200 * MS, "a beat that is a little late");
-        assert!(!p.caught_up(1_500 * MS), "nothing is sent");
-        assert_eq!((p.since(1_501 * MS), p.since(1_529 * MS)), (0, 0));
-        assert!(p.caught_up(1_530 * MS) && p.since(1_531 * MS) == 1_531 * MS);
-    }
-
-    #[test]
-    fn who_stands_still_again_before_he_has_read_counts_from_the_first_time() {
-        let p = Pulse::new(0);
-        assert!(!p.caught_up(1_000 * MS));
-        assert!(!p.caught_up(2_000 * MS));
-        assert_eq!(p.since(2_010 * MS), 0);
-        assert!(p.caught_up(2_100 * MS));
-        // A beat that came in time shows that all was read.
-        p.beat.set(2_100 * MS);
-        assert!(!p.caught_up(4_000 * MS) && p.since(4_001 * MS) == 2_100 * MS);
-    }
-}
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,72 @@
+//! Heads and bodies as they are read from a connection, cut at every place and malformed in many ways.
+
+use async_io::Async;
+use cedarbridge::net::http::{Asked, Broken, Wire};
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+
+/// What a request of those bytes, sent in two parts at every place, is read as.
+fn read(bytes: &[u8], cut: usize) -> Result<(Asked, Vec<u8>), Broken> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut there = TcpStream::connect(listener.local_addr().expect("bound")).expect("connects");
+    let here = listener.accept().expect("accepts").0;
+    let bytes = bytes.to_vec();
+    let sender = std::thread::spawn(move || {
+        for part in [&bytes[..cut], &bytes[cut..]] {
+            let _ = there.write_all(part);
+        }
+    });
+    let got = async_io::block_on(async {
+        let mut wire = Wire::new(Async::new(here).expect("not blocking"));
+        let head = wire.read_request().await?;
+        let body = wire.request_body(&head, 64).await?;
+        Ok((head, body))
+    });
+    sender.join().expect("sent");
+    got
+}
+
+#[test]
+fn a_chunked_body_is_read_wherever_it_is_cut() {
+    let bytes = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    for cut in 0..bytes.len() {
+        let (head, body) = read(bytes, cut).expect("a request");
+        assert_eq!((head.method.as_str(), body.as_slice()), ("POST", &b"abcde"[..]));
+    }
+}
+
+#[test]
+fn what_is_malformed_or_too_large_is_told_apart() {
+    let code = |b: &[u8]| read(b, b.len() / 2).map(|_| ()).map_err(|e| e.code());
+    assert_eq!(code(b"GET / HTTP/1.1\r\n\r\n"), Ok(()));
+    assert_eq!(code(b"GET /\x01 HTTP/9\r\n\r\n"), Err("malformed"));
+    assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\nhello"), Err("malformed"));
+    assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n"), Err("too-large"));
+    // Guards against a body that two readers mark off in two ways: what one takes for its rest, the other
+    // takes for a request.
+    for marks in [
+        "Content-Length: 1\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 1",
+        "Content-Length: 1\r\nContent-Length: 1",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: xchunked",
+        "Content-Length: 1, 1",
+        "Content-Length: -1",
+        "Content-Length:",
+    ] {
+        let request = format!("POST / HTTP/1.1\r\n{marks}\r\n\r\n0\r\n\r\n");
+        assert_eq!(code(request.as_bytes()), Err("malformed"), "{marks}");
+    }
+    assert_eq!(code(b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), Err("malformed"));
+    for size in ["", ";x", " 3", "+3", "0x3", "3;a\nb", "g", "11111111111111111"] {
+        let request =
+            format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\nabc\r\n0\r\n\r\n");
+        assert_eq!(code(request.as_bytes()), Err("malformed"), "a chunk of `{size}`");
+    }
+    let trailers = "T: 1\r\n".repeat(4000);
+    let endless = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n{trailers}\r\n");
+    assert_eq!(code(endless.as_bytes()), Err("too-large"));
+    assert_eq!(code(b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel"), Err("torn"));
+    assert_eq!(code(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n"), Err("too-large"));
+}
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn a_full_journal_gives_the_unavailable_answer_and_room_comes_back() {
+fn a_full_journal_gives_503_and_room_comes_back() {
     play(
         "with b1=9:many:leaving disk=0.05
          start
@@ -225,7 +225,7 @@
 }
 
 #[test]
-fn more_than_may_be_held_gets_the_unavailable_answer() {
+fn more_than_may_be_held_gets_503() {
     play(
         "with e1=1 e2=9:one:leaving open=2
          start
@@ -337,7 +337,7 @@
          b1 send m1 200 m1=delivered m2=refused m3=failed
          b1 expect m2 m3
          b1 send m2 200 m2=over m3=delivered
-         wait delivered=2 open=0 passes=2 attempts=5 ok=2 full=1 error=1 moot=1",
+         wait delivered=2 open=0 calls=2 attempts=5 ok=2 full=1 error=1 moot=1",
     );
 }
 
@@ -356,7 +356,7 @@
          b1 expect m2 m1
          p expect m1 failed
          b1 send m2 200 m1=delivered m2=delivered
-         wait delivered=1 failed=1 open=0 passes=1 attempts=2 timed_out=1 ok=1",
+         wait delivered=1 failed=1 open=0 calls=1 attempts=2 timed_out=1 ok=1",
     );
 }
 
@@ -582,7 +582,7 @@
 /// masks the new address; against a gap between two watches; and against asking one platform for what follows
 /// a version that another one numbered.
 #[test]
-fn a_reload_moves_the_farm_without_a_gap() {
+fn a_reload_moves_the_watch_without_a_gap() {
     play(
         "with e1=1 e2=2:one:hidden e3=3:one:hidden
          start
@@ -595,7 +595,7 @@
          p send e2=active
          wait lists=2
          p unhold
-         log reason: moved, side: farm
+         log reason: moved, side: membership
          p let-go
          p send e3=active
          wait lists>=4
@@ -814,7 +814,7 @@
 
 /// Guards against holding, up to its deadline, what nobody is there to take.
 #[test]
-fn a_destination_that_the_list_never_named_gets_the_unavailable_answer() {
+fn a_destination_that_the_list_never_named_gets_503() {
     play(
         "with e1=1 e2=2:one:hidden
          start
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -89,10 +89,10 @@
          p send e1=left
          wait lists=2
          p send e1=active
-         wait lists=3 passes=0 open=1
+         wait lists=3 calls=0 open=1
          kill
          start
-         wait restored=1 passes=0
+         wait restored=1 calls=0
          p send e1=left
          wait lists=2
          o uncordon e1 200
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -43,7 +43,7 @@
          u2 expect 202
          u3 expect 202
          p expect m2 returned
-         wait routes/hasty/ends/returned=1 routes/calm/attempts=2 routes/calm/held=2 timed_out=1 passes=2",
+         wait routes/hasty/ends/returned=1 routes/calm/attempts=2 routes/calm/held=2 timed_out=1 calls=2",
     );
 }
 
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -76,7 +76,7 @@
          u2 expect 202
          wait full=1
          upgrade
-         wait inherited=2 passes=0
+         wait inherited=2 calls=0
          old o uncordon e2 200
          e2 expect m2
          e2 send m2 200
