--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -270,8 +270,7 @@
          u1 expect 202
          u1 send m2 deadline=900m
          u1 expect 202
-         wait notices=1
-         p expect m1 returned
+         p expect m1 returned alone
          p expect m2 returned
          wait notices=2 notices_owed=0",
     );
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -27,6 +27,7 @@
 //! | `e1 send-raw m1 TEXT` | whatever else is written to the connection that m1 came on |
 //! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled or closed endpoint accept |
 //! | `p send e1=leaving`, `p expect m1 failed`, `p expect-watch 1`, `p mute`, `p speak`, `p quiet` | the platform |
+//! | `p expect m1 failed alone` | the same, with no other notice beside it |
 //! | `p deaf` | the next connection that brings a notice falls silent |
 //! | `p note e1=leaving` | the list changes and the open watches are not told |
 //! | `p move`, `p hold`, `p unhold`, `p let-go` | it listens elsewhere; holds lists back; closes what leads to the old address |
@@ -234,8 +235,12 @@
             }
             let mute = self.mute.load(Ordering::SeqCst);
             if !mute {
-                let lines = std::str::from_utf8(&body).expect("text").lines();
-                lines.for_each(|l| drop(notices.send(serde_json::from_str(l).expect("a notice"))));
+                let lines: Vec<&str> = std::str::from_utf8(&body).expect("text").lines().collect();
+                for line in &lines {
+                    let mut notice: Value = serde_json::from_str(line).expect("a notice");
+                    notice["alone"] = (lines.len() == 1).into();
+                    let _ = notices.send(notice);
+                }
             }
             let status = if mute { "500 No" } else { "204 No Content" };
             let _ = stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
@@ -777,8 +782,9 @@
                 changes.iter().for_each(|c| drop(split(c)));
                 self.platform.generation.fetch_add(1, Ordering::SeqCst);
             }
-            ["expect", id, state] => {
+            ["expect", id, state, more @ ..] => {
                 let notice = self.notices.recv_timeout(PATIENCE).expect("a notice");
+                assert!(more.iter().all(|m| notice[*m] == true), "{more:?} of {notice}");
                 assert_eq!((notice["id"].as_str(), notice["state"].as_str()), (Some(*id), Some(*state)));
             }
             ["expect-watch", after] => {
