Force the 503 for a request that is half there as decisions end

Need: the one crossing of docs/crossings.md at shutdown that had no test of its own. Another message's notice, 0.45 s after the signal, is the cue to begin the request late enough that 408 does not come first.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -275,3 +275,21 @@
          wait notices=2 notices_owed=0",
     );
 }
+
+/// Guards against an error, or no answer at all, for a request that is half there as the program stops deciding: it was not
+/// taken on. The notice of a message that ends meanwhile is the cue to begin it late, while connections are still taken.
+#[test]
+fn a_request_that_is_half_there_as_decisions_end_may_come_again() {
+    play(
+        "with e1=1:one:leaving
+         start
+         u1 send m1 deadline=450m
+         u1 expect 202
+         term
+         p expect m1 returned
+         u2 send-raw POST /api HTTP/1.1\\r\\n
+         u2 expect 503 Retry-After close
+         u2 expect end
+         exit",
+    );
+}
