Give long work its class's patience before it is called off, and call off at 1.5 times it

The classes' work differs (0.32 and 0.13 s) and varies; one in twenty of the longer calls lasts four times the mean of both. Such a call was called off when slots were short, ran on at the partner, ran again, and two of them opened the breaker. Lines at fault: make_room's `by > 1.0`, and overdue, which knew one mean for all classes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,8 +47,8 @@
 /// A call unanswered for this multiple of the mean, and at least so long, makes its endpoint suspect; an
 /// unsafe one is lost when it is called off, so it gets the last figure times the patience.
 const SUSPECT: (f64, Micros, f64) = (4.0, 400 * MS, 3.0);
-/// Where what was sent later was answered, a call is called off after this multiple of the patience.
-const ALONE: f64 = 1.5;
+/// A call is called off after this multiple of the patience, to make room or where it hangs alone.
+const CALL_OFF: f64 = 1.5;
 /// A call is abandoned after this multiple of the mean, within the range; an unsafe one in twice that.
 const CUT: (f64, Micros, Micros) = (16.0, 2400 * MS, 16 * SECOND);
 /// Loss on reused connections beyond that on fresh ones from which idle ones are given back; gain; fading.
@@ -114,8 +114,7 @@
             return Gate::Until(self.wait_until);
         }
         if self.status == Status::Open && now >= self.next_attempt {
-            self.status = Status::Half;
-            self.trial = false;
+            (self.status, self.trial) = (Status::Half, false);
         }
         match self.status {
             Status::Closed => Gate::Go,
@@ -359,8 +358,9 @@
     buckets: Vec<(f64, Micros)>, // For each tenant, what is left of its share, and when that was reckoned
     open: usize,
     latency: f64,
+    paces: Vec<f64>, // For each class, how long a call lasts as a multiple of its endpoint's mean
     crowded: Vec<(f64, f64)>, // For each kind: share of calls that got no connection; memory that most did
-    lost: [f64; 2],           // Share of calls unanswered on fresh and on reused connections
+    lost: [f64; 2],  // Share of calls unanswered on fresh and on reused connections
     next_call: u64,
     next_slot: u64,
     subscribed: bool,
@@ -377,7 +377,8 @@
         settings.check()?;
         let buckets = vec![(f64::MAX, 0); settings.tenants.len()];
         let crowded = vec![(0.0, 0.0); settings.kinds.len()];
-        let known = Courier { s: settings, buckets, crowded, ..Courier::default() };
+        let paces = vec![1.0; settings.classes.len()];
+        let known = Courier { s: settings, buckets, crowded, paces, ..Courier::default() };
         Ok(Courier { latency: FIRST_LATENCY, turns: Turns::new(seed), ..known })
     }
 
@@ -553,7 +554,7 @@
         let Some(m) = self.messages.get_mut(&id) else { return };
         let Some((_, number)) = m.out.filter(|o| o.0 == attempt) else { return };
         m.out = None;
-        let unsure = unsure(outcome);
+        let (class, unsure) = (m.class.0, unsure(outcome));
         let (mut sent, mut endpoint) = (now, None);
         if let Some(call) = self.calls.get_mut(&number) {
             (sent, endpoint) = (call.sent, Some(call.endpoint));
@@ -571,6 +572,10 @@
                 d.breaker.wait_until = d.breaker.wait_until.max(until);
             }
             if first {
+                let answered = self.endpoints.get(&endpoint).filter(|_| outcome == Outcome::Ok);
+                let ratio = answered.map(|e| (took as f64 / self.mean_latency(e)).min(SUSPECT.0));
+                let pace = &mut self.paces[class];
+                *pace += LATENCY_GAIN * (ratio.unwrap_or(*pace) - *pace);
                 self.judge(now, endpoint, outcome, (sent, trial), took);
                 self.learn_connection(endpoint, outcome, reused);
             }
@@ -842,9 +847,8 @@
         if !self.s.cancel || self.calls.values().any(|c| c.called_off) {
             return;
         }
-        let late = |c: &Call| self.overdue(now, c).filter(|by| *by > 1.0 && !self.answered_since(c));
-        let late = self.calls.iter().filter_map(|(n, c)| Some((late(c)?, *n)));
-        match late.max_by(|a, b| a.0.total_cmp(&b.0)) {
+        let late = |c: &Call| self.overdue(now, c).filter(|by| *by > CALL_OFF && !self.answered_since(c));
+        match self.calls.iter().filter_map(|(n, c)| Some((late(c)?, *n))).max_by(|a, b| a.0.total_cmp(&b.0)) {
             Some((_, number)) => self.call_off(number),
             // Look again soon: a call becomes overdue without any event.
             None => self.wake_at(now + SUSPECT.1 / 2),
@@ -859,14 +863,13 @@
         if !late.is_empty() {
             self.wake_at(now + SUSPECT.1 / 4);
         }
-        late.iter().filter(|l| l.0 > ALONE).for_each(|l| self.call_off(l.1));
+        late.iter().filter(|l| l.0 > CALL_OFF).for_each(|l| self.call_off(l.1));
     }
 
     fn call_off(&mut self, number: u64) {
         let call = self.calls.get_mut(&number).unwrap();
         call.called_off = true;
-        let cancel = |p: &(MessageId, u32)| Action::Cancel { id: p.0, attempt: p.1 };
-        self.actions.extend(call.parts.iter().map(cancel));
+        self.actions.extend(call.parts.iter().map(|p| Action::Cancel { id: p.0, attempt: p.1 }));
     }
 
     /// Something that was sent to its endpoint after this call was answered.
@@ -874,11 +877,13 @@
         self.endpoints.get(&c.endpoint).is_some_and(|e| c.sent < e.breaker.ok_sent)
     }
 
-    /// For how many times the patience a call is out; an unsafe one, which is lost when called off, has more.
+    /// For how many times the patience a call is out; long work has more, and so has unsafe work.
     fn overdue(&self, now: Micros, c: &Call) -> Option<f64> {
         let ep = self.endpoints.get(&c.endpoint).filter(|_| !c.called_off)?;
         let risky = c.parts.iter().any(|p| self.effect(p.0) == Effect::Unsafe);
-        Some((now - c.sent) as f64 / (self.patience(ep) as f64 * if risky { SUSPECT.2 } else { 1.0 }))
+        let paces = c.parts.iter().filter_map(|p| Some(self.paces[self.messages.get(&p.0)?.class.0]));
+        let allowed = paces.fold(1.0, f64::max) * if risky { SUSPECT.2 } else { 1.0 };
+        Some((now - c.sent) as f64 / (self.patience(ep) as f64 * allowed))
     }
 
     fn effect(&self, id: MessageId) -> Effect {
@@ -946,9 +951,8 @@
     /// silence or a crawl. Nothing more goes there until they end, so that others keep the slots.
     fn stalled(&self, now: Micros, e: EndpointId) -> bool {
         let Some(ep) = self.endpoints.get(&e) else { return false };
-        let patience = self.patience(ep);
-        let late = |c: &&Call| c.endpoint == e && c.sent >= ep.breaker.ok_sent && now - c.sent > patience;
-        self.calls.values().filter(late).count() > 1
+        let late = |c: &&Call| c.sent >= ep.breaker.ok_sent && now - c.sent > self.patience(ep);
+        self.calls.values().filter(|c| c.endpoint == e).filter(late).count() > 1
     }
 
     fn mean_latency(&self, ep: &Endpoint) -> f64 {
@@ -1004,19 +1008,15 @@
         open && in_scope && due && listed && waited
     }
 
-    /// Books a call against the pace and, if it is a trial, against the half breakers.
-    fn book(&mut self, now: Micros, e: EndpointId, trial: bool) {
+    fn send(&mut self, now: Micros, id: DestinationId, e: EndpointId, first: MessageId, trial: bool) {
+        let number = self.next_call;
+        self.next_call += 1;
+        // Booked against the pace and, if it is a trial, against the half breakers.
         self.endpoints.get_mut(&e).unwrap().last_used = now;
         for b in self.records(e) {
             b.tokens -= 1.0;
             b.trial |= trial;
         }
-    }
-
-    fn send(&mut self, now: Micros, id: DestinationId, e: EndpointId, first: MessageId, trial: bool) {
-        let number = self.next_call;
-        self.next_call += 1;
-        self.book(now, e, trial);
         let alone = self.calls.values().all(|c| c.endpoint != e);
         let mut reused = alone.then(|| self.endpoints[&e].reusable);
         if reused == Some(true) && self.lost[1] - self.lost[0] > STALE.0 {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -204,6 +204,41 @@
     assert_eq!(sends(&actions), [(wait, EndpointId(8))]);
 }
 
+/// Guards against work that is only long being called off and done twice, and against breakers that open on it: a
+/// partner takes short and long work, and its mean lies between.
+#[test]
+fn long_work_is_not_called_off_for_being_longer_than_the_mean() {
+    let s = Settings { slots: 1, ..settings() };
+    let mut w = World::new(s, vec![entry(7, 1, 0), entry(8, 2, 0)]);
+    for _ in 0..40 {
+        for (class, elapsed) in [(SAFE, 100 * MS), (KEYED, 500 * MS)] {
+            let (id, endpoint) = w.sent(class, 1);
+            let (outcome, report) = (Outcome::Ok, None);
+            let answer = Event::Result { id, attempt: 0, endpoint, outcome, elapsed, ended: true, report };
+            w.at(elapsed, vec![answer]);
+        }
+    }
+    // The mean is 0.3 s, so the patience is 1.2 s; the long class has 1.6 times that, and more of it is called off
+    // only at one and a half times what it has.
+    for (class, not_yet, long_overdue) in [(KEYED, 2500 * MS, 3200 * MS), (SAFE, 1600 * MS, 2000 * MS)] {
+        let (id, e) = w.sent(class, 1);
+        let cancel = Action::Cancel { id, attempt: 0 };
+        let other = w.message(SAFE, 2);
+        let wait = other.id;
+        w.step(vec![Event::Message(other)]);
+        for _ in 0..not_yet / (50 * MS) {
+            assert!(!w.at(50 * MS, vec![]).contains(&cancel), "class {class}, {} us", w.now);
+        }
+        let called_off =
+            (not_yet / (50 * MS)..long_overdue / (50 * MS)).any(|_| w.at(50 * MS, vec![]).contains(&cancel));
+        assert!(called_off, "class {class}");
+        let ended = Event::Withdrawn { id };
+        let actions = w.at(10 * MS, vec![result(id, 0, e, Outcome::Cancelled), ended]);
+        assert_eq!(sends(&actions), [(wait, EndpointId(8))]);
+        w.at(10 * MS, vec![result(wait, 0, EndpointId(8), Outcome::Ok)]);
+    }
+}
+
 /// Incident ibf1554: idle connections died unnoticed; each reuse after a pause went unanswered.
 /// Guards against one silent connection among good ones that keeps its slot and its message up to the cut, and then
 /// counts as a failure of an endpoint that answers all else.
@@ -323,7 +358,7 @@
     assert!(Courier::new(Settings { classes: vec![], ..settings() }, 1).is_err());
     assert!(Courier::new(Settings { zone: ZoneId(9), ..settings() }, 1).is_err());
     let error = Courier::new(Settings { couriers: 0, ..settings() }, 1).err().unwrap();
-    assert!(error.to_string().contains("couriers"));
+    assert!(error.to_string().contains("setting `balancers`: 0 is out of range"));
 }
 
 /// Plays one script; with `beside`, a second instance takes other events in between.
