Name the setting that is missing, of the wrong type or out of range, and check more of them

Every setting that is read is now taken out, given a wrong type and put out of range in tests/settings.rs, at the start and, in a scenario, at a reload. The older check looked for the library's word `couriers`; it now asks for the settings' own `balancers` and the figure, as strict and more exact. Scenarios gain `config PLACE JSON`.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -70,6 +70,15 @@
     text.parse().map_err(|_| format!("{what}: `{text}` is not an address with a port"))
 }
 
+/// A number of megabytes as bytes.
+fn megabytes(v: &Value) -> Result<u64, String> {
+    let count = crate::words::number(v)?;
+    if !(0.0..1e12).contains(&count) {
+        return Err(format!("expected megabytes, got {v}"));
+    }
+    Ok((count * 1e6) as u64)
+}
+
 /// The platform's settings within the text of a configuration, checked, and the names that they list.
 pub fn platform(json: &str) -> Result<(Settings, Names), String> {
     platform_of(&parse(json)?)
@@ -117,7 +126,7 @@
             state: told("ROUTER_STATE", "state")?.into(),
             seed,
             sockets: in_field(limits, "sockets", whole)? as usize,
-            disk: (in_field(limits, "disk_mb", crate::words::number)? * 1e6) as u64,
+            disk: in_field(limits, "disk_mb", megabytes)?,
             known: v.get("known").filter(|k| !k.is_null()).cloned(),
             conn_idle: in_field(allow, "conn-idle", micros)?,
             dial_timeout: in_field(allow, "dial-timeout", micros)?,
@@ -135,7 +144,11 @@
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
         };
         if config.sockets < 64 + 2 * config.slots {
-            return Err(format!("limits: {} sockets are too few for {} calls", config.sockets, config.slots));
+            let (sockets, slots) = (config.sockets, config.slots);
+            return Err(format!("setting `sockets`: {sockets} are too few for {slots} calls"));
+        }
+        if config.dial_timeout == 0 {
+            return Err("setting `dial-timeout`: 0 is out of range, which is above 0".into());
         }
         Ok((config, settings))
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,39 +1,83 @@
 //! Checks that settings make sense. They decide nothing.
 
-use crate::api::{Settings, SettingsError};
+use crate::api::{Class, Settings, SettingsError, Tenant};
+
+/// A figure by the name that it has in the settings, and what must hold of it.
+struct Figure<'a>(&'a str, f64, Range);
+
+/// What a figure may be.
+enum Range {
+    /// A count of one at least.
+    Count,
+    /// Any number.
+    Fee,
+    /// A number that is not negative.
+    Rate,
+    /// From 0 to 1.
+    Share,
+    /// Above 0.
+    Above,
+    /// Above 0 and 1 at most.
+    Part,
+}
+
+impl Figure<'_> {
+    /// Why the figure cannot be used, if it cannot.
+    fn refused(&self) -> Option<String> {
+        let Figure(name, v, range) = self;
+        let (fits, wanted) = match range {
+            Range::Count => (*v >= 1.0, "1 at least"),
+            Range::Fee => (true, "a number"),
+            Range::Rate => (*v >= 0.0, "0 at least"),
+            Range::Share => ((0.0..=1.0).contains(v), "from 0 to 1"),
+            Range::Above => (*v > 0.0, "above 0"),
+            Range::Part => (*v > 0.0 && *v <= 1.0, "above 0 and 1 at most"),
+        };
+        (!fits || !v.is_finite()).then(|| format!("setting `{name}`: {v} is out of range, which is {wanted}"))
+    }
+}
 
 impl Settings {
-    /// An error that says what is wrong, if no courier could work with these settings.
+    /// An error that names the setting at fault, if no courier could work with these.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let bad = |what: &str| Err(SettingsError(what.into()));
-        if self.slots == 0 || self.max_open == 0 || self.max_attempts == 0 || self.couriers == 0 {
-            return bad("slots, held messages, attempts and couriers must be at least 1");
-        }
-        if self.classes.is_empty() || self.kinds.iter().any(|k| k.per_call == 0) {
-            return bad("there must be a class, and a call must carry at least one message");
+        if self.classes.is_empty() {
+            return Err(SettingsError("setting `categories`: there must be one at least".into()));
         }
         if self.zone.0 >= self.tolls.len() {
-            return bad("the courier's zone has no index among the zones");
+            return Err(SettingsError("setting `zone`: it is not among the zones".into()));
         }
-        if !self
-            .tolls
-            .iter()
-            .chain([&self.cross_zone_fee, &self.handshake_fee, &self.over_share_worth])
-            .all(|f| f.is_finite())
-        {
-            return bad("fees must be numbers");
-        }
-        for c in &self.classes {
-            if c.deadline == 0 || c.aim > c.deadline || !c.worth.is_finite() || c.worth < 0.0 {
-                return bad("a class needs an aim within its deadline and a worth that is not negative");
-            }
-        }
-        if !(self.cold_from > 0.0 && self.cold_from <= 1.0 && self.fall_multiple > 0.0) {
-            return bad("the fail-back figures must be above zero and the cold share at most 1");
-        }
-        if self.tenants.iter().any(|t| !t.quota_per_s.is_finite() || t.quota_per_s < 0.0) {
-            return bad("a tenant's quota must be a rate");
-        }
-        Ok(())
+        let general = [
+            Figure("call-slots", self.slots as f64, Range::Count),
+            Figure("max-open", self.max_open as f64, Range::Count),
+            Figure("max-attempts", f64::from(self.max_attempts), Range::Count),
+            Figure("balancers", self.couriers as f64, Range::Count),
+            Figure("cross-zone", self.cross_zone_fee, Range::Fee),
+            Figure("handshake", self.handshake_fee, Range::Fee),
+            Figure("over-share-worth", self.over_share_worth, Range::Fee),
+            Figure("cold-from", self.cold_from, Range::Part),
+            Figure("fall-multiple", self.fall_multiple, Range::Above),
+        ];
+        let kinds = self.kinds.iter().map(|k| Figure("per-call", k.per_call as f64, Range::Count));
+        let tolls = self.tolls.iter().map(|t| Figure("toll", *t, Range::Fee));
+        let quota = |t: &Tenant| Figure("quota-per-s", t.quota_per_s, Range::Rate);
+        let all = general.into_iter().chain(kinds).chain(tolls).chain(self.tenants.iter().map(quota));
+        let fault = all.chain(self.classes.iter().flat_map(figures)).find_map(|f| f.refused());
+        let late = || {
+            let at = self.classes.iter().find(|c| c.aim > c.deadline)?;
+            Some(format!(
+                "setting `promise`: {} ms is past the deadline of {} ms",
+                at.aim / 1000,
+                at.deadline / 1000
+            ))
+        };
+        fault.or_else(late).map_or(Ok(()), |what| Err(SettingsError(what)))
     }
 }
+
+fn figures(c: &Class) -> [Figure<'static>; 3] {
+    [
+        Figure("deadline", c.deadline as f64, Range::Above),
+        Figure("gain", c.worth, Range::Rate),
+        Figure("late-worth", c.late_worth, Range::Share),
+    ]
+}
--- a/src/words.rs
+++ b/src/words.rs
@@ -84,8 +84,13 @@
     list(v, key).cloned()
 }
 
+/// The values of a list, each read.
+fn each<T>(list: &[Value], key: &str, read: fn(&Value) -> Result<T, String>) -> Result<Vec<T>, String> {
+    list.iter().map(|v| read(v).map_err(|e| format!("setting `{key}`: {e}"))).collect()
+}
+
 fn names(v: &Value, key: &str) -> Result<Vec<String>, String> {
-    list(v, key)?.iter().map(|n| text(n).map_err(|e| format!("setting `{key}`: {e}"))).collect()
+    each(list(v, key)?, key, text)
 }
 
 fn class(v: &Value) -> Result<Class, String> {
@@ -95,11 +100,11 @@
         "side_effect" => Effect::Unsafe,
         other => return Err(format!("setting `semantics`: unknown word `{other}`")),
     };
-    let dedup_scope = match v.get("dedup-scope").and_then(Value::as_str) {
+    let dedup_scope = match maybe(v, "dedup-scope", text)?.as_str() {
         // A cell is a destination, so all of its endpoints drop repeats.
-        None | Some("all" | "cell") => DedupScope::All,
-        Some("zone") => DedupScope::Zone,
-        Some(other) => return Err(format!("setting `dedup-scope`: unknown word `{other}`")),
+        "" | "all" | "cell" => DedupScope::All,
+        "zone" => DedupScope::Zone,
+        other => return Err(format!("setting `dedup-scope`: unknown word `{other}`")),
     };
     let memory_span =
         if effect == Effect::Keyed { in_field(v, "memory-span", micros)? } else { Default::default() };
@@ -135,16 +140,14 @@
     let kinds = names(v, "kinds")?;
     let categories = list(v, "categories")?;
     let realms = list(v, "realms")?;
-    let apart = maybe_list(special, "own-limits")?;
-    let per_call = maybe_list(special, "per-call")?;
+    let apart = each(&maybe_list(special, "own-limits")?, "own-limits", flag)?;
+    let per_call = each(&maybe_list(special, "per-call")?, "per-call", whole)?;
     // A list that is shorter than the kinds leaves the rest sharing limits, one message a call.
-    let kind = |i: usize| {
-        Ok(Kind {
-            apart: apart.get(i).map_or(Ok(false), flag)?,
-            per_call: per_call.get(i).map_or(Ok(1), whole)? as usize,
-        })
+    let kind = |i: usize| Kind {
+        apart: apart.get(i).is_some_and(|a| *a),
+        per_call: per_call.get(i).map_or(1, |n| *n as usize),
     };
-    let mut tolls: Vec<f64> = maybe_list(special, "toll")?.iter().map(number).collect::<Result<_, _>>()?;
+    let mut tolls: Vec<f64> = each(&maybe_list(special, "toll")?, "toll", number)?;
     tolls.resize(zones.len(), 0.0);
     let zone = in_field(v, "zone", text)?;
     let tenant = |r: &Value| Ok(Tenant { quota_per_s: in_field(r, "quota-per-s", number)? });
@@ -159,7 +162,7 @@
         classes: categories.iter().map(class).collect::<Result<_, _>>()?,
         tenants: realms.iter().map(tenant).collect::<Result<_, String>>()?,
         over_share_worth: maybe(v, "over-share-worth", number)?,
-        kinds: (0..kinds.len()).map(kind).collect::<Result<_, String>>()?,
+        kinds: (0..kinds.len()).map(kind).collect(),
         decay: match in_field(special, "late", text)?.as_str() {
             "linear" => Decay::Linear,
             "halving" => Decay::Halving,
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `with endpoints e1=1 e2=2:many:hidden e3=3:one:leaving:west … open=8 disk=1 grace=250 tick=5 me=0` | parties and limits, before `start` |
 //! | `with window=2000` | there are the classes `zoned`, with repeats dropped by zone, and `brief`, with them dropped for so long |
+//! | `config settings/rules/drain-grace 500` | from the next start or reload on this value stands at that place of the configuration, `null` for none |
 //! | `knows`, `begin` | from the next start on the program is given the list as it is now; starts it without waiting for a list |
 //! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the program, signals it, waits for its end |
 //! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a user agent hands in a message |
@@ -345,6 +346,8 @@
     /// There are classes whose repeats are dropped by zone, and for so long only.
     window: Option<f64>,
     open: u64,
+    /// What is put into the configuration, by place.
+    put: Vec<(String, Value)>,
     me: Value,
     disk: f64,
     grace: f64,
@@ -420,6 +423,7 @@
             known: None,
             window: None,
             open,
+            put: Vec::new(),
             me: json!(0),
             disk,
             grace,
@@ -464,6 +468,10 @@
                 }
                 self.run.signal("HUP");
             }
+            "config" => {
+                let (place, value) = rest.split_once(' ').expect("a place and a value");
+                self.put.push((place.to_owned(), serde_json::from_str(value).expect("JSON")));
+            }
             "drip" => DRIPS.set(true),
             "upgrade" => self.upgrade(true),
             "upgrading" => self.upgrade(false),
@@ -597,6 +605,11 @@
                 config["listen"] = listen.to_string().into();
             }
         }
+        for (place, value) in &self.put {
+            let (parent, last) = place.rsplit_once('/').unwrap_or(("", place));
+            let parent = if parent.is_empty() { String::new() } else { format!("/{parent}") };
+            config.pointer_mut(&parent).expect("a place in the configuration")[last] = value.clone();
+        }
         let path = self.folder.join("config.json");
         fs::write(&path, config.to_string()).expect("written");
     }
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,213 @@
+//! Settings that lack something, have it of a wrong kind or out of range: one line that names it, and no start;
+//! at a reload the old ones hold.
+
+mod scenario;
+
+use cedarbridge::net::config::Config;
+use scenario::{play, program};
+use serde_json::{json, Value};
+
+/// A configuration with every setting, none of them at its limit.
+fn whole() -> Value {
+    let class = |name: &str, semantics: &str, promise: f64, deadline: f64, late: f64| {
+        json!({"name": name, "semantics": semantics, "promise": promise, "deadline": deadline, "gain": 1.0,
+               "late-worth": late, "memory-span": 6000.0, "dedup-scope": "all", "serial-by-key": false})
+    };
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "state": "unused", "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 384, "disk_mb": 16},
+        "settings": {
+            "azs": ["left", "right"], "zone": "left", "balancers": 3, "me": 1, "kinds": ["wide", "narrow"],
+            "discovery": "pushed", "granularity": 5.0, "weight-source": "nominal", "over-share-worth": 0.2,
+            "categories": [
+                class("copy", "token", 2500.0, 24000.0, 0.5), class("state", "pure", 1000.0, 6000.0, 0.0),
+            ],
+            "realms": [{"name": "desk", "portion": 1.0, "quota-per-s": 12.0}],
+            "fees": {"cross-zone": 0.013, "handshake": 0.02},
+            "callers": {"marks-retry": true},
+            "permissions": {"max-open": 100, "max-attempts": 12, "cancel": true, "retry-after": true, "probing": true,
+                "second-copies": false, "max-retry-after": 3000.0, "conn-idle": 10000.0, "dial-timeout": 1500.0},
+            "rules": {"fall-multiple": 2.0, "fall": 1500.0, "cold": 9400.0, "cold-from": 0.17, "drain-grace": 500.0,
+                "must-ask-in": 10000.0, "key-rest": 300.0},
+            "specifics": {"call-slots": 8, "late": "halving", "own-limits": [false, false], "per-call": [5, 1],
+                "toll": [0.0, 0.0]},
+        },
+    })
+}
+
+fn with(place: &str, value: Value) -> String {
+    let mut config = whole();
+    *config.pointer_mut(place).unwrap_or_else(|| panic!("no {place}")) = value;
+    config.to_string()
+}
+
+fn refused(text: &str) -> String {
+    Config::read(text, |_| None).err().unwrap_or_else(|| panic!("accepted: {text}"))
+}
+
+/// What must be there, and what is wrong for it.
+fn needed() -> Vec<(&'static str, Vec<Value>)> {
+    let word = || vec![json!(7), json!("no such word")];
+    let time = || vec![json!("soon"), json!(-1.0)];
+    let count = || vec![json!("many"), json!(0), json!(-3), json!(2.5)];
+    vec![
+        ("/name", vec![json!(7)]),
+        ("/listen", word()),
+        ("/discovery", word()),
+        ("/state", vec![json!(7)]),
+        ("/seed", vec![json!("xyz"), json!(-1)]),
+        ("/settings", vec![json!(7)]),
+        ("/limits", vec![json!(7)]),
+        ("/limits/sockets", vec![json!("many"), json!(10)]),
+        ("/limits/disk_mb", vec![json!("much"), json!(-1)]),
+        ("/settings/azs", vec![json!("left"), json!([7])]),
+        ("/settings/zone", word()),
+        ("/settings/balancers", count()),
+        ("/settings/kinds", vec![json!("wide"), json!([7])]),
+        ("/settings/discovery", word()),
+        ("/settings/granularity", time()),
+        ("/settings/weight-source", word()),
+        ("/settings/categories", vec![json!("copy"), json!([])]),
+        ("/settings/categories/0/name", vec![json!(7)]),
+        ("/settings/categories/0/semantics", word()),
+        ("/settings/categories/0/memory-span", time()),
+        ("/settings/categories/1/promise", vec![json!("soon"), json!(-1.0), json!(6001.0)]),
+        ("/settings/categories/1/deadline", vec![json!("soon"), json!(-1.0), json!(0)]),
+        ("/settings/categories/1/gain", vec![json!("much"), json!(-1)]),
+        ("/settings/realms", vec![json!("desk")]),
+        ("/settings/realms/0/name", vec![json!(7)]),
+        ("/settings/realms/0/quota-per-s", vec![json!("much"), json!(-1)]),
+        ("/settings/fees", vec![]),
+        ("/settings/permissions", vec![json!(7)]),
+        ("/settings/permissions/max-open", count()),
+        ("/settings/permissions/max-attempts", count()),
+        ("/settings/permissions/conn-idle", time()),
+        ("/settings/permissions/dial-timeout", vec![json!("soon"), json!(-1.0), json!(0)]),
+        ("/settings/rules", vec![json!(7)]),
+        ("/settings/rules/fall-multiple", vec![json!("much"), json!(0), json!(-1)]),
+        ("/settings/rules/fall", time()),
+        ("/settings/rules/cold", time()),
+        ("/settings/rules/cold-from", vec![json!("much"), json!(0), json!(1.1)]),
+        ("/settings/rules/drain-grace", time()),
+        ("/settings/specifics", vec![json!(7)]),
+        ("/settings/specifics/call-slots", count()),
+        ("/settings/specifics/late", word()),
+    ]
+}
+
+/// What may be absent, and what is wrong for it if it is there.
+fn optional() -> Vec<(&'static str, Vec<Value>)> {
+    let flag = || vec![json!("yes"), json!(1)];
+    let time = || vec![json!("soon"), json!(-1.0)];
+    let fee = || vec![json!("much")];
+    vec![
+        ("/settings/over-share-worth", fee()),
+        ("/settings/categories/0/dedup-scope", vec![json!(7), json!("no such word")]),
+        ("/settings/categories/0/late-worth", vec![json!("much"), json!(-0.1), json!(1.1)]),
+        ("/settings/categories/0/serial-by-key", flag()),
+        ("/settings/fees/cross-zone", fee()),
+        ("/settings/fees/handshake", fee()),
+        ("/settings/callers/marks-retry", flag()),
+        ("/settings/permissions/cancel", flag()),
+        ("/settings/permissions/retry-after", flag()),
+        ("/settings/permissions/probing", flag()),
+        ("/settings/permissions/second-copies", flag()),
+        ("/settings/permissions/max-retry-after", time()),
+        ("/settings/rules/must-ask-in", time()),
+        ("/settings/rules/key-rest", time()),
+        ("/settings/specifics/own-limits", vec![json!(true), json!([1])]),
+        ("/settings/specifics/per-call", vec![json!(5), json!(["five"]), json!([0, 1]), json!([-1, 1])]),
+        ("/settings/specifics/toll", vec![json!(0.1), json!(["much"])]),
+    ]
+}
+
+#[test]
+fn each_setting_that_is_missing_or_wrong_is_named() {
+    Config::read(&whole().to_string(), |_| None).map(|_| ()).expect("the whole one is taken");
+    for (place, wrong) in needed() {
+        let name = place.rsplit('/').next().expect("a name");
+        let said = refused(&with(place, Value::Null));
+        assert!(said.contains(&format!("`{name}`")) && said.contains("missing"), "{place}: {said}");
+        for value in wrong {
+            let said = refused(&with(place, value.clone()));
+            // Of an object that is no object, the first thing missing in it is named.
+            let object = whole().pointer(place).is_some_and(Value::is_object);
+            assert!(object || said.contains(name), "{place} {value}: {said}");
+            assert_eq!(said.lines().count(), 1, "{said}");
+        }
+    }
+    for (place, wrong) in optional() {
+        let name = place.rsplit('/').next().expect("a name");
+        if let Err(said) = Config::read(&with(place, Value::Null), |_| None) {
+            panic!("{place} may be absent: {said}");
+        }
+        for value in wrong {
+            let said = refused(&with(place, value.clone()));
+            assert!(said.contains(name), "{place} {value}: {said}");
+        }
+    }
+}
+
+#[test]
+fn settings_that_nobody_knows_are_passed_over() {
+    for place in
+        ["", "/settings", "/settings/permissions", "/settings/categories/0", "/settings/specifics", "/limits"]
+    {
+        let mut config = whole();
+        config.pointer_mut(place).expect("an object")["of-next-year"] = json!({"any": [1, "thing"]});
+        assert!(Config::read(&config.to_string(), |_| None).is_ok(), "{place}");
+    }
+}
+
+#[test]
+fn a_start_with_a_wrong_setting_ends_with_one_line_that_names_it() {
+    let folder = std::env::temp_dir().join(format!("cedarbridge-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("config.json");
+    for (place, value, wanted) in [
+        ("/settings/permissions/max-open", Value::Null, "max-open"),
+        ("/settings/rules/drain-grace", json!("500"), "drain-grace"),
+        ("/settings/rules/cold-from", json!(17), "cold-from"),
+        ("/settings/specifics/per-call", json!([5, 0]), "per-call"),
+    ] {
+        std::fs::write(&path, with(place, value)).expect("written");
+        let out = program().arg(&path).output().expect("it runs");
+        let said = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && said.lines().count() == 1 && said.contains(wanted), "{said}");
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+/// Guards against a reload that takes a part of a file whose other part is wrong, or that ends the program.
+#[test]
+fn a_reload_with_a_wrong_setting_changes_nothing() {
+    play(
+        "with e1=1 e2=9:one:leaving open=2
+         start
+         u1 send m1 dest=9
+         u1 expect 202
+         config settings/permissions/max-open 1
+         config settings/rules/cold-from 17
+         reload
+         log setting `cold-from`: 17 is out of range
+         config settings/rules/cold-from 0.2
+         config settings/rules/drain-grace \"500\"
+         reload
+         log setting `drain-grace`: expected a number
+         config settings/rules/drain-grace null
+         reload
+         log missing setting `drain-grace`
+         u1 send m2 dest=9
+         u1 expect 202
+         u1 send m3 dest=9
+         u1 expect 503
+         config settings/rules/drain-grace 500
+         config settings/of-next-year {\"any\":1}
+         config settings/permissions/max-open 3
+         reload
+         log configuration reloaded
+         u1 send m4 dest=9
+         u1 expect 202
+         wait open=3 reloads=1",
+    );
+}
