Take a 503 that ends a new connection as no connection left, not as a full endpoint

Checked: a log line for each answer that is not 200 (trial): of 28,600, 27,219 were 503 on a new connection with Connection: close and no wait; the 1,200 others without a wait kept the connection. 285 forwarders held 880 connections, 30 an endpoint, 7 of 8 idle, where an endpoint takes a few. Lines at fault: read_answer in src/net/peer.rs, `429 | 503`. A 503 on a connection served before, one that stays, and one that tells a wait are full as before.

tests/second.rs: fails without the mend ('never came: reason: crowded-out').

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -239,12 +239,13 @@
     let given_up = matches!(stop, Stop::Cut | Stop::CalledOff) && stage.get() == Stage::Written;
     let (outcome, reason) = match stop {
         Stop::Answer(answer, body) => {
-            let ended = read_answer(context, pass, &answer, &body, told.get());
+            let ended = read_answer(context, pass, &answer, &body, told.get(), reused);
+            let crowded_out = ended.ends.iter().any(|e| e.outcome == Outcome::ConnectFailed);
             match (slot.take(), back) {
                 (Some(wire), Some(back)) if answer.keeps && wire.buffer.bytes().is_empty() => {
                     let _ = back.send(ToPeer::Idle(wire)).await;
                 }
-                _ => closed("answered"),
+                _ => closed(if crowded_out { "crowded-out" } else { "answered" }),
             }
             return ended;
         }
@@ -447,6 +448,7 @@
     answer: &Answered,
     body: &[u8],
     wait: Option<Micros>,
+    reused: bool,
 ) -> Ended {
     let report = answer.fields.get("X-Load").and_then(read_load);
     let moot = |ended| End { outcome: Outcome::Moot, ended };
@@ -454,6 +456,8 @@
         200 if pass.parts.len() > 1 => None,
         200 => Some(End::of(Outcome::Ok)),
         503 if answer.fields.get("X-Over-Slots").is_some_and(|v| v != "0") => Some(moot(false)),
+        // Too many connections at the endpoint: it ends the new one, where a full one lets it stay.
+        503 if !reused && !answer.keeps && wait.is_none() => Some(End::of(Outcome::ConnectFailed)),
         429 | 503 => Some(End::of(Outcome::Full(wait))),
         504 => Some(moot(false)),
         410 => Some(moot(true)),
--- /dev/null
+++ b/tests/second.rs
@@ -0,0 +1,121 @@
+//! A deployment of another shape than the first: few connections at an endpoint, short windows beside classes that are
+//! safe to repeat, calls of five, waits told on some refusals only, and nothing told of limits.
+
+mod scenario;
+
+use scenario::play;
+
+/// Guards against taking an endpoint that has no connection left for one that is full. Then nobody gives back the idle
+/// ones that fill its table, and three calls in five of a large fleet are turned away.
+#[test]
+fn an_endpoint_without_a_connection_left_gets_idle_ones_back() {
+    play(
+        "with e1=1 e2=2
+         start
+         u1 send m1 dest=2
+         u1 expect 202
+         e2 expect m1
+         e2 send m1 200
+         wait delivered=1
+         u1 send m2 dest=1
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 503 Connection:close
+         log reason: crowded-out
+         wait connect_failed=1 full=0
+         u1 send m3 dest=2
+         u1 expect 202
+         e2 expect m3
+         e2 send m3 200
+         log reason: close-idle
+         e1 expect m2
+         e1 send m2 200
+         wait delivered=3 opened=3 reused=1",
+    );
+}
+
+/// A full one lets the connection stay; one that ends a connection it has served before does so for reasons of its own.
+#[test]
+fn a_full_endpoint_keeps_its_connection() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 503
+         e1 expect m1
+         e1 send m1 503 Connection:close
+         wait full=2 connect_failed=0 opened=1 reused=1
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1 opened=2",
+    );
+}
+
+/// One that tells a wait has taken the connection in, whatever it does with it afterwards.
+#[test]
+fn a_refusal_with_a_wait_binds_whether_or_not_it_ends_the_connection() {
+    play(
+        "with e1=1
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 503 Connection:close X-RateLimit-Wait-Ms:300
+         wait full=1 connect_failed=0
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1",
+    );
+}
+
+/// Both classes lose their answers: what is dropped for a short span only ends with it, what is safe to repeat goes on.
+#[test]
+fn a_short_window_ends_one_class_and_not_the_other() {
+    play(
+        "with e1=1 e2=2
+         config settings/categories/0/memory-span 400
+         config settings/specifics/late \"halving\"
+         start
+         u1 send m1 dest=1 class=notice
+         u1 expect 202
+         e1 expect m1
+         e1 close m1
+         u2 send m2 dest=2 class=free
+         u2 expect 202
+         e2 expect m2
+         e2 close m2
+         p expect m1 failed
+         e2 expect m2
+         e2 send m2 200
+         wait delivered=1 failed=1 open=0",
+    );
+}
+
+/// Calls of five to one endpoint: each message has an end of its own, and what was refused or lost goes again.
+#[test]
+fn five_travel_together_and_each_has_its_own_end() {
+    play(
+        "with e1=1:many tick=60
+         config settings/specifics/per-call [5,5]
+         start
+         stop
+         u1 send m1
+         u2 send m2
+         u3 send m3
+         u4 send m4
+         u5 send m5
+         continue
+         u1 expect 202
+         u2 expect 202
+         u3 expect 202
+         u4 expect 202
+         u5 expect 202
+         e1 expect m1 m2 m3 m4 m5
+         e1 send m1 200 m1=delivered m2=refused m3=delivered m4=failed m5=over
+         e1 expect m2 m4
+         e1 send m2 200 m2=delivered m4=delivered
+         wait delivered=4 calls=2 attempts=7 open=0",
+    );
+}
