--- a/tests/second.rs
+++ b/tests/second.rs
@@ -119,3 +119,51 @@
          wait delivered=4 calls=2 attempts=7 open=0",
     );
 }
+
+/// A crossing has its price: the nearer endpoint is called first, and the other one when that is at work.
+#[test]
+fn the_nearer_endpoint_goes_first_and_the_other_when_it_is_busy() {
+    play(
+        "with e1=1:one:west e2=1
+         config settings/fees {\"cross-zone\":0.013,\"handshake\":0.02}
+         start
+         u1 send m1
+         u1 expect 202
+         e2 expect m1
+         e2 send m1 200
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e2 expect m2
+         u2 send m3
+         u2 expect 202
+         e1 expect m3
+         e1 send m3 200
+         e2 send m2 200
+         wait delivered=3",
+    );
+}
+
+/// A call that waits for its connection may begin within the grace of an endpoint that leaves, and not after it.
+#[test]
+fn the_grace_of_the_settings_binds_the_first_byte() {
+    play(
+        "with e1=1:one:stalled e2=1:one:hidden
+         config settings/rules/drain-grace 500
+         start
+         u1 send m1
+         u1 expect 202
+         wait opened=1
+         p send e1=leaving
+         wait lists=2
+         stop
+         stands 600
+         e1 open
+         continue
+         log not sent, reason: leaving
+         p send e2=active
+         e2 expect m1
+         e2 send m1 200
+         wait delivered=1 calls=1",
+    );
+}
