Call the end of a call by that name, CallEnded and calls_out, in place of passes

Names only; the hand-over's word stays `Passed`, so that old and new processes understand each other. docs/design.md tells of scarce connections.

--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -45,7 +45,7 @@
     /// Other settings hold from now on.
     Settings(Box<Settings>),
     /// A call has come out, here or at the process that this one replaces.
-    Passed(Came),
+    CallEnded(Came),
     /// Another process asks to replace this one.
     HandOver(Heir),
     /// An operator wants something while all is being handed over.
@@ -367,7 +367,7 @@
             ToDecider::Withdrawn { id } => self.withdraw(id),
             ToDecider::List(news) => self.take_list(news),
             ToDecider::Settings(settings) => self.events.push(Event::Settings(settings)),
-            ToDecider::Passed(came) => self.take_passed(came),
+            ToDecider::CallEnded(came) => self.take_call_ended(came),
             ToDecider::HandOver(heir) => self.heir = Some(heir),
             ToDecider::Operate { operation, reply } => {
                 // It was meant for the process that did not take over after all.
@@ -378,7 +378,7 @@
                 self.context.executor.spawn(operating).detach();
             }
             ToDecider::OlderGone => {
-                self.lost_with_older().into_iter().for_each(|came| self.take_passed(came))
+                self.lost_with_older().into_iter().for_each(|came| self.take_call_ended(came))
             }
             ToDecider::Show { reply } => {
                 let _ = reply.try_send(self.show());
@@ -522,7 +522,7 @@
         }
     }
 
-    fn take_passed(&mut self, came: Came) {
+    fn take_call_ended(&mut self, came: Came) {
         let Came { endpoint, sent, parts, ended } = came;
         let elapsed = self.context.clock.now().saturating_sub(sent);
         let told = ended.ends.iter().any(|e| matches!(e.outcome, Outcome::Full(Some(_))));
@@ -688,7 +688,7 @@
         let ended = Ended::alike(pass.parts.len(), super::call::End::of(Outcome::Moot));
         let back = self.context.decider.clone();
         let telling = async move {
-            let _ = back.send(ToDecider::Passed(pass.came(ended))).await;
+            let _ = back.send(ToDecider::CallEnded(pass.came(ended))).await;
         };
         self.context.executor.spawn(telling).detach();
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -88,7 +88,8 @@
     /// A user agent of a message that was taken on is gone.
     Withdrawn { id: MessageId },
     /// A call has come out.
-    Passed(Came),
+    #[serde(rename = "Passed")]
+    CallEnded(Came),
     /// An operator wants something.
     Operate { number: u64, operation: Operation },
 }
@@ -201,7 +202,7 @@
     drop(context.owner.take());
     let _ = link.speaker.send(&FromOld::Granted, &[]).await;
     info!(context.log, "handed over"; "ms" => begun.elapsed().as_millis() as u64, "open" => context.open.get(),
-        "out" => context.passes_out.get());
+        "out" => context.calls_out.get());
     decider.retire();
     relay(decider, link, mail).await;
     warn!(context.log, "the process that took over is gone");
@@ -239,7 +240,7 @@
             Word::Mail(ToDecider::Withdrawn { id }) => {
                 link.speaker.send(&FromOld::Withdrawn { id }, &[]).await
             }
-            Word::Mail(ToDecider::Passed(came)) => link.speaker.send(&FromOld::Passed(came), &[]).await,
+            Word::Mail(ToDecider::CallEnded(came)) => link.speaker.send(&FromOld::CallEnded(came), &[]).await,
             Word::Mail(ToDecider::Operate { operation, reply }) => {
                 answers.insert(number, reply);
                 link.speaker.send(&FromOld::Operate { number, operation }, &[]).await
@@ -247,7 +248,7 @@
             Word::Mail(ToDecider::OlderGone) => {
                 let mut sent = Ok(());
                 for came in decider.lost_with_older() {
-                    sent = link.speaker.send(&FromOld::Passed(came), &[]).await;
+                    sent = link.speaker.send(&FromOld::CallEnded(came), &[]).await;
                 }
                 sent
             }
@@ -290,7 +291,7 @@
         let mut since = Instant::now();
         while since.elapsed() < LEFT_OVER {
             Timer::after(LOOK).await;
-            if context.user_agents.get() + context.passes_out.get() > 0 {
+            if context.user_agents.get() + context.calls_out.get() > 0 {
                 since = Instant::now();
             }
         }
@@ -424,11 +425,11 @@
                 context.decider.send(ToDecider::Take { request, reply }).await
             }
             FromOld::Withdrawn { id } => context.decider.send(ToDecider::Withdrawn { id }).await,
-            FromOld::Passed(came) => {
+            FromOld::CallEnded(came) => {
                 if let Some(wait) = came.ended.wait {
                     context.board.told_wait(came.endpoint, wait);
                 }
-                context.decider.send(ToDecider::Passed(came)).await
+                context.decider.send(ToDecider::CallEnded(came)).await
             }
             FromOld::Operate { number, operation } => {
                 let (context, members, speaker) = (context.clone(), members.clone(), link.speaker.clone());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -87,7 +87,7 @@
     /// Connections of calls that were given up, on which a wait may still be told.
     pub hearing_out: Cell<usize>,
     /// Calls under way.
-    pub passes_out: Cell<usize>,
+    pub calls_out: Cell<usize>,
     /// Messages held and not ended.
     pub open: Cell<usize>,
     /// Notices not yet confirmed.
@@ -290,7 +290,7 @@
         registry: eureka::Counts::default(),
         registry_view: RefCell::default(),
         listen: sockets.at,
-        passes_out: Cell::new(0),
+        calls_out: Cell::new(0),
         open: Cell::new(0),
         notices_owed: Cell::new(0),
         user_agents: Cell::new(0),
@@ -476,7 +476,7 @@
     // It takes what waits in its queue, then closes.
     context.listener_closes.raise();
     front.await;
-    let idle = || context.passes_out.get() == 0 && context.notices_owed.get() == 0;
+    let idle = || context.calls_out.get() == 0 && context.notices_owed.get() == 0;
     while since.elapsed() < DECIDES && !(idle() && context.open.get() == 0 && context.user_agents.get() == 0)
     {
         Timer::after(LOOK).await;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -159,7 +159,7 @@
 
 /// Makes a call and reports its end.
 async fn call(context: Rc<Context>, pass: Call, used: Option<Wire>, back: Option<Sender<ToPeer>>) {
-    context.passes_out.set(context.passes_out.get() + 1);
+    context.calls_out.set(context.calls_out.get() + 1);
     let mut waited_for = vec![true; pass.parts.len()];
     let mut ended = attend(&context, &pass, used, back, &mut waited_for).await;
     if let Some(wait) = ended.wait {
@@ -170,8 +170,8 @@
     let pass = pass.with(&left);
     // Only now, with the connection dropped or idle, may the module know: its next attempt must not find this
     // one still out.
-    let _ = context.decider.send(ToDecider::Passed(pass.came(ended))).await;
-    context.passes_out.set(context.passes_out.get() - 1);
+    let _ = context.decider.send(ToDecider::CallEnded(pass.came(ended))).await;
+    context.calls_out.set(context.calls_out.get() - 1);
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -222,7 +222,7 @@
             let Some(lapsed) = cut.then(lapsed).flatten() else { break stop };
             lapsed.iter().for_each(|i| waited_for[*i] = false);
             let ended = Ended::alike(lapsed.len(), End::of(Outcome::TimedOut));
-            let _ = context.decider.send(ToDecider::Passed(pass.with(&lapsed).came(ended))).await;
+            let _ = context.decider.send(ToDecider::CallEnded(pass.with(&lapsed).came(ended))).await;
         }
     };
     let parts = pass.parts.len();
@@ -294,7 +294,7 @@
             context.board.told_wait(endpoint, wait);
             let ended = Ended { wait: Some(wait), ..Ended::alike(0, End::of(Outcome::Moot)) };
             let came = Came { endpoint, sent: context.clock.now(), parts: Vec::new(), ended };
-            let _ = context.decider.send(ToDecider::Passed(came)).await;
+            let _ = context.decider.send(ToDecider::CallEnded(came)).await;
         }
         context.hearing_out.set(context.hearing_out.get() - 1);
     };
