Make room at 1.2 times a class's patience, not 1.5: silent connections held slots for too long

All 7 slots are taken there all the time and fifty connections fall silent; each keeps its slot up to that multiple. Ruled out: the patience by class alone, which stays.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,8 +47,8 @@
 /// A call unanswered for this multiple of the mean, and at least so long, makes its endpoint suspect; an
 /// unsafe one is lost when it is called off, so it gets the last figure times the patience.
 const SUSPECT: (f64, Micros, f64) = (4.0, 400 * MS, 3.0);
-/// A call is called off after this multiple of the patience, to make room or where it hangs alone.
-const CALL_OFF: f64 = 1.5;
+/// A call is called off after these multiples of the patience: to make room, and where it hangs alone.
+const CALL_OFF: (f64, f64) = (1.2, 1.5);
 /// A call is abandoned after this multiple of the mean, within the range; an unsafe one in twice that.
 const CUT: (f64, Micros, Micros) = (16.0, 2400 * MS, 16 * SECOND);
 /// Loss on reused connections beyond that on fresh ones from which idle ones are given back; gain; fading.
@@ -847,7 +847,7 @@
         if !self.s.cancel || self.calls.values().any(|c| c.called_off) {
             return;
         }
-        let late = |c: &Call| self.overdue(now, c).filter(|by| *by > CALL_OFF && !self.answered_since(c));
+        let late = |c: &Call| self.overdue(now, c).filter(|by| *by > CALL_OFF.0 && !self.answered_since(c));
         match self.calls.iter().filter_map(|(n, c)| Some((late(c)?, *n))).max_by(|a, b| a.0.total_cmp(&b.0)) {
             Some((_, number)) => self.call_off(number),
             // Look again soon: a call becomes overdue without any event.
@@ -863,7 +863,7 @@
         if !late.is_empty() {
             self.wake_at(now + SUSPECT.1 / 4);
         }
-        late.iter().filter(|l| l.0 > CALL_OFF).for_each(|l| self.call_off(l.1));
+        late.iter().filter(|l| l.0 > CALL_OFF.1).for_each(|l| self.call_off(l.1));
     }
 
     fn call_off(&mut self, number: u64) {
