--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -39,6 +39,10 @@
 //! | `r holds n0=UP`, `r holds n0=`, `r asked GET /apps` | waits for what it holds of an instance, for a question |
 //! | `reload open=4 …`, `reload TEXT` | writes the configuration anew and sends SIGHUP |
 //! | `wait name=value routes/NAME/held=1 …`, `log TEXT` | waits for counters, for a line in the log |
+//! | `with faults=on`, `faults write EIO; accept ENFILE count=3`, `faults` | system calls of the program fail by this plan from now on, by none (`crates/faultshim`) |
+//! | `struck write` | waits until such a call has failed by the plan in force |
+//! | `u1 sends 20 m class=notice` | a user agent hands in m1 to m20, each answered with 202 |
+//! | `e1 serves m*20`, `p expect-all m*20 returned` | the same as m1 to m20; notices for all of these in any order |
 //! | `state-under N`, `state-holds FILE`, `state-folder NAME`, `damage cut N`, `damage flip N`, `damage-view` | the folder that lasts |
 
 use cedarbridge_standin::{Instance, Mode, StandIn};
@@ -352,6 +356,8 @@
     disk: f64,
     grace: f64,
     tick: f64,
+    /// The program runs with the library that makes its system calls fail.
+    faults: bool,
 }
 
 /// Plays a scenario; the first line that does not hold fails the test.
@@ -363,6 +369,26 @@
     }
 }
 
+/// `m*3` stands for m1, m2 and m3.
+fn numbered(ids: &[&str]) -> Vec<String> {
+    let each = |id: &&str| match id.split_once('*') {
+        Some((name, count)) => {
+            let count: usize = count.parse().expect("a number");
+            (1..=count).map(|n| format!("{name}{n}")).collect()
+        }
+        None => vec![(*id).to_owned()],
+    };
+    ids.iter().flat_map(each).collect()
+}
+
+/// Where Cargo puts the library of `crates/faultshim`: beside the tests.
+fn fault_library() -> PathBuf {
+    let test = std::env::current_exe().expect("a path");
+    let library = test.with_file_name("libcedarbridge_faultshim.so");
+    assert!(library.exists(), "{} is not built", library.display());
+    library
+}
+
 fn unescape(text: &str) -> String {
     text.replace("\\r", "\r").replace("\\n", "\n")
 }
@@ -428,6 +454,7 @@
             disk,
             grace,
             tick,
+            faults: false,
         }
     }
 
@@ -473,6 +500,11 @@
                 self.put.push((place.to_owned(), serde_json::from_str(value).expect("JSON")));
             }
             "drip" => DRIPS.set(true),
+            "faults" => self.plan_faults(rest),
+            "struck" => {
+                let line = format!("{} ", words[1]);
+                soon(rest, || self.struck().lines().any(|l| l.starts_with(&line)).then_some(()));
+            }
             "upgrade" => self.upgrade(true),
             "upgrading" => self.upgrade(false),
             "upgraded" => self.serves(),
@@ -543,6 +575,7 @@
             "open" => self.open = value.parse().expect("a number"),
             "me" => self.me = serde_json::from_str(value).expect("JSON"),
             "operator" => self.operators = value == "on",
+            "faults" => self.faults = value == "on",
             "disk" => self.disk = value.parse().expect("a number"),
             _ => {
                 let parts: Vec<&str> = value.split(':').collect();
@@ -717,10 +750,28 @@
         }
     }
 
+    /// Puts a plan of faults in force, rules parted by semicolons, and forgets what the one before has struck.
+    fn plan_faults(&self, rules: &str) {
+        let plan = self.folder.join("faults");
+        let beside = self.folder.join("faults.new");
+        fs::write(&beside, rules.replace(';', "\n")).expect("written");
+        let _ = fs::remove_file(self.folder.join("faults.struck"));
+        fs::rename(beside, plan).expect("replaced");
+    }
+
+    fn struck(&self) -> String {
+        fs::read_to_string(self.folder.join("faults.struck")).unwrap_or_default()
+    }
+
     fn spawn(&mut self) {
         self.configure();
         // As the platform tells it; the variable stays as it is while the program runs.
         let mut command = program();
+        if self.faults {
+            command.env("LD_PRELOAD", fault_library());
+            command.env("FAULTSHIM_PLAN", self.folder.join("faults"));
+            command.env("FAULTSHIM_FOLDER", self.folder.join("state"));
+        }
         command.arg(self.folder.join("config.json")).env("ROUTER_DISCOVERY", self.discovery.to_string());
         let site = self.folder.join("site.yaml");
         if site.exists() {
@@ -800,6 +851,16 @@
                 assert!(more.iter().all(|m| notice[*m] == true), "{more:?} of {notice}");
                 assert_eq!((notice["id"].as_str(), notice["state"].as_str()), (Some(*id), Some(*state)));
             }
+            ["expect-all", ids, state] => {
+                let mut left = numbered(&[ids]);
+                while !left.is_empty() {
+                    let notice = self.notices.recv_timeout(PATIENCE).expect("a notice");
+                    assert_eq!(notice["state"].as_str(), Some(*state), "{notice}");
+                    let before = left.len();
+                    left.retain(|id| notice["id"].as_str() != Some(id));
+                    assert_eq!(left.len() + 1, before, "{notice} is one of {left:?}");
+                }
+            }
             ["expect-watch", after] => {
                 assert_eq!(self.watched.recv_timeout(PATIENCE).expect("a watch"), *after);
             }
@@ -874,7 +935,7 @@
                 e.answered.insert(call.ids[0].clone(), call.stream);
             }
             ["serves", ids @ ..] => {
-                let mut left = ids.to_vec();
+                let mut left = numbered(ids);
                 while !left.is_empty() {
                     let mut call = e.calls.recv_timeout(PATIENCE).expect("a call");
                     let before = left.len();
@@ -909,7 +970,7 @@
         }
     }
 
-    fn agent(&mut self, name: &str, words: &[&str], rest: &str) {
+    fn agent(&mut self, user: &str, words: &[&str], rest: &str) {
         let listen = self.listen.expect("started");
         let connect = || {
             let stream = TcpStream::connect(listen).expect("it listens");
@@ -917,9 +978,9 @@
             BufReader::new(stream)
         };
         if words[0] == "close" {
-            return drop(self.agents.remove(name).expect("connected"));
+            return drop(self.agents.remove(user).expect("connected"));
         }
-        let agent = self.agents.entry(name.to_owned()).or_insert_with(connect);
+        let agent = self.agents.entry(user.to_owned()).or_insert_with(connect);
         match words {
             ["send", id, more @ ..] => {
                 let more: BTreeMap<&str, &str> = more.iter().filter_map(|m| m.split_once('=')).collect();
@@ -932,6 +993,14 @@
                 );
                 put(agent.get_mut(), head.as_bytes()).expect("written");
             }
+            ["sends", count, name, more @ ..] => {
+                for number in 1..=count.parse().expect("a number") {
+                    let id = format!("{name}{number}");
+                    let words = [&["send", id.as_str()], more].concat();
+                    self.agent(user, &words, "");
+                    self.agent(user, &["expect", "202"], "");
+                }
+            }
             ["connect"] => {}
             ["send-raw", ..] => {
                 let text = unescape(rest.trim_start_matches("send-raw "));
