--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod breach;
 pub mod cli;
+pub mod journal;
 pub mod logic;
 pub mod measured;
 pub mod membership;
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -1,27 +1,36 @@
-//! The two clocks: a monotonic one for every decision, and the wall clock for what outlasts the process.
+//! The program's clock, for every decision and for what outlasts the process, and the wall clock, which is only shown and
+//! aligns forwarders with each other.
+//!
+//! The program's clock counts as `CLOCK_MONOTONIC` does: alike in all processes since the machine was started, whatever is done
+//! to the wall clock. So a time that the journal keeps is read by the next process as it stands. It does not count while the
+//! machine sleeps, as no timer of the program does. Beyond a start of the machine the wall clock is all there is.
 
+use crate::journal::Moment;
 use crate::Micros;
+use rustix::time::{clock_gettime, ClockId};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Counts microseconds from the program's start on; it never goes back.
+/// Names the machine's boot; a new one with each.
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+/// What the clock shows beyond the machine's own: spans can be taken off the times of a machine that was just started.
+const AHEAD: Micros = 60_000_000;
+/// A point further away than this is as good as never.
+const FAR: Micros = 86_400_000_000;
+
+/// Counts microseconds; it never goes back.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
     first: Micros,
+    boot: u128,
 }
 
-/// What the clock shows as it starts: spans can be taken off early times.
-const FIRST: Micros = 60_000_000;
-
 impl Clock {
-    /// A clock that starts now.
+    /// The clock, for all of this process.
     pub fn start() -> Self {
-        Clock { start: Instant::now(), first: FIRST }
-    }
-
-    /// A clock that goes on from one of another process, which showed a time at a time of the wall clock.
-    pub fn go_on(shown: Micros, at_wall: Micros) -> Self {
-        Clock { start: Instant::now(), first: shown + wall().saturating_sub(at_wall) }
+        let shown = clock_gettime(ClockId::Monotonic);
+        let first = AHEAD + shown.tv_sec as Micros * 1_000_000 + shown.tv_nsec as Micros / 1_000;
+        Clock { start: Instant::now(), first, boot: boot() }
     }
 
     /// Now.
@@ -29,26 +38,27 @@
         self.first + self.start.elapsed().as_micros() as Micros
     }
 
-    /// When a point of this clock comes.
-    pub fn at(&self, time: Micros) -> Instant {
-        // A far point is as good as never.
-        self.start + Duration::from_micros(time.min(self.now() + 86_400_000_000).saturating_sub(self.first))
+    /// Now, in a form that another process can read.
+    pub fn moment(&self) -> Moment {
+        Moment { boot: self.boot, clock: self.now(), wall: wall() }
     }
 
-    /// A point of this clock on the wall clock.
-    pub fn to_wall(&self, time: Micros) -> Micros {
-        (wall() + time).saturating_sub(self.now())
+    /// When a point of this clock comes.
+    pub fn at(&self, time: Micros) -> Instant {
+        self.start + Duration::from_micros(time.min(self.now() + FAR).saturating_sub(self.first))
     }
 
-    /// A point of the wall clock on this one; past ones are now.
-    pub fn from_wall(&self, time: Micros) -> Micros {
-        self.now() + time.saturating_sub(wall())
+    /// How far the wall clock is ahead of this one.
+    pub fn behind_wall(&self) -> Micros {
+        wall().saturating_sub(self.now())
     }
+}
 
-    /// A past point of the wall clock on this one; what this one can't show is its beginning, what is to come is now.
-    pub fn since_wall(&self, time: Micros) -> Micros {
-        self.now().saturating_sub(wall().saturating_sub(time))
-    }
+/// The number of the machine's boot; 0 where it cannot be read.
+fn boot() -> u128 {
+    let text = std::fs::read_to_string(BOOT_ID).unwrap_or_default();
+    let digits: String = text.trim().chars().filter(|c| *c != '-').collect();
+    u128::from_str_radix(&digits, 16).unwrap_or(0)
 }
 
 /// The wall clock, in microseconds of Unix time.
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -90,6 +90,8 @@
     lists,
     /// Configurations read again and applied.
     reloads,
+    /// Times at which the journal could not be written any more.
+    journal_failures,
 }
 
 impl Counters {
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -2,13 +2,13 @@
 
 use super::call::{Call, Came, End, Ended, Part};
 use super::handover::{self, Heir, Speaker, State};
-use super::journal::{Kept, Progress, Verdict};
 use super::members::ToMembers;
 use super::notices::Notice;
 use super::operator::{self, No, Operation};
 use super::peer::{self, ToPeer};
 use super::transaction::{Request, Transaction};
 use super::Context;
+use crate::journal::{JournaledMessage, Progress, ReportedEnd};
 use crate::membership::Carried;
 use crate::words::Names;
 use crate::{
@@ -55,6 +55,8 @@
         /// Where to say what becomes of it.
         reply: Sender<Result<(), No>>,
     },
+    /// The journal can be written again.
+    JournalWritable,
     /// The process that this one has replaced is gone.
     OlderGone,
     /// Asks how destinations and channels stand, for operators.
@@ -166,23 +168,23 @@
     }
 
     /// Gives back to the module what an earlier process had taken on and not ended.
-    pub async fn restore(&mut self, kept: Vec<(u64, Kept)>) {
+    pub async fn restore(&mut self, kept: Vec<(u64, JournaledMessage)>) {
         for (id, kept) in kept {
             self.context.counters.restored.add();
             let may_have_run = kept.progress.may_have_run();
             let class = self.names.classes.iter().position(|c| *c == kept.class);
             let id = MessageId(id);
             let unrepeatable = |c: usize| may_have_run && self.context.config().unsafe_twice[c];
-            // The platform may have had the notice of a verdict: the message must not be sent after it. One
+            // The platform may have had the report of an end: the message must not be sent after it. One
             // that may not run twice fails, as does one of a class that is no more.
-            let verdict = match class {
-                _ if kept.progress.verdict.is_some() => kept.progress.verdict,
+            let end = match class {
+                _ if kept.progress.report.is_some() => kept.progress.report,
                 Some(c) if !unrepeatable(c) => None,
-                None if !may_have_run => Some(Verdict::Returned(None)),
-                _ => Some(Verdict::Failed),
+                None if !may_have_run => Some(ReportedEnd::Returned(None)),
+                _ => Some(ReportedEnd::Failed),
             };
-            if let Some(verdict) = verdict {
-                self.notify(id, kept.word, verdict).await;
+            if let Some(end) = end {
+                self.notify(id, kept.request_id, end).await;
                 continue;
             }
             let Progress { attempts, first, .. } = kept.progress.clone();
@@ -191,21 +193,21 @@
             transaction.first = first.map(|sent| {
                 // A zone that is no more takes no repeat.
                 let zone = self.names.zones.iter().position(|z| *z == sent.zone).unwrap_or(usize::MAX);
-                (self.context.clock.since_wall(sent.at), ZoneId(zone))
+                (sent.at, ZoneId(zone))
             });
             self.hold(transaction, None);
         }
     }
 
-    fn request(&self, kept: Kept, class: usize, may_have_run: bool) -> Request {
+    fn request(&self, kept: JournaledMessage, class: usize, may_have_run: bool) -> Request {
         let tenants = &self.names.tenants;
         Request {
-            word: kept.word,
+            word: kept.request_id,
             key: kept.key,
             class: ClassId(class),
             tenant: kept.tenant.and_then(|t| tenants.iter().position(|n| *n == t)).map(TenantId),
             destination: DestinationId(kept.destination),
-            deadline: self.context.clock.from_wall(kept.deadline),
+            deadline: kept.deadline,
             body: kept.body.into(),
             again: !may_have_run,
             orphan: may_have_run,
@@ -227,8 +229,6 @@
             handover::Message { id: *id, attempts: attempt + 1, since: None, out }
         });
         State {
-            clock: self.context.clock.now(),
-            wall: super::clock::wall(),
             module: serde_json::to_value(&self.courier).unwrap_or_default(),
             last_id: self.next,
             messages: messages.chain(over).collect(),
@@ -245,7 +245,7 @@
     pub async fn inherit(
         &mut self,
         state: State,
-        kept: Vec<(u64, Kept)>,
+        kept: Vec<(u64, JournaledMessage)>,
         older: &Speaker,
         settings: Settings,
     ) -> Carried {
@@ -254,12 +254,12 @@
         if state.handed_in.len() == self.handed_in.len() {
             self.handed_in = state.handed_in;
         }
-        let mut kept: BTreeMap<u64, Kept> = kept.into_iter().collect();
+        let mut kept: BTreeMap<u64, JournaledMessage> = kept.into_iter().collect();
         for message in &state.messages {
             let id = message.id;
             self.older.extend(message.out.map(|(attempt, endpoint)| ((id, attempt), endpoint)));
-            let class = |k: &Kept| self.names.classes.iter().position(|c| *c == k.class);
-            let live = kept.remove(&id.0).filter(|k| k.progress.verdict.is_none());
+            let class = |k: &JournaledMessage| self.names.classes.iter().position(|c| *c == k.class);
+            let live = kept.remove(&id.0).filter(|k| k.progress.report.is_none());
             let Some((kept, class)) = live.and_then(|k| class(&k).map(|c| (k, c))) else {
                 // Over; only its attempt is still out, and the module knows.
                 continue;
@@ -380,6 +380,8 @@
             ToDecider::OlderGone => {
                 self.lost_with_older().into_iter().for_each(|came| self.take_call_ended(came))
             }
+            // The next step sees it.
+            ToDecider::JournalWritable => {}
             ToDecider::Show { reply } => {
                 let _ = reply.try_send(self.show());
             }
@@ -433,19 +435,19 @@
             return;
         }
         let name = |all: &[String], at: usize| all.get(at).cloned().unwrap_or_default();
-        let kept = Kept {
-            word: request.word.clone(),
+        let message = JournaledMessage {
+            request_id: request.word.clone(),
             key: request.key.clone(),
             class: name(&self.names.classes, request.class.0),
             tenant: request.tenant.map(|t| name(&self.names.tenants, t.0)),
             destination: request.destination.0,
-            deadline: self.context.clock.to_wall(request.deadline),
+            deadline: request.deadline,
             body: request.body.to_vec(),
             progress: Progress { ran: request.orphan, ..Progress::default() },
         };
         self.next += 1;
         let crowded = self.closed || self.open >= self.context.config().max_open;
-        if crowded || self.context.journal.borrow_mut().take(self.next, &kept).is_err() {
+        if crowded || self.context.journal.take(MessageId(self.next), &message).is_err() {
             counters.unavailable.add();
             let _ = reply.try_send(Reply::Unavailable(LATER));
             return;
@@ -457,7 +459,7 @@
 
     fn withdraw(&mut self, id: MessageId) {
         if self.finish(id, "withdrawn") {
-            self.context.journal_end(id);
+            self.context.journal.end(id);
             self.context.counters.withdrawn.add();
             self.events.push(Event::Withdrawn { id });
             self.forget(id);
@@ -544,10 +546,9 @@
                         self.context.routes.delivered(stats, self.context.clock.now().saturating_sub(since));
                     }
                 }
-                self.context.journal_end(id);
+                self.context.journal.end(id);
             } else if matches!(end.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
-                let noted = self.context.journal.borrow_mut().never_ran(id.0, attempt);
-                noted.unwrap_or_else(|e| warn!(self.context.log, "journal"; "error" => %e));
+                self.context.journal.never_ran(id, attempt);
             }
             self.forget(id);
             let (outcome, ended, report) = (end.outcome, end.ended, ended.report);
@@ -701,7 +702,7 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let word = held.transaction.request.word.clone();
         if let Some(reply) = held.reply.take() {
-            self.context.journal_end(id);
+            self.context.journal.end(id);
             let answer = match refused {
                 Some(after) => Reply::Unavailable(after.unwrap_or(LATER)),
                 None => Reply::Failed,
@@ -712,21 +713,20 @@
             }
             let _ = reply.try_send(answer);
         } else {
-            let after = |r: Option<Micros>| Verdict::Returned(r.map(|t| t.div_ceil(1000)));
-            self.notify(id, word, refused.map_or(Verdict::Failed, after)).await;
+            let after = |r: Option<Micros>| ReportedEnd::Returned(r.map(|t| t.div_ceil(1000)));
+            self.notify(id, word, refused.map_or(ReportedEnd::Failed, after)).await;
         }
         self.forget(id);
     }
 
-    async fn notify(&mut self, id: MessageId, word: String, verdict: Verdict) {
-        let noted = self.context.journal.borrow_mut().verdict(id.0, verdict);
-        noted.unwrap_or_else(|e| warn!(self.context.log, "journal"; "error" => %e));
-        match verdict {
-            Verdict::Failed => self.context.counters.failed.add(),
-            Verdict::Returned(_) => self.context.counters.returned.add(),
+    async fn notify(&mut self, id: MessageId, word: String, end: ReportedEnd) {
+        self.context.journal.report(id, end);
+        match end {
+            ReportedEnd::Failed => self.context.counters.failed.add(),
+            ReportedEnd::Returned(_) => self.context.counters.returned.add(),
         }
         self.context.notices_owed.set(self.context.notices_owed.get() + 1);
         self.context.keep_word(&word);
-        let _ = self.notices.send(Notice { id, word, verdict }).await;
+        let _ = self.notices.send(Notice { id, word, end }).await;
     }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -68,7 +68,7 @@
             Some(listener.accept().await)
         };
         let closes = async {
-            future::or(context.handed_over.until_up(), context.listener_closes.until_up()).await;
+            future::or(context.handed_over.wait(), context.listener_closes.wait()).await;
             None
         };
         match future::or(closes, accepted).await {
@@ -188,7 +188,7 @@
             let (head, body) = match self.read_in_time(due).await {
                 Some(Ok(request)) => request,
                 Some(Err(broken)) => return self.refuse_broken(broken).await,
-                None if self.context.undecided.is_up() => return self.turn_away().await,
+                None if self.context.undecided.is_set() => return self.turn_away().await,
                 None => return self.refuse(408, "the request took too long", "slow-request").await,
             };
             let came = self.context.clock.now();
@@ -227,12 +227,12 @@
         let guest = self.lobby.enter(stay);
         let closing = async {
             self.context.until_closing().await;
-            if self.context.handed_over.is_up() {
+            if self.context.handed_over.is_set() {
                 // Another process is there for those who come again; the next answer says so.
                 Timer::after(PASSED_ON).await;
             } else if stay == Stay::Silent {
                 // Its request is on its way, and has nowhere else to go: nobody may send it a second time unasked.
-                future::or(self.context.undecided.until_up(), async {
+                future::or(self.context.undecided.wait(), async {
                     Timer::after(FIRST_WORD).await;
                 })
                 .await;
@@ -248,7 +248,7 @@
             Err(Parting::Closes("crowded"))
         };
         let away = async {
-            self.context.sends_away.until_up().await;
+            self.context.sends_away.wait().await;
             Timer::after(REST).await;
             Err(Parting::Closes("sent-away"))
         };
@@ -271,7 +271,7 @@
             None
         };
         let asked = async {
-            future::or(guest.asked_to_go(), self.context.undecided.until_up()).await;
+            future::or(guest.asked_to_go(), self.context.undecided.wait()).await;
             None
         };
         future::or(async { Some(read(&mut self.wire).await) }, future::or(late, asked)).await
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -26,8 +26,8 @@
 use std::time::{Duration, Instant};
 
 /// What passes between two processes has this form; one of another form waits for the end of the older process.
-/// Form 3 holds turns by number in place of a die, and form 2 held what is told of limits in the mean.
-pub const FORMAT: u32 = 3;
+/// Form 4 has the times of one clock that all processes share; form 3 told the wall clock beside an own one.
+pub const FORMAT: u32 = 4;
 /// A frame holds no more than this: the state of many thousand messages, without their bodies.
 const LARGEST: usize = 64 << 20;
 /// The new process must have said that it owns all so long after it was sent the state; user agents wait meanwhile.
@@ -57,10 +57,6 @@
 /// All that passes at the moment of the hand-over, but for what the folder holds.
 #[derive(Serialize, Deserialize)]
 pub struct State {
-    /// What the older process's clock showed.
-    pub clock: Micros,
-    /// And the wall clock then.
-    pub wall: Micros,
     /// The module's whole record.
     pub module: Value,
     /// The last id given to a message.
@@ -174,9 +170,10 @@
 /// everything as it was before.
 pub async fn give(decider: &mut Decider, heir: Heir, mail: &Receiver<ToDecider>) {
     let context = decider.context().clone();
-    context.journal.borrow_mut().pause();
     let begun = Instant::now();
     let given = async {
+        // What could not be written would not be in the folder that the other one reads.
+        context.journal.pause().map_err(|_| Broken::Malformed("the journal cannot be written"))?;
         let mut link = Link::new(heir.wire, &context.executor)?;
         link.speaker.send(&FromOld::State(Box::new(decider.state(heir.list))), &[]).await?;
         match link.read().await? {
@@ -189,16 +186,14 @@
         Ok(link) => link,
         Err(e) => {
             warn!(context.log, "not handed over, serving on"; "reason" => e.code(), "error" => %e);
-            if let Err(e) = context.journal.borrow_mut().go_on() {
-                warn!(context.log, "journal"; "error" => %e);
-            }
+            context.journal.resume();
             context.handing.set(false);
             let _ = decider.members().send(ToMembers::GoOn).await;
             return;
         }
     };
     // From here on the other one decides. Its listener is open, so this one's may close.
-    context.handed_over.raise();
+    context.handed_over.set();
     drop(context.owner.take());
     let _ = link.speaker.send(&FromOld::Granted, &[]).await;
     info!(context.log, "handed over"; "ms" => begun.elapsed().as_millis() as u64, "open" => context.open.get(),
@@ -206,7 +201,7 @@
     decider.retire();
     relay(decider, link, mail).await;
     warn!(context.log, "the process that took over is gone");
-    context.heir_lost.raise();
+    context.heir_lost.set();
     // Whatever still comes is not taken on.
     while let Ok(news) = mail.recv().await {
         match news {
@@ -286,7 +281,7 @@
 /// Comes back when the older process has nothing more to do here: all is sent on and nothing came for a while, or
 /// nobody is there to send it to.
 pub async fn left_over(context: &Context) {
-    context.handed_over.until_up().await;
+    context.handed_over.wait().await;
     let done = async {
         let mut since = Instant::now();
         while since.elapsed() < LEFT_OVER {
@@ -296,7 +291,7 @@
             }
         }
     };
-    future::or(done, context.heir_lost.until_up()).await;
+    future::or(done, context.heir_lost.wait()).await;
 }
 
 /// What a starting process has found in the folder.
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -39,6 +39,8 @@
 /// once unless it is down, and what it has counts as told from the first moment on. Where a slow platform has a whole fleet
 /// wait, all of it calls at the same moment afterwards (herd+vast, seed 566030076732: G 0.68 with 1 s, 0.70 with this).
 const FIRST_LIST: Duration = Duration::from_millis(300);
+/// What left before this process began counts as told so long before its start.
+const BEFORE_START: Micros = 60_000_000;
 const LINE_LIMIT: usize = 4 * 1024 * 1024;
 
 /// What the membership's actor can be told.
@@ -170,6 +172,7 @@
         let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
         let membership = Membership::new(sources);
         let (held, opening, generation, source, registry, left) = Default::default();
+        let heard = context.clock.now().saturating_sub(BEFORE_START);
         Members {
             context,
             names,
@@ -178,7 +181,7 @@
             held,
             opening,
             watches: 0,
-            heard: 0,
+            heard,
             approach,
             generation,
             source,
@@ -203,7 +206,7 @@
     /// Goes on with the list of the process that this one replaces, under the same numbers.
     pub async fn inherit(&mut self, carried: Carried) {
         self.membership.adopt(&carried);
-        self.context.list_told.raise();
+        self.context.list_told.set();
         let now = self.context.clock.now();
         for (source, listings) in carried.views.into_iter().enumerate() {
             let how = if SourceId(source) == PUSHED { Telling::Stale } else { Telling::Patch };
@@ -381,9 +384,9 @@
             ToMembers::Line { watch, line } => self.take_line(watch, &line).await,
             ToMembers::Silent { watch } => self.fell_silent(watch),
             ToMembers::Ended { watch, over } => self.ended(watch, over),
-            ToMembers::Unheard if !self.context.list_told.is_up() => {
+            ToMembers::Unheard if !self.context.list_told.is_set() => {
                 warn!(self.context.log, "no list yet, calling by the one that was known"; "reason" => "unheard");
-                self.context.list_told.raise();
+                self.context.list_told.set();
             }
             ToMembers::Unheard => {}
             ToMembers::HandOver { reply } => {
@@ -604,7 +607,7 @@
         self.held.take_if(of);
         self.opening.retain_mut(|w| !of(w));
         // The agent is there and tells nothing: that is no reason to hold calls back.
-        self.context.list_told.raise();
+        self.context.list_told.set();
         let wanted = self.context.config().discovery;
         if self.opening.is_empty() && self.held.as_ref().is_none_or(|w| w.address != wanted) {
             let pause = match over {
@@ -654,7 +657,7 @@
         let changes = self.membership.take(learnt, PUSHED, news);
         self.tell(if complete { Telling::Whole } else { Telling::Patch }, changes).await;
         // Only now: the board has it.
-        self.context.list_told.raise();
+        self.context.list_told.set();
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,11 +8,12 @@
 pub mod counters;
 pub mod decider;
 pub mod eureka;
-pub mod flag;
+pub mod folder;
 pub mod front;
 pub mod handover;
 pub mod http;
-pub mod journal;
+pub mod journal_keeper;
+pub mod latch;
 pub mod lobby;
 pub mod members;
 pub mod notices;
@@ -23,7 +24,8 @@
 pub mod route_stats;
 pub mod transaction;
 
-use crate::{Courier, MessageId, Settings};
+use crate::journal::{Journal, Restored, Unreadable};
+use crate::{Courier, Settings};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -33,10 +35,11 @@
 use config::Config;
 use counters::Counters;
 use decider::{Decider, ToDecider};
-use flag::Flag;
+use folder::Folder;
 use futures_lite::{future, StreamExt};
 use handover::Claim;
-use journal::Journal;
+use journal_keeper::JournalKeeper;
+use latch::Latch;
 use members::{Members, ToMembers};
 use pulse::Pulse;
 use serde_json::Value;
@@ -70,7 +73,7 @@
     /// Whether this process stood still.
     pub pulse: Pulse,
     /// What outlasts the process.
-    pub journal: RefCell<Journal>,
+    pub journal: JournalKeeper,
     /// Counts.
     pub counters: Counters,
     /// Counts by the entries of the site file.
@@ -97,19 +100,19 @@
     /// The module has a list to go by.
     pub holds_list: Cell<bool>,
     /// The platform's agent has told its list to this process, or won't just now: calls may go out.
-    pub list_told: Flag,
+    pub list_told: Latch,
     /// The program is ending and takes no more connections.
-    pub listener_closes: Flag,
+    pub listener_closes: Latch,
     /// The program is ending and decides no more: what is not whole by now is turned away.
-    pub undecided: Flag,
+    pub undecided: Latch,
     /// Operators want user agents sent away.
-    pub sends_away: Flag,
+    pub sends_away: Latch,
     /// Another process is taking over, or has: nothing may change here meanwhile.
     pub handing: Cell<bool>,
     /// Another process has taken over.
-    pub handed_over: Flag,
+    pub handed_over: Latch,
     /// The process that has taken over is gone.
-    pub heir_lost: Flag,
+    pub heir_lost: Latch,
     /// User agents connected to the process that this one has replaced, at most.
     pub older_agents: Cell<usize>,
     /// This process owns the folder.
@@ -152,12 +155,12 @@
     /// User agents may come, and operators have not sent them away; those that come yet are passed on where another
     /// process has taken over.
     pub fn takes_user_agents(&self) -> bool {
-        (self.ready() || self.handed_over.is_up()) && !self.sends_away.is_up()
+        (self.ready() || self.handed_over.is_set()) && !self.sends_away.is_set()
     }
 
     /// An answered user agent is to come again by another connection, if at all.
     pub fn turns_away(&self) -> bool {
-        self.sends_away.is_up() || self.handed_over.is_up()
+        self.sends_away.is_set() || self.handed_over.is_set()
     }
 
     /// The counters, with what is held just now.
@@ -172,13 +175,16 @@
         }
         if self.config().operator.is_some() {
             report["cordoned"] = self.cordoned.borrow().clone().into();
-            report["handed_over"] = self.handed_over.is_up().into();
-            report["sends_away"] = self.sends_away.is_up().into();
+            report["handed_over"] = self.handed_over.is_set().into();
+            report["sends_away"] = self.sends_away.is_set().into();
         }
         report["user_agents"] = self.user_agents.get().into();
         report["open"] = self.open.get().into();
         report["notices_owed"] = self.notices_owed.get().into();
-        report["journal_bytes"] = self.journal.borrow().disk().into();
+        let (bytes, owed) = self.journal.sizes();
+        report["journal_bytes"] = bytes.into();
+        report["journal_owed"] = owed.into();
+        report["journal_writable"] = self.journal.is_writable().into();
         report
     }
 
@@ -201,13 +207,6 @@
             _ => drop(words.insert(word.to_owned(), left)),
         }
     }
-
-    /// Notes the end of a message in the journal.
-    pub fn journal_end(&self, id: MessageId) {
-        if let Err(e) = self.journal.borrow_mut().end(id.0) {
-            warn!(self.log, "journal"; "error" => %e);
-        }
-    }
 }
 
 /// Reads the configuration. At a reload the file's word on the platform's address goes before the variable's,
@@ -237,6 +236,7 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let (config, settings) = load(Reading::Start)?;
     let folder = |e: std::io::Error| format!("state folder `{}`: {e}", config.state.display());
+    let clock = Clock::start();
     let (mut claim, sockets, (journal, restored)) = loop {
         let claim = match config.operator {
             Some(_) => {
@@ -251,7 +251,7 @@
             }
             None => None,
         };
-        let opened = Journal::open(&config.state, config.journal_disk()).map_err(folder)?;
+        let opened = open_journal(&config, clock).map_err(folder)?;
         let sockets = Sockets::open(&config)?;
         let Some(mut claim) = claim else { break (None, sockets, opened) };
         if claim.take_over(&config).await.map_err(folder)? {
@@ -266,8 +266,7 @@
     let passed = claim.as_mut().and_then(|c| c.passed.take());
     let routes = settings.routes.clone();
     let (state, passed) = passed.unzip();
-    let clock = state.as_ref().map_or_else(Clock::start, |s| Clock::go_on(s.clock, s.wall));
-    let settings = Settings { ahead: clock.to_wall(0), ..settings };
+    let settings = Settings { ahead: clock.behind_wall(), ..settings };
     let fresh = || Courier::new(settings.clone(), config.seed).map_err(|e| e.to_string());
     let courier = passed.map_or_else(fresh, Ok)?;
     let (decider, mail) = async_channel::bounded(1024);
@@ -275,7 +274,7 @@
     let context = Rc::new(Context {
         board: Board::new(clock, config.drain_grace),
         pulse: Pulse::new(clock.now()),
-        journal: RefCell::new(journal),
+        journal: JournalKeeper::new(journal),
         idle_peers: Cell::new(0),
         hearing_out: Cell::new(0),
         log,
@@ -295,13 +294,13 @@
         notices_owed: Cell::new(0),
         user_agents: Cell::new(0),
         holds_list: Cell::new(false),
-        list_told: Flag::default(),
-        listener_closes: Flag::default(),
-        undecided: Flag::default(),
-        sends_away: Flag::default(),
+        list_told: Latch::default(),
+        listener_closes: Latch::default(),
+        undecided: Latch::default(),
+        sends_away: Latch::default(),
         handing: Cell::new(false),
-        handed_over: Flag::default(),
-        heir_lost: Flag::default(),
+        handed_over: Latch::default(),
+        heir_lost: Latch::default(),
         older_agents: Cell::new(state.as_ref().map_or(0, |s| s.user_agents)),
         owner: RefCell::default(),
         token: RefCell::default(),
@@ -314,6 +313,7 @@
     let (members_box, members_mail) = async_channel::bounded(16);
     context.executor.spawn(notices::run(context.clone(), notices_mail)).detach();
     context.executor.spawn(pulse::run(context.clone())).detach();
+    context.executor.spawn(journal_keeper::run(context.clone())).detach();
     let mut decider = Decider::new(context.clone(), courier, notices, members_box.clone(), restored.last_id);
     let mut members = Members::new(context.clone(), members_box.clone());
     if config.operator.is_some() {
@@ -321,14 +321,14 @@
     }
     match (state, older) {
         (Some(state), Some(older)) => {
-            let list = decider.inherit(*state, restored.kept, &older, settings).await;
+            let list = decider.inherit(*state, restored.messages, &older, settings).await;
             members.inherit(list).await;
         }
         _ => {
             if let Some(known) = &config.known {
                 members.take_known(known).await;
             }
-            decider.restore(restored.kept).await;
+            decider.restore(restored.messages).await;
         }
     }
     context.executor.spawn(decider.run(mail)).detach();
@@ -352,12 +352,18 @@
         within(eureka::register::LAST_WORD, gone.recv()).await;
     }
     info!(context.log, "counters"; "report" => %context.report());
-    match context.heir_lost.is_up() {
+    match context.heir_lost.is_set() {
         true => Err("the process that took over is gone".into()),
         false => Ok(()),
     }
 }
 
+fn open_journal(config: &Config, clock: Clock) -> std::io::Result<(Journal, Restored)> {
+    let storage = Folder::open(&config.state)?;
+    let moment = move || clock.moment();
+    Journal::open(Box::new(storage), config.journal_disk(), moment, fastrand::u32(..), Unreadable::Fail)
+}
+
 /// Nothing, once a signal ends the program; a SIGHUP that comes before it serves has nothing to change yet.
 async fn until_ended<T>(signals: &mut Signals) -> Option<T> {
     while let Some(Ok(Signal::Hup)) = signals.next().await {}
@@ -451,13 +457,13 @@
     if let Some(why) = config.needs_restart(&context.config()) {
         return Err(why.into());
     }
-    context.journal.borrow_mut().limit(config.journal_disk());
+    context.journal.set_limit(config.journal_disk());
     context.board.grace(config.drain_grace);
     context.routes.apply(settings.routes.clone());
     *context.config.borrow_mut() = Rc::new(config);
     tell_number(context);
     // A step of the machine's clock is followed here, and between reloads it moves no place.
-    Ok(Settings { ahead: context.clock.to_wall(0), ..settings })
+    Ok(Settings { ahead: context.clock.behind_wall(), ..settings })
 }
 
 /// Tells why the forwarder goes by chance where others take places, if it does.
@@ -474,14 +480,14 @@
     close.close();
     Timer::after(LINGER).await;
     // It takes what waits in its queue, then closes.
-    context.listener_closes.raise();
+    context.listener_closes.set();
     front.await;
     let idle = || context.calls_out.get() == 0 && context.notices_owed.get() == 0;
     while since.elapsed() < DECIDES && !(idle() && context.open.get() == 0 && context.user_agents.get() == 0)
     {
         Timer::after(LOOK).await;
     }
-    context.undecided.raise();
+    context.undecided.set();
     let _ = context.decider.send(ToDecider::Close).await;
     // An answer is not given before it is written, and not safe before its reader has it.
     let told = || context.decider.is_empty() && context.user_agents.get() == 0;
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -1,8 +1,8 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
 
 use super::http::{Broken, Wire};
-use super::journal::Verdict;
 use super::Context;
+use crate::journal::ReportedEnd;
 use crate::MessageId;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -27,15 +27,15 @@
     /// The user agent's.
     pub word: String,
     /// How it ended.
-    pub verdict: Verdict,
+    pub end: ReportedEnd,
 }
 
 impl Notice {
     fn line(&self) -> String {
-        match self.verdict {
-            Verdict::Failed => json!({"id": self.word, "state": "failed"}),
-            Verdict::Returned(None) => json!({"id": self.word, "state": "returned"}),
-            Verdict::Returned(Some(ms)) => json!({"id": self.word, "state": "returned", "after_ms": ms}),
+        match self.end {
+            ReportedEnd::Failed => json!({"id": self.word, "state": "failed"}),
+            ReportedEnd::Returned(None) => json!({"id": self.word, "state": "returned"}),
+            ReportedEnd::Returned(Some(ms)) => json!({"id": self.word, "state": "returned", "after_ms": ms}),
         }
         .to_string()
     }
@@ -56,7 +56,7 @@
         while let Ok(notice) = mail.try_recv() {
             pending.push_back(notice);
         }
-        if context.handed_over.is_up() {
+        if context.handed_over.is_set() {
             // They are in the journal, and another process tells them.
             return;
         }
@@ -69,7 +69,7 @@
         match future::or(post(&context, &mut connection, &body), late).await {
             Ok(204) => {
                 for notice in pending.drain(..count) {
-                    context.journal_end(notice.id);
+                    context.journal.end(notice.id);
                     context.release_word(&notice.word);
                     context.counters.notices.add();
                     context.notices_owed.set(context.notices_owed.get().saturating_sub(1));
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -62,8 +62,8 @@
         Operation::SendAway(away) => {
             info!(context.log, "user agents"; "sent_away" => away);
             match away {
-                true => context.sends_away.raise(),
-                false => context.sends_away.lower(),
+                true => context.sends_away.set(),
+                false => context.sends_away.clear(),
             }
             Ok(())
         }
@@ -196,11 +196,11 @@
             return Answer::plain(405, format!("only with {method}\n"));
         }
         match what {
-            "health" if self.context.handed_over.is_up() => {
+            "health" if self.context.handed_over.is_set() => {
                 Answer::plain(503, "another process has taken over\n")
             }
             "health" if self.context.takes_user_agents() => Answer::plain(200, "takes user agents\n"),
-            "health" if self.context.sends_away.is_up() => Answer::plain(503, "sends user agents away\n"),
+            "health" if self.context.sends_away.is_set() => Answer::plain(503, "sends user agents away\n"),
             "health" => Answer::plain(503, "not ready\n"),
             "quiesce" | "resume" => {
                 let operation = Operation::SendAway(what == "quiesce");
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -2,8 +2,8 @@
 
 use super::call::{Call, Came, End, Ended};
 use super::http::{Answered, Broken, Wire};
-use super::journal::Sent;
 use super::{Context, ToDecider};
+use crate::journal::AttemptStart;
 use crate::{EndpointId, LimitReport, Micros, Outcome};
 use async_channel::{Receiver, Sender, WeakSender};
 use async_io::{Async, Timer};
@@ -336,13 +336,13 @@
     }
     let wire = slot.as_mut().expect("just made");
     wire.stall = Some(STALL);
-    context.list_told.until_up().await;
+    context.list_told.wait().await;
     context.pulse.until_caught_up(&context.clock).await;
     let now = context.clock.now();
     let over = pass.parts.iter().any(|p| p.transaction.is_over());
     let bar = if over {
         Some("over")
-    } else if context.journal.borrow().is_paused() {
+    } else if context.journal.is_paused() {
         Some("handed-over")
     } else if now >= pass.first_cut(&vec![true; pass.parts.len()]) {
         Some("cut")
@@ -358,9 +358,8 @@
     }
     let zone = context.board.get(pass.endpoint).map(|k| context.config().names.zones[k.zone.0].clone());
     for part in &pass.parts {
-        let at = context.clock.to_wall(pass.sent);
-        let sent = Sent { at, zone: zone.clone().unwrap_or_default() };
-        if let Err(e) = context.journal.borrow_mut().attempt(part.transaction.id.0, part.attempt, sent) {
+        let start = AttemptStart { at: pass.sent, zone: zone.clone().unwrap_or_default() };
+        if let Err(e) = context.journal.attempt(part.transaction.id, part.attempt, start) {
             warn!(context.log, "not sent"; "reason" => "journal", "error" => %e);
             stage.set(Stage::Barred);
             return Stop::Barred;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -16,6 +16,7 @@
          u2 send t1
          u2 expect 503
          faults
+         wait journal_writable=true
          u1 sends 20 b deadline=20000m
          kill
          start
