--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -55,3 +55,65 @@
          p expect-all m*20 returned",
     );
 }
+
+/// Guards against a full folder being taken for failed attempts: all tries were spent in some 60 ms, and messages were returned
+/// that had 19 s left and a partner that was well.
+#[test]
+fn while_the_journal_cannot_be_written_messages_wait_and_come_back_by_themselves() {
+    play(
+        "with e1=1:one:leaving open=64 faults=on
+         start
+         u1 sends 20 m deadline=20000m
+         faults write ENOSPC
+         p send e1=active
+         struck write
+         u2 send x1
+         u2 expect 503
+         stands 3000
+         faults
+         e1 serves m*20
+         wait delivered=20 returned=0",
+    );
+}
+
+/// Guards against an end that is forgotten as it cannot be written: after a kill the message, which must not run twice, was told
+/// to have failed.
+#[test]
+fn an_end_that_could_not_be_written_is_written_later() {
+    play(
+        "with e1=1 faults=on
+         start
+         u1 send m1 class=once
+         u1 expect 202
+         e1 expect m1
+         faults write ENOSPC
+         e1 send m1 200
+         wait delivered=1
+         faults
+         wait journal_writable=true
+         kill
+         start
+         wait restored=0 failed=0",
+    );
+}
+
+/// Guards against a last look at the listener's queue that ends at the first error: requests that waited there were reset.
+#[test]
+fn requests_in_the_queue_are_answered_after_a_term_though_accept_fails_now_and_then() {
+    play(
+        "with e1=1 faults=on
+         start
+         stop
+         u1 send m1
+         u2 send m2
+         u3 send m3
+         faults accept ECONNABORTED count=16
+         term
+         continue
+         u1 expect 202
+         u2 expect 202
+         u3 expect 202
+         e1 serves m*3
+         exit",
+    );
+}
