--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -40,7 +40,7 @@
     let mut settings = platform().0;
     let (_, mut words) = platform();
     let forwarders = scenario.forwarders.count;
-    settings.couriers = forwarders;
+    settings.forwarders = forwarders;
     let busy: f64 = partners.iter().zip(&traffic).map(|(p, t)| full * t * p.pace as f64 / SECOND).sum();
     let slots = (busy / forwarders as f64 * SLOTS).ceil() as usize;
     settings.slots = scenario.forwarders.slots.unwrap_or(slots.max(3));
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -112,7 +112,7 @@
         Outcome::Reset => 5,
         Outcome::Stale => 6,
         Outcome::Cancelled => 7,
-        Outcome::Moot => 8,
+        Outcome::Moot | Outcome::Unsent => 8,
     }
 }
 
--- a/crates/lab/src/words.rs
+++ b/crates/lab/src/words.rs
@@ -35,7 +35,7 @@
         "operator": places.operator.map(|o| o.to_string()), "discovery": places.agent.to_string(), "seed": format!("{:x}", 0x5eed + forwarder), "state": state,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS.max(64 + 4 * s.slots), "disk_mb": 16},
         "settings": {
-            "azs": world.names.zones, "zone": world.names.zones[0], "balancers": s.couriers, "me": world.fleet[forwarder].number,
+            "azs": world.names.zones, "zone": world.names.zones[0], "balancers": s.forwarders, "me": world.fleet[forwarder].number,
             "kinds": world.names.kinds, "discovery": "pushed", "granularity": ms(s.granularity),
             "weight-source": "rough", "callers": {"marks-retry": s.marks_retry},
             "categories": [{"name": world.names.classes[0], "semantics": "token", "dedup-scope": "all",
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -141,7 +141,7 @@
         ordered: false,
     };
     let settings = Settings {
-        couriers: 1,
+        forwarders: 1,
         zone: ZoneId(0),
         tolls: vec![0.0],
         handshake_fee: 0.02,
@@ -178,8 +178,8 @@
 impl World {
     /// The settings as one of so many forwarders is told them.
     pub fn told_to(&self, forwarder: usize, count: usize) -> Settings {
-        let couriers = ((count as f64 * self.told).round() as usize).max(1);
-        Settings { couriers, number: self.fleet[forwarder].number, ..self.settings.clone() }
+        let forwarders = ((count as f64 * self.told).round() as usize).max(1);
+        Settings { forwarders, number: self.fleet[forwarder].number, ..self.settings.clone() }
     }
 
     /// Draws a day at a load, which is a share of full load.
@@ -201,7 +201,7 @@
         of.paces.iter().for_each(|p| partners[p.rank - 1].pace = p.work.0);
         let mut settings = platform().0;
         let load = pick(&mut rng, load);
-        settings.couriers = experiment.forwarders;
+        settings.forwarders = experiment.forwarders;
         let each = full / experiment.forwarders as f64;
         let busy: f64 =
             partners.iter().zip(&traffic).map(|(p, t)| full * t * p.pace as f64 / SECOND as f64).sum();
@@ -351,7 +351,7 @@
         let within = b.0 >= 1.0;
         b.0 -= f64::from(u8::from(within));
         let again = rng.random_bool(0.75).then(|| (pick(rng, (0.53, 1.5)) * SECOND as f64) as Micros);
-        let forwarder = rng.random_range(0..settings.couriers);
+        let forwarder = rng.random_range(0..settings.forwarders);
         Hand { at, partner, tenant, forwarder, worth: if within { 1.0 } else { OVER_SHARE }, again }
     };
     times.into_iter().map(hand).collect()
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,5 @@
 //! The interface of the decision module: settings, events, actions and the ids they name.
-//! Types only; every decision is in `logic.rs`.
+//! Types only; every decision is in `policy`.
 
 use crate::routes::Plan;
 use serde::{Deserialize, Serialize};
@@ -16,7 +16,7 @@
         pub struct $name(pub $inner);
     };
 }
-id!(/** A message, named by the caller; never used twice in one courier's life. */ MessageId(u64));
+id!(/** A message, named by the caller; never used twice in one forwarder's life. */ MessageId(u64));
 id!(/** An address that takes calls. */ EndpointId(u32));
 id!(/** The party a message is for; it has one or several endpoints. */ DestinationId(u64));
 id!(/** Messages of an ordered class that share a key keep their order. */ OrderKey(u64));
@@ -79,7 +79,7 @@
 /// A customer whose traffic has an agreed share.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Tenant {
-    /// Messages a second, over all couriers, that are within the share.
+    /// Messages a second, over all forwarders, that are within the share.
     pub quota_per_s: f64,
 }
 
@@ -98,22 +98,22 @@
     #[default]
     /// Nothing.
     Off,
-    /// Calls a second that the destination (or the route apart) takes from all couriers.
+    /// Calls a second that the destination (or the route apart) takes from all forwarders.
     Nominal,
     /// The same, up to half too high or too low.
     Rough,
 }
 
-/// Everything a courier is told at its start. The default is empty, and no courier takes it.
+/// Everything a forwarder is told at its start. The default is empty, and no forwarder takes it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Settings {
     /// Couriers that share the traffic, this one included.
-    pub couriers: usize,
-    /// This courier's number among them, from 0; without one it takes its turns by chance.
+    pub forwarders: usize,
+    /// This forwarder's number among them, from 0; without one it takes its turns by chance.
     pub number: Option<u64>,
-    /// What the clock that all couriers read showed when this one's own showed 0.
+    /// What the clock that all forwarders read showed when this one's own showed 0.
     pub ahead: Micros,
-    /// Where this courier runs.
+    /// Where this forwarder runs.
     pub zone: ZoneId,
     /// For each zone: points charged if every message went by a route apart there.
     pub tolls: Vec<f64>,
@@ -246,6 +246,8 @@
     Cancelled,
     /// Not sent; never ran.
     Moot,
+    /// Not sent, as nothing could be noted of it; never ran, and counts as no attempt.
+    Unsent,
 }
 
 /// What an answer tells of the limit: share left, and calls a second (0: no limit).
@@ -272,13 +274,13 @@
     pub time_left: Micros,
     /// Where it goes.
     pub destination: DestinationId,
-    /// It comes from a courier that died and may have sent it.
+    /// It comes from a forwarder that died and may have sent it.
     pub orphan: bool,
     /// When and where the first attempt was sent that may have run, if that is known.
     pub first: Option<(Micros, ZoneId)>,
     /// Its client says that it was handed in before; see [`Settings::marks_retry`].
     pub again: bool,
-    /// Attempts made before this courier had it; they count against [`Settings::max_attempts`].
+    /// Attempts made before this forwarder had it; they count against [`Settings::max_attempts`].
     pub attempts: u32,
 }
 
@@ -331,6 +333,11 @@
         /// How long.
         wait: Micros,
     },
+    /// Whether what outlasts the process can be written: while it cannot, no attempt may begin.
+    Journal {
+        /// It can.
+        writable: bool,
+    },
     /// Nobody wants this message any more.
     Withdrawn {
         /// Which message.
--- a/src/bin/cedarbridge-simhost/main.rs
+++ b/src/bin/cedarbridge-simhost/main.rs
@@ -1,4 +1,4 @@
-//! Hosts many courier instances on the simulator's wire: one JSON value a line in, one reply a line out.
+//! Hosts many forwarder instances on the simulator's wire: one JSON value a line in, one reply a line out.
 
 mod wire;
 
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -1,7 +1,7 @@
 //! `explain`: which entry wins for a message and why, and the worst case that follows.
 
 use super::{lines, print, Failed, Files, Read};
-use crate::logic::longest_cut;
+use crate::policy::longest_cut;
 use crate::routes::{worst_case, Plan, Route, Step, Timing, MOST_ATTEMPTS};
 use crate::site::written;
 use crate::words::index;
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -341,12 +341,10 @@
         if let Change::Step(step) = &change {
             self.apply(id, step);
         }
-        if self.failing {
-            return;
-        }
         self.owed.push_back((id, change));
-        if !self.paused && self.write_owed().is_err() {
-            self.owed.pop_back();
+        if !self.paused && !self.failing {
+            // What remains owed is written by a later retry.
+            let _ = self.write_owed();
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,11 @@
 pub mod breach;
 pub mod cli;
 pub mod journal;
-pub mod logic;
+
 pub mod measured;
 pub mod membership;
 pub mod net;
+pub mod policy;
 pub mod routes;
 mod settings;
 pub mod site;
@@ -15,4 +16,4 @@
 pub mod words;
 
 pub use api::*;
-pub use logic::Courier;
+pub use policy::DeliveryPolicy;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -49,7 +49,7 @@
     /// Calls out at once.
     pub slots: usize,
     /// Forwarders that share the traffic, this one included.
-    pub couriers: usize,
+    pub forwarders: usize,
     /// Its number among them, or why it has none.
     pub number: Result<u64, String>,
     /// The kinds of destination.
@@ -134,7 +134,7 @@
             granularity: settings.granularity,
             max_open: settings.max_open,
             slots: settings.slots,
-            couriers: settings.couriers,
+            forwarders: settings.forwarders,
             number: own_number(raw),
             kinds: settings.kinds.clone(),
             names: Arc::new(names),
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -72,6 +72,8 @@
     cancelled,
     /// Attempts not sent after all.
     moot,
+    /// Attempts not sent as the journal could not be written; they count as none.
+    unsent,
     /// Messages delivered.
     delivered,
     /// Messages ended as failed.
@@ -86,6 +88,8 @@
     reused,
     /// Connections taken from user agents.
     accepted,
+    /// Connections that could not be taken from the listener's queue just then.
+    accept_failures,
     /// Versions of the list taken in from the watch.
     lists,
     /// Configurations read again and applied.
@@ -107,6 +111,7 @@
             Outcome::Stale => &self.stale,
             Outcome::Cancelled => &self.cancelled,
             Outcome::Moot => &self.moot,
+            Outcome::Unsent => &self.unsent,
         }
         .add();
     }
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -12,7 +12,7 @@
 use crate::membership::Carried;
 use crate::words::Names;
 use crate::{
-    Action, ClassId, Courier, DestinationId, EndpointId, Event, KindId, Lifecycle, ListNews, MessageId,
+    Action, ClassId, DeliveryPolicy, DestinationId, EndpointId, Event, KindId, Lifecycle, ListNews, MessageId,
 };
 use crate::{Micros, Outcome, Settings, Shown, Status, TenantId, ZoneId};
 use async_channel::{Receiver, Sender};
@@ -102,7 +102,7 @@
 pub struct Decider {
     context: Rc<Context>,
     names: Arc<Names>,
-    courier: Courier,
+    policy: DeliveryPolicy,
     notices: Sender<Notice>,
     members: Sender<ToMembers>,
     /// Endpoints that may be called, with whose they are, and the actors of those that were.
@@ -116,6 +116,8 @@
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     events: Vec<Event>,
     last_step: Micros,
+    /// The module knows that the journal can be written.
+    journal_writable: bool,
     closed: bool,
     /// The process that is to replace this one.
     heir: Option<Heir>,
@@ -130,7 +132,7 @@
     /// An actor that holds nothing yet; ids go on after the last one used.
     pub fn new(
         context: Rc<Context>,
-        courier: Courier,
+        policy: DeliveryPolicy,
         notices: Sender<Notice>,
         members: Sender<ToMembers>,
         last_id: u64,
@@ -139,7 +141,7 @@
             handed_in: vec![0; context.config().names.tenants.len()],
             names: context.config().names.clone(),
             context,
-            courier,
+            policy,
             notices,
             members,
             listed: BTreeMap::new(),
@@ -151,6 +153,7 @@
             timers: BinaryHeap::new(),
             events: Vec::new(),
             last_step: 0,
+            journal_writable: true,
             closed: false,
             heir: None,
             older: BTreeMap::new(),
@@ -229,7 +232,7 @@
             handover::Message { id: *id, attempts: attempt + 1, since: None, out }
         });
         State {
-            module: serde_json::to_value(&self.courier).unwrap_or_default(),
+            module: serde_json::to_value(&self.policy).unwrap_or_default(),
             last_id: self.next,
             messages: messages.chain(over).collect(),
             timers: self.timers.iter().map(|t| t.0).collect(),
@@ -402,7 +405,7 @@
                 "wait_ms": ms(s.wait as f64), "cold": s.cold, "answer_ms": s.latency.map(ms),
                 "limit_per_s": s.limit.map(|l| l.rate), "limit_left": s.limit.map(|l| l.left)})
         };
-        let partners: Vec<Value> = self.courier.shown(self.context.clock.now()).map(one).collect();
+        let partners: Vec<Value> = self.policy.shown(self.context.clock.now()).map(one).collect();
         let channels = self.names.tenants.iter().zip(&self.handed_in);
         let channels: Vec<Value> = channels.map(|(name, n)| json!({"name": name, "handed_in": n})).collect();
         json!({"partners": partners, "channels": channels})
@@ -547,7 +550,10 @@
                     }
                 }
                 self.context.journal.end(id);
-            } else if matches!(end.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
+            } else if matches!(
+                end.outcome,
+                Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot | Outcome::Unsent
+            ) {
                 self.context.journal.never_ran(id, attempt);
             }
             self.forget(id);
@@ -567,6 +573,11 @@
             self.timers.pop();
             self.events.push(Event::Timer { token });
         }
+        let writable = self.context.journal.is_writable();
+        if writable != self.journal_writable {
+            self.journal_writable = writable;
+            self.events.push(Event::Journal { writable });
+        }
         if self.events.is_empty() {
             return;
         }
@@ -586,7 +597,7 @@
             }
         }
         let mut actions = Vec::new();
-        self.courier.step(now, &events, &mut actions);
+        self.policy.step(now, &events, &mut actions);
         for event in &events {
             let Event::List(ListNews::Patch(entries) | ListNews::Whole(entries)) = event else { continue };
             let leave = entries.iter().filter(|e| e.lifecycle != Lifecycle::Listed);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -39,6 +39,12 @@
     ["X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Addressing", "Idempotency-Key", "X-Retry"];
 /// Where another process has taken over, a connection between requests is closed so long after the signal.
 const PASSED_ON: Duration = Duration::from_millis(1800);
+/// Between two looks at whether there is room for another connection.
+const LOOK: Duration = Duration::from_millis(5);
+/// The pause after a failed accept grows by the first with each in a row, up to the second.
+const ACCEPT_RETRY: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
+/// So many failures in a row that belong to one connection each are followed by another try at once.
+const AT_ONCE: u32 = 16;
 /// So many connections wait at most to be taken; a crowd must not make the system drop those behind it.
 const QUEUE: i32 = 1024;
 
@@ -57,12 +63,13 @@
     let lobby = Rc::new(Lobby::default());
     let room = || context.config().user_agents().saturating_sub(context.older_agents.get());
     let full = || context.user_agents.get().saturating_sub(lobby.going()) >= room();
+    let mut retry = AcceptRetry::default();
     loop {
         let accepted = async {
             while full() {
                 // Where all are being served, what does not fit waits in the listener's queue.
                 if !lobby.make_room() {
-                    Timer::after(Duration::from_millis(5)).await;
+                    Timer::after(LOOK).await;
                 }
             }
             Some(listener.accept().await)
@@ -72,31 +79,76 @@
             None
         };
         match future::or(closes, accepted).await {
-            Some(Ok((stream, address))) => welcome(&context, &lobby, stream, address),
-            Some(Err(e)) => {
-                warn!(context.log, "cannot accept"; "error" => %e);
-                Timer::after(Duration::from_millis(50)).await;
+            Some(Ok((stream, address))) => {
+                retry.succeeded();
+                welcome(&context, &lobby, stream, address);
             }
+            Some(Err(e)) => retry.pause(&context, &e).await,
             None => break,
         }
         // A crowd that is always ready must not keep the others from their turn.
         future::yield_now().await;
     }
-    // What waits in the queue would be reset with the listener. Nothing comes between the last look and its end but
-    // what arrives in that very moment.
-    let mut last = 0;
-    while !full() || lobby.make_room() {
-        let Ok((stream, address)) = listener.get_ref().accept() else { break };
-        match Async::new(stream) {
-            Ok(stream) => welcome(&context, &lobby, stream, address),
-            Err(e) => warn!(context.log, "cannot accept"; "error" => %e),
-        }
-        last += 1;
-    }
+    let last = accept_last(&context, &lobby, &listener, full).await;
     drop(listener);
     info!(context.log, "listener closed"; "taken_last" => last);
 }
 
+/// Takes all that waits in the queue, which would be reset with the listener; how many those were. Nothing comes between the
+/// last look and the listener's end but what arrives in that very moment.
+async fn accept_last(
+    context: &Rc<Context>,
+    lobby: &Rc<Lobby>,
+    listener: &Async<TcpListener>,
+    full: impl Fn() -> bool,
+) -> usize {
+    let mut retry = AcceptRetry::default();
+    let mut taken = 0;
+    // Who ends the program drops this where it takes too long.
+    loop {
+        if full() && !lobby.make_room() {
+            Timer::after(LOOK).await;
+            continue;
+        }
+        match listener.get_ref().accept().and_then(|(stream, address)| Ok((Async::new(stream)?, address))) {
+            Ok((stream, address)) => {
+                welcome(context, lobby, stream, address);
+                taken += 1;
+            }
+            // Only this says that the queue is empty.
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+            Err(e) => retry.pause(context, &e).await,
+        }
+    }
+    taken
+}
+
+/// How soon a failed accept is tried again. An error that belongs to one connection says nothing of the next; one for want of
+/// descriptors or memory comes again at once.
+#[derive(Default)]
+struct AcceptRetry {
+    failures: u32,
+}
+
+impl AcceptRetry {
+    fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Counts and logs a failure, and waits as long as its kind asks for.
+    async fn pause(&mut self, context: &Context, error: &io::Error) {
+        self.failures += 1;
+        context.counters.accept_failures.add();
+        warn!(context.log, "cannot accept"; "error" => %error, "in_a_row" => self.failures);
+        let of_one = matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted);
+        if of_one && self.failures < AT_ONCE {
+            return future::yield_now().await;
+        }
+        let pause = ACCEPT_RETRY.0 * self.failures;
+        Timer::after(pause.min(ACCEPT_RETRY.1)).await;
+    }
+}
+
 fn welcome(context: &Rc<Context>, lobby: &Rc<Lobby>, stream: Async<TcpStream>, address: SocketAddr) {
     context.counters.accepted.add();
     context.user_agents.set(context.user_agents.get() + 1);
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -11,7 +11,7 @@
 use super::transaction::Request;
 use super::{within, Context};
 use crate::membership::Carried;
-use crate::{Courier, EndpointId, MessageId, Micros};
+use crate::{DeliveryPolicy, EndpointId, MessageId, Micros};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -301,7 +301,7 @@
     owner: Option<Lock>,
     link: Option<Link>,
     /// What the older process passes on, if there is one, and its module as it goes on here.
-    pub passed: Option<(Box<State>, Courier)>,
+    pub passed: Option<(Box<State>, DeliveryPolicy)>,
 }
 
 /// Claims the folder: it is free, or its owner hands it over, or its end is waited for.
@@ -338,7 +338,7 @@
 async fn ask(
     owner: &Owner,
     executor: &LocalExecutor<'static>,
-) -> Result<((Box<State>, Courier), Link), Broken> {
+) -> Result<((Box<State>, DeliveryPolicy), Link), Broken> {
     let stream = Async::<TcpStream>::connect(owner.operator).await.map_err(Broken::Socket)?;
     let mut wire = Wire::new(stream);
     let Owner { operator, token } = owner;
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -168,7 +168,7 @@
     /// An actor that holds nothing yet; its mailbox is for its watches.
     pub fn new(context: Rc<Context>, own: Sender<ToMembers>) -> Self {
         let names = context.config().names.clone();
-        let approach = Approach::new(context.config().couriers);
+        let approach = Approach::new(context.config().forwarders);
         let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
         let membership = Membership::new(sources);
         let (held, opening, generation, source, registry, left) = Default::default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,4 +1,4 @@
-//! The forwarder on sockets: everything that the decisions in [`crate::logic`] need around them.
+//! The forwarder on sockets: everything that the decisions in [`crate::policy`] need around them.
 
 pub mod board;
 pub mod call;
@@ -25,7 +25,7 @@
 pub mod transaction;
 
 use crate::journal::{Journal, Restored, Unreadable};
-use crate::{Courier, Settings};
+use crate::{DeliveryPolicy, Settings};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -267,8 +267,8 @@
     let routes = settings.routes.clone();
     let (state, passed) = passed.unzip();
     let settings = Settings { ahead: clock.behind_wall(), ..settings };
-    let fresh = || Courier::new(settings.clone(), config.seed).map_err(|e| e.to_string());
-    let courier = passed.map_or_else(fresh, Ok)?;
+    let fresh = || DeliveryPolicy::new(settings.clone(), config.seed).map_err(|e| e.to_string());
+    let policy = passed.map_or_else(fresh, Ok)?;
     let (decider, mail) = async_channel::bounded(1024);
     let (close, closing) = async_channel::bounded(1);
     let context = Rc::new(Context {
@@ -314,7 +314,7 @@
     context.executor.spawn(notices::run(context.clone(), notices_mail)).detach();
     context.executor.spawn(pulse::run(context.clone())).detach();
     context.executor.spawn(journal_keeper::run(context.clone())).detach();
-    let mut decider = Decider::new(context.clone(), courier, notices, members_box.clone(), restored.last_id);
+    let mut decider = Decider::new(context.clone(), policy, notices, members_box.clone(), restored.last_id);
     let mut members = Members::new(context.clone(), members_box.clone());
     if config.operator.is_some() {
         members.take_cordons();
@@ -481,7 +481,8 @@
     Timer::after(LINGER).await;
     // It takes what waits in its queue, then closes.
     context.listener_closes.set();
-    front.await;
+    // Where taking them fails all the time, the end must not wait for it.
+    within(DECIDES.saturating_sub(since.elapsed()), front).await;
     let idle = || context.calls_out.get() == 0 && context.notices_owed.get() == 0;
     while since.elapsed() < DECIDES && !(idle() && context.open.get() == 0 && context.user_agents.get() == 0)
     {
@@ -496,5 +497,9 @@
     }
     // The mailbox is empty before its last word is dealt with; one more turn of the others sees to that.
     future::yield_now().await;
+    let owed = !context.journal.is_paused();
+    if let Some(Err(e)) = owed.then(|| context.journal.retry()) {
+        warn!(context.log, "the journal could not be written at the end"; "reason" => "journal", "error" => %e);
+    }
     info!(context.log, "ended"; "left_in_journal" => context.open.get());
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -186,6 +186,8 @@
     Answer(Answered, Vec<u8>),
     Broke(Broken),
     Barred,
+    /// Nothing could be noted of it in the journal.
+    Unnoted,
     Cut,
     CalledOff,
 }
@@ -250,11 +252,13 @@
             return ended;
         }
         // Not sent after all, so the connection is as good as before.
-        Stop::Barred => {
+        Stop::Barred | Stop::Unnoted => {
             if let (Some(wire), Some(back)) = (slot.take(), back) {
                 let _ = back.send(ToPeer::Idle(wire)).await;
             }
-            return Ended::alike(parts, End::of(Outcome::Moot));
+            let unnoted = matches!(stop, Stop::Unnoted);
+            let outcome = if unnoted { Outcome::Unsent } else { Outcome::Moot };
+            return Ended::alike(parts, End::of(outcome));
         }
         Stop::Broke(e) if stage.get() == Stage::Written => broke(&e, since),
         Stop::Broke(_) => (Outcome::ConnectFailed, "connect-failed"),
@@ -360,9 +364,10 @@
     for part in &pass.parts {
         let start = AttemptStart { at: pass.sent, zone: zone.clone().unwrap_or_default() };
         if let Err(e) = context.journal.attempt(part.transaction.id, part.attempt, start) {
-            warn!(context.log, "not sent"; "reason" => "journal", "error" => %e);
+            let word = &part.transaction.request.word;
+            info!(context.log, "not sent"; "endpoint" => pass.endpoint.0, "id" => word, "reason" => "journal", "error" => %e);
             stage.set(Stage::Barred);
-            return Stop::Barred;
+            return Stop::Unnoted;
         }
     }
     stage.set(Stage::Writing);
--- a/src/net/route_stats.rs
+++ b/src/net/route_stats.rs
@@ -41,6 +41,7 @@
         Outcome::Stale => "stale",
         Outcome::Cancelled => "cancelled",
         Outcome::Moot => "moot",
+        Outcome::Unsent => "unsent",
     }
 }
 
--- a/src/routes/check.rs
+++ b/src/routes/check.rs
@@ -3,7 +3,7 @@
 use super::plan::{Plan, Route, Shape};
 use super::{worst_case, Entry, Match, Platform, Timing, MOST_ATTEMPTS};
 use crate::breach::{Breach, Code, Position};
-use crate::logic::longest_cut;
+use crate::policy::longest_cut;
 use crate::site::written;
 use crate::{Class, ClassId, DestinationId, Effect, KindId, Micros};
 use std::collections::hash_map::{Entry as Place, HashMap};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -38,7 +38,7 @@
 }
 
 impl Settings {
-    /// An error that names the setting at fault, if no courier could work with these.
+    /// An error that names the setting at fault, if no forwarder could work with these.
     pub fn check(&self) -> Result<(), SettingsError> {
         if self.classes.is_empty() {
             return Err(SettingsError("setting `categories`: there must be one at least".into()));
@@ -50,7 +50,7 @@
             Figure("call-slots", self.slots as f64, Range::Count),
             Figure("max-open", self.max_open as f64, Range::Count),
             Figure("max-attempts", f64::from(self.max_attempts), Range::Count),
-            Figure("balancers", self.couriers as f64, Range::Count),
+            Figure("balancers", self.forwarders as f64, Range::Count),
             Figure("cross-zone", self.cross_zone_fee, Range::Fee),
             Figure("handshake", self.handshake_fee, Range::Fee),
             Figure("over-share-worth", self.over_share_worth, Range::Fee),
--- a/src/words.rs
+++ b/src/words.rs
@@ -152,7 +152,7 @@
     let zone = in_field(v, "zone", text)?;
     let tenant = |r: &Value| Ok(Tenant { quota_per_s: in_field(r, "quota-per-s", number)? });
     let settings = Settings {
-        couriers: in_field(v, "balancers", whole)? as usize,
+        forwarders: in_field(v, "balancers", whole)? as usize,
         number: own_number(v).ok(),
         ahead: 0,
         zone: ZoneId(index(&zones, &zone, "zone")?),
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -117,3 +117,21 @@
          exit",
     );
 }
+
+/// Guards against an end that waits for a listener that never gives anything.
+#[test]
+fn a_listener_that_fails_all_the_time_does_not_hold_up_the_end() {
+    play(
+        "with e1=1 faults=on
+         start
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         faults accept ENFILE
+         u2 connect
+         struck accept
+         term
+         e1 send m1 200
+         exit-within 3700",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,6 +6,7 @@
 //! | `with window=2000` | there are the classes `zoned`, with repeats dropped by zone, and `brief`, with them dropped for so long |
 //! | `config settings/rules/drain-grace 500` | from the next start or reload on this value stands at that place of the configuration, `null` for none |
 //! | `knows`, `begin` | from the next start on the program is given the list as it is now; starts it without waiting for a list |
+//! | `exit-within 3700` | waits for its end, which must come within so many milliseconds |
 //! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the program, signals it, waits for its end |
 //! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a user agent hands in a message |
 //! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 end-sending`, `u1 close` | the rest of a user agent's life |
@@ -530,6 +531,12 @@
             "term" => self.run.signal("TERM"),
             "kill" => self.run.kill(),
             "exit" => self.run.exit(),
+            "exit-within" => {
+                let since = Instant::now();
+                self.run.exit();
+                let allowed = Duration::from_millis(words[1].parse().expect("milliseconds"));
+                assert!(since.elapsed() < allowed, "it took {:?}", since.elapsed());
+            }
             "wait" => words[1..].iter().for_each(|w| self.wait(w)),
             "log" => self.run.logged(rest),
             "state-under" => {
