--- a/src/measured.rs
+++ b/src/measured.rs
@@ -1,5 +1,4 @@
-//! A rate as it is seen, counts over a time that fades, and a limit as it is told, late and with noise. It
-//! decides
+//! A rate as it is seen, counts over a time that fades, and a limit as it is told, late and with noise. It decides
 //! nothing, and time is an argument.
 
 use crate::{LimitReport, Micros};
@@ -30,8 +29,7 @@
         self.count += more;
     }
 
-    /// With the time since the last, over a span of a least length; one at least, as a forwarder of many
-    /// seldom saw
+    /// With the time since the last, over a span of a least length; one at least, as a forwarder of many seldom saw
     /// more.
     pub fn per_second(&self, since: Micros, least: Micros) -> f64 {
         self.count.max(1.0) * SECOND / (self.over + since).max(least) as f64
@@ -43,8 +41,7 @@
 /// Beyond these multiples of the average a reading is no noise: the limit itself has changed.
 const NOISE: (f64, f64) = (0.7, 1.5);
 
-/// A limit as it is told: the average of noisy readings, which follows a change of the limit at once. A
-/// forwarder that
+/// A limit as it is told: the average of noisy readings, which follows a change of the limit at once. A forwarder that
 /// calls seldom would otherwise go for seconds by a single reading that is a third too high or too low.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Told {
--- a/src/policy/breaker.rs
+++ b/src/policy/breaker.rs
@@ -23,12 +23,14 @@
     pub(super) next_attempt: Micros,
     pub(super) trial: bool, // The one trial of a half breaker is out
     pub(super) last_ok: Micros,
-    pub(super) ok_sent: Micros, // The last send that was answered: what went before it has no dead endpoint to wait for
-    pub(super) outage: bool,    // Failures were seen that may be an outage, and no success since
-    pub(super) gap: Micros,     // From the last opening to NextAttempt
-    pub(super) spread: f64, // Seconds from one call to the next by which all forwarders' calls at its return fit together
+    /// The last send that was answered: what went before it has no dead endpoint to wait for
+    pub(super) ok_sent: Micros,
+    pub(super) outage: bool, // Failures were seen that may be an outage, and no success since
+    pub(super) gap: Micros,  // From the last opening to NextAttempt
+    /// Seconds from one call to the next by which all forwarders' calls at its return fit together
+    pub(super) spread: f64,
     pub(super) delivered: Measured, // Calls that succeeded while all was well
-    pub(super) asked: Measured, // Messages that came for it
+    pub(super) asked: Measured,     // Messages that came for it
     pub(super) weight: f64,
     pub(super) cold_since: Option<Micros>,
     pub(super) wait_until: Micros, // Told wait, or the pause after a refusal without one
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -10,7 +10,8 @@
     pub(super) entry: Entry,
     pub(super) breaker: Breaker,
     pub(super) last_used: Micros,
-    pub(super) reusable: bool, // The last call here was answered, so an idle connection is there to be used again
+    /// The last call here was answered, so an idle connection is there to be used again
+    pub(super) reusable: bool,
 }
 
 #[derive(Default, Serialize, Deserialize)]
@@ -33,14 +34,16 @@
     pub(super) born: Micros,
     pub(super) deadline: Micros,
     pub(super) attempts: u32,
-    pub(super) may_have_run: Option<(Micros, Option<ZoneId>)>, // When and where the first such attempt was sent
-    pub(super) out: Option<(u32, u64)>,                        // The attempt that is out, and its call
+    /// When and where the first such attempt was sent
+    pub(super) may_have_run: Option<(Micros, Option<ZoneId>)>,
+    pub(super) out: Option<(u32, u64)>, // The attempt that is out, and its call
     pub(super) sent_zone: ZoneId,
     pub(super) over: bool,
     pub(super) rest_until: Micros, // The pause that its route sets before a further attempt
-    pub(super) avoid: Option<EndpointId>, // Where the attempt was cut that a copy is to follow elsewhere
+    /// Where the attempt was cut that a copy is to follow elsewhere
+    pub(super) avoid: Option<EndpointId>,
     pub(super) last_until: Option<Micros>, // Its end, fixed once the attempt is out that lasts up to it
-    pub(super) unsent: u32,        // Attempts that count as none, as nothing could be noted of them
+    pub(super) unsent: u32,                // Attempts that count as none, as nothing could be noted of them
 }
 
 #[derive(Default, Serialize, Deserialize)]
@@ -51,7 +54,8 @@
     pub(super) trial: bool,
     pub(super) parts: Vec<(MessageId, u32)>,
     pub(super) judged: bool,
-    pub(super) reused: Option<bool>, // Whether it went out on a connection used before; None if that cannot be told
+    /// Whether it went out on a connection used before; None if that cannot be told
+    pub(super) reused: Option<bool>,
     pub(super) called_off: bool,
 }
 
--- a/src/policy/tuning.rs
+++ b/src/policy/tuning.rs
@@ -29,7 +29,8 @@
 pub(super) const TRIM_CUT: f64 = 0.85;
 pub(super) const TRIM_GAIN: f64 = 1.01;
 pub(super) const TRIM_RANGE: (f64, f64) = (0.3, 3.0);
-pub(super) const CLUMP: f64 = 3.0 * SECOND as f64; // Those refused while all was well spread over so much at most
+/// Those refused while all was well spread over so much at most
+pub(super) const CLUMP: f64 = 3.0 * SECOND as f64;
 /// After a refusal that tells no wait: the first pause, doubled by each further one up to the longest.
 pub(super) const BACKOFF: (Micros, Micros) = (200 * MS, 1600 * MS);
 /// Below this share of a reported limit left, a forwarder keeps to its even share.
@@ -58,5 +59,7 @@
 pub(super) const ASK_AGAIN: (Micros, Micros) = (4, 20);
 /// The shortest and longest queueing time looked at when messages of a destination are ranked.
 pub(super) const HORIZON: (Micros, Micros) = (300 * MS, 30 * SECOND);
-pub(super) const GRAIN: f64 = 1e9; // worths are compared in whole parts, so that nothing hangs on the last bit
-pub(super) const PRESENT: f64 = 0.01; // weight of present worth where waiting costs the same; more cost lending 0.04
+/// worths are compared in whole parts, so that nothing hangs on the last bit
+pub(super) const GRAIN: f64 = 1e9;
+/// weight of present worth where waiting costs the same; more cost lending 0.04
+pub(super) const PRESENT: f64 = 0.01;
--- a/src/turns/mod.rs
+++ b/src/turns/mod.rs
@@ -1,26 +1,19 @@
-//! Places in an order that all forwarders of a fleet compute alike from their numbers and the clock, so that
-//! what each
-//! does once a round comes evenly from all of them together. It decides when, never whether; it does no I/O,
-//! and the
+//! Places in an order that all forwarders of a fleet compute alike from their numbers and the clock, so that what each
+//! does once a round comes evenly from all of them together. It decides when, never whether; it does no I/O, and the
 //! clock comes in as an argument.
 //!
-//! A forwarder's place in a round is the fractional part of its number times the golden ratio, shifted for
-//! each partner
-//! by a hash of the partner's number. Any set of successive numbers then lies evenly: the gaps between
-//! neighbours have
-//! two or three lengths, of which the longest is 2.62 times the shortest at most. The count of forwarders is
-//! not needed,
+//! A forwarder's place in a round is the fractional part of its number times the golden ratio, shifted for each partner
+//! by a hash of the partner's number. Any set of successive numbers then lies evenly: the gaps between neighbours have
+//! two or three lengths, of which the longest is 2.62 times the shortest at most. The count of forwarders is not needed,
 //! so a count that is wrong moves nobody, and one forwarder more or less moves none of the others.
 
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
-/// Where numbers lie in a round, as parts of 2^64: the golden ratio less one. No other step keeps successive
-/// numbers as
+/// Where numbers lie in a round, as parts of 2^64: the golden ratio less one. No other step keeps successive numbers as
 /// far apart (Weyl's sequence; Steinhaus' three gaps).
 const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
-/// Rounds have lengths a fourth root of two apart. Forwarders that reckon nearly the same length, as each has
-/// its own
+/// Rounds have lengths a fourth root of two apart. Forwarders that reckon nearly the same length, as each has its own
 /// reading of a limit, would soon be in different rounds, and the order between them would be chance.
 const GRADES: f64 = 4.0;
 /// No round is shorter than a millisecond or longer than an hour, so that nothing runs over.
@@ -28,8 +21,7 @@
 /// What is this part of a grade over one still belongs to it, as grades are rounded to whole microseconds.
 const SAME: f64 = 0.01;
 
-/// What a forwarder knows of its place: its number in the fleet, if it is told one, and a die for where it is
-/// not.
+/// What a forwarder knows of its place: its number in the fleet, if it is told one, and a die for where it is not.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Turns {
     dice: u64,
@@ -71,8 +63,7 @@
         Turns { dice: seed }
     }
 
-    /// A turn towards a partner, at a time of the clock that all forwarders read. Without a number it is
-    /// drawn.
+    /// A turn towards a partner, at a time of the clock that all forwarders read. Without a number it is drawn.
     pub fn at(&mut self, at: Micros, number: Option<u64>, partner: u64) -> Turn {
         self.dice = self.dice.wrapping_add(STEP);
         let fixed = |n: u64| Place::Fixed(n.wrapping_mul(STEP).wrapping_add(mixed(partner.wrapping_add(1))));
@@ -90,8 +81,7 @@
         }
     }
 
-    /// How long until one's place, at least so long, for those who come again and again, once in so many
-    /// microseconds.
+    /// How long until one's place, at least so long, for those who come again and again, once in so many microseconds.
     /// Where it is drawn it has to be twice as long in the mean, as the next draw may come at once.
     pub fn again(&self, length: f64, least: Micros) -> Micros {
         match self.place {
