--- a/tests/board.rs
+++ b/tests/board.rs
@@ -21,3 +21,17 @@
     assert_eq!(still(clock.now()), [true, true]);
     assert_eq!(still(clock.now() + LONG_AGO), [true, false]);
 }
+
+/// Guards against a first byte past the grace: a process may be held up for 0.15 s between its look at the clock and the write.
+#[test]
+fn the_grace_of_a_drain_covers_a_process_that_is_held_up_before_it_writes() {
+    const HELD_UP: u64 = 150_000;
+    let clock = Clock::start();
+    let grace = 250_000;
+    let board = Board::new(clock, grace);
+    let known = Known::new("127.0.0.1:1".parse().expect("an address"), DestinationId(1), ZoneId(0), false);
+    board.list(EndpointId(1), Lifecycle::Draining, clock.now() - (grace - HELD_UP), known.clone());
+    assert!(board.bars(EndpointId(1)).is_some(), "a byte that is held up would come past the grace");
+    board.list(EndpointId(2), Lifecycle::Draining, clock.now(), known);
+    assert!(board.bars(EndpointId(2)).is_none(), "what was under way goes through");
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -135,3 +135,50 @@
          exit-within 3700",
     );
 }
+
+/// Guards against a start that ends as the folder cannot be read at that moment: what was taken on is still owed.
+#[test]
+fn a_start_waits_for_a_folder_that_cannot_be_read_yet() {
+    play(
+        "with e1=1:one:leaving open=64 faults=on
+         start
+         u1 sends 5 m deadline=20000m
+         kill
+         faults read EIO count=2; opendir EIO count=1; open EIO count=1
+         start
+         p send e1=active
+         e1 serves m*5
+         wait delivered=5",
+    );
+}
+
+/// Guards against connections that are given up as a signal interrupts a read or a write on them.
+#[test]
+fn interrupted_reads_and_writes_are_made_again() {
+    play(
+        "with e1=1 open=64 faults=on
+         start
+         faults recv EINTR chance=0.3; send EINTR chance=0.3
+         u1 sends 20 m
+         e1 serves m*20
+         wait delivered=20 reset=0",
+    );
+}
+
+/// Short reads and writes are no errors at all.
+#[test]
+fn short_reads_and_writes_lose_nothing() {
+    play(
+        "with e1=1 open=64 faults=on
+         start
+         faults recv short chance=0.5; send short chance=0.5; write short chance=0.5
+         u1 sends 20 m
+         e1 serves m*20
+         wait delivered=20
+         faults read short chance=0.5
+         u1 sends 5 n
+         kill
+         start
+         wait restored=5",
+    );
+}
