Go on after an interrupted read, an unreadable folder at the start and a stall before a drain's last byte

Cause: futures-lite's reads and writes give EINTR up, so a connection ended on it; the stream of signals did as well, and any error of it was taken for the signal that ends the program: one interrupted read ended a healthy forwarder in order. One error of the folder or of the owner's name ended a start. Four fifths of a drain's grace left 50 ms between clock and write where the platform allows for 150. Change: reads, writes and signals go on after EINTR; a start tries again for what may pass (folder 4 s, then what cannot be read of it is left for a later start; 25 s in all); the owner's name and the cordons are tried again; a SIGHUP that comes while a process starts is heeded once it serves; a drain bars four fifths of the grace less 150 ms.

--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -10,6 +10,9 @@
 
 /// After so long nothing is under way any more to an endpoint that was told to leave.
 const LONG_AGO: Micros = 120_000_000;
+/// The platform allows for a process that is held up for so long between its look at the clock and its write; a drain's grace has
+/// to cover that.
+const HELD_UP: Micros = 150_000;
 
 /// What is known of an endpoint now.
 #[derive(Clone, Debug)]
@@ -67,7 +70,7 @@
     /// Sets the grace.
     pub fn grace(&self, grace: Micros) {
         // The platform's moment of telling lies a little before ours.
-        self.grace.set(grace * 4 / 5);
+        self.grace.set(grace.saturating_sub(HELD_UP) * 4 / 5);
     }
 
     /// Writes down an endpoint, learnt at a time; the time of an earlier leave stays.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,7 +4,7 @@
 use super::call::Came;
 use super::config::Config;
 use super::decider::{Decider, Reply, ToDecider, LATER};
-use super::http::{frame, Broken, Wire};
+use super::http::{frame, write_all, Broken, Wire};
 use super::members::ToMembers;
 use super::operator::{self, No, Operation};
 use super::owner::{self, Lock, Owner};
@@ -15,7 +15,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use serde_json::Value;
 use slog::{info, warn, Logger};
@@ -38,6 +38,8 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// With nothing left to send on, the older process waits so long for its signal, then leaves.
 const LEFT_OVER: Duration = Duration::from_secs(10);
+/// Between two tries to write the owner's name.
+const NAME_AGAIN: Duration = Duration::from_millis(100);
 /// Frames that wait to be written.
 const QUEUE: usize = 1024;
 
@@ -152,7 +154,7 @@
 /// Writes frames beside the reading, so that two that write to each other never wait for each other.
 async fn write(mut to: Async<TcpStream>, mail: Receiver<Vec<u8>>) {
     while let Ok(frame) = mail.recv().await {
-        if to.write_all(&frame).await.is_err() {
+        if write_all(&mut to, &frame).await.is_err() {
             return;
         }
     }
@@ -388,10 +390,10 @@
     /// Puts this process's name in the folder, gives up the place in line, and attends to what the older process sends
     /// on.
     pub fn settle(self, context: &Rc<Context>, at: Owner, members: &Sender<ToMembers>) -> io::Result<()> {
-        let mut owner = self.owner.ok_or_else(|| io::Error::other("the folder is not owned"))?;
-        owner.name(&at)?;
-        *context.token.borrow_mut() = at.token;
+        let owner = self.owner.ok_or_else(|| io::Error::other("the folder is not owned"))?;
+        context.token.borrow_mut().clone_from(&at.token);
         *context.owner.borrow_mut() = Some(owner);
+        context.executor.spawn(tell_owner(context.clone(), at)).detach();
         if let Some(link) = self.link {
             let attending = attend(context.clone(), link, members.clone());
             context.executor.spawn(attending).detach();
@@ -400,6 +402,16 @@
     }
 }
 
+/// Writes this process's name into the folder. Until that is done nobody can ask it to hand over, and it serves all the same.
+async fn tell_owner(context: Rc<Context>, at: Owner) {
+    loop {
+        let named = context.owner.borrow_mut().as_mut().map_or(Ok(()), |lock| lock.name(&at));
+        let Err(e) = named else { return };
+        warn!(context.log, "the owner's name is not written yet"; "reason" => "folder", "error" => %e);
+        Timer::after(NAME_AGAIN).await;
+    }
+}
+
 /// Attends to what the older process sends on, up to its end.
 async fn attend(context: Rc<Context>, mut link: Link, members: Sender<ToMembers>) {
     let reason = loop {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -198,6 +198,20 @@
     [sizes.concat().as_slice(), head, body].concat()
 }
 
+/// Writes all of it; an interruption by a signal ends nothing.
+pub async fn write_all(stream: &mut Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        match stream.write(rest).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => rest = &rest[written..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// A connection with its buffer.
 pub struct Wire {
     stream: Async<TcpStream>,
@@ -227,9 +241,16 @@
 
     /// Reads some more into the buffer; nothing means that the other side has ended its sending.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let got = self.stream.read(self.buffer.room()).await?;
-        self.buffer.end += got;
-        Ok(got)
+        loop {
+            match self.stream.read(self.buffer.room()).await {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Ok(got) => {
+                    self.buffer.end += got;
+                    return Ok(got);
+                }
+                failed => return failed,
+            }
+        }
     }
 
     /// More of a head; nothing has begun while the buffer is empty.
@@ -299,15 +320,19 @@
     /// Reads away whatever comes, up to the end.
     pub async fn drain(&mut self) {
         let mut scratch = vec![0; SCRATCH];
-        while self.stream.read(&mut scratch).await.is_ok_and(|n| n > 0) {
-            // One that keeps sending is always ready and must not keep the others from their turn.
-            future::yield_now().await;
+        loop {
+            match self.stream.read(&mut scratch).await {
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => return,
+                Ok(0) => return,
+                // One that keeps sending is always ready and must not keep the others from their turn.
+                _ => future::yield_now().await,
+            }
         }
     }
 
     /// Writes all of it.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        write_all(&mut self.stream, bytes).await
     }
 
     /// Reads the head of a request.
@@ -476,6 +501,10 @@
         }
         match std::pin::Pin::new(&mut self.stream).poll_read(cx, self.buffer.room()) {
             Poll::Pending => None,
+            Poll::Ready(Err(e)) if e.kind() == io::ErrorKind::Interrupted => {
+                cx.waker().wake_by_ref();
+                None
+            }
             Poll::Ready(Ok(got)) if got > 0 => {
                 self.buffer.end += got;
                 Some("unasked")
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -39,6 +39,9 @@
 /// once unless it is down, and what it has counts as told from the first moment on. Where a slow platform has a whole fleet
 /// wait, all of it calls at the same moment afterwards (herd+vast, seed 566030076732: G 0.68 with 1 s, 0.70 with this).
 const FIRST_LIST: Duration = Duration::from_millis(300);
+/// The file of the cordons is read so often at most, with a pause between two tries.
+const CORDON_READS: u32 = 20;
+const READ_AGAIN: Duration = Duration::from_millis(50);
 /// What left before this process began counts as told so long before its start.
 const BEFORE_START: Micros = 60_000_000;
 const LINE_LIMIT: usize = 4 * 1024 * 1024;
@@ -456,11 +459,18 @@
     }
 
     /// Takes in what operators left out while an earlier process ran.
-    pub fn take_cordons(&mut self) {
-        match Cordons::new(&self.context.config().state).read() {
-            Ok(ids) => self.membership.restore_cordons(self.context.clock.now(), ids),
-            Err(e) => warn!(self.context.log, "the cordons cannot be read"; "error" => %e),
-        }
+    pub async fn take_cordons(&mut self) {
+        let file = Cordons::new(&self.context.config().state);
+        let mut kept = file.read();
+        // One error of the folder must not put back what operators left out.
+        for _ in 0..CORDON_READS {
+            let Err(e) = &kept else { break };
+            warn!(self.context.log, "the cordons cannot be read"; "error" => %e);
+            Timer::after(READ_AGAIN).await;
+            kept = file.read();
+        }
+        let ids = kept.unwrap_or_default();
+        self.membership.restore_cordons(self.context.clock.now(), ids);
         *self.context.cordoned.borrow_mut() = self.membership.cordoned().map(str::to_owned).collect();
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,14 +42,16 @@
 use latch::Latch;
 use members::{Members, ToMembers};
 use pulse::Pulse;
+use rustix::io::Errno;
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How the program ends, from the signal on: connections are still taken for the first span, then the module
 /// still decides up to the second, and what is out may come back up to the last. The platform kills after
@@ -58,6 +60,11 @@
 const DECIDES: Duration = Duration::from_millis(2600);
 const LEAVES: Duration = Duration::from_millis(3200);
 const LOOK: Duration = Duration::from_millis(10);
+/// At a start, what fails for want of something is tried again so often, for so long. A folder of which a part cannot be read
+/// is waited for a while; then that part is left for a later start.
+const START_AGAIN: Duration = Duration::from_millis(50);
+const READABLE: Duration = Duration::from_secs(4);
+const GIVES_UP: Duration = Duration::from_secs(25);
 
 /// What all actors share.
 pub struct Context {
@@ -235,30 +242,14 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let (config, settings) = load(Reading::Start)?;
-    let folder = |e: std::io::Error| format!("state folder `{}`: {e}", config.state.display());
     let clock = Clock::start();
-    let (mut claim, sockets, (journal, restored)) = loop {
-        let claim = match config.operator {
-            Some(_) => {
-                let claimed = async { Some(handover::claim(&config, &log, &executor).await) };
-                match future::or(claimed, until_ended(&mut signals)).await {
-                    Some(claim) => Some(claim.map_err(folder)?),
-                    None => {
-                        info!(log, "ended while another process owned the folder");
-                        return Ok(());
-                    }
-                }
-            }
-            None => None,
-        };
-        let opened = open_journal(&config, clock).map_err(folder)?;
-        let sockets = Sockets::open(&config)?;
-        let Some(mut claim) = claim else { break (None, sockets, opened) };
-        if claim.take_over(&config).await.map_err(folder)? {
-            break (Some(claim), sockets, opened);
-        }
-        warn!(log, "the process that serves goes on, asking once more");
+    let opening = async { Some(open(&config, clock, &log, &executor).await) };
+    let asked_to_reload = Cell::new(false);
+    let Some(opened) = future::or(opening, until_ended(&mut signals, &log, &asked_to_reload)).await else {
+        info!(log, "ended before it owned the folder");
+        return Ok(());
     };
+    let Opened { mut claim, sockets, journal, restored } = opened?;
     for damage in &restored.damage {
         warn!(log, "journal damaged"; "what" => damage);
     }
@@ -317,7 +308,7 @@
     let mut decider = Decider::new(context.clone(), policy, notices, members_box.clone(), restored.last_id);
     let mut members = Members::new(context.clone(), members_box.clone());
     if config.operator.is_some() {
-        members.take_cordons();
+        members.take_cordons().await;
     }
     match (state, older) {
         (Some(state), Some(older)) => {
@@ -344,7 +335,12 @@
     let front = context.executor.spawn(front::serve(context.clone(), sockets.listener));
     info!(context.log, "serving"; "name" => &config.name, "listen" => %sockets.at, "restored" => context.open.get());
     drop(config);
-    let signalled = attend_signals(&context, &mut signals, load, &members_box);
+    let signalled = async {
+        if asked_to_reload.get() {
+            reread(&context, load, &members_box).await;
+        }
+        attend_signals(&context, &mut signals, load, &members_box).await;
+    };
     future::or(signalled, handover::left_over(&context)).await;
     end(&context, close, front).await;
     if let Some((end, gone)) = registration {
@@ -358,15 +354,104 @@
     }
 }
 
-fn open_journal(config: &Config, clock: Clock) -> std::io::Result<(Journal, Restored)> {
-    let storage = Folder::open(&config.state)?;
-    let moment = move || clock.moment();
-    Journal::open(Box::new(storage), config.journal_disk(), moment, fastrand::u32(..), Unreadable::Fail)
+/// What a process holds as it begins.
+struct Opened {
+    claim: Option<Claim>,
+    sockets: Sockets,
+    journal: Journal,
+    restored: Restored,
+}
+
+/// Claims the folder, reads it and listens. What fails as it may for a while is tried again: what was taken on is still owed.
+async fn open(
+    config: &Config,
+    clock: Clock,
+    log: &Logger,
+    executor: &LocalExecutor<'static>,
+) -> Result<Opened, String> {
+    let begun = Instant::now();
+    loop {
+        let unreadable = match begun.elapsed() < READABLE {
+            true => Unreadable::Fail,
+            false => Unreadable::Keep,
+        };
+        let error = match open_once(config, clock, unreadable, log, executor).await {
+            Ok(Some(opened)) => return Ok(opened),
+            Ok(None) => {
+                warn!(log, "the process that serves goes on, asking once more");
+                continue;
+            }
+            Err(error) => error,
+        };
+        if !error.may_pass() || begun.elapsed() > GIVES_UP {
+            return Err(error.to_string());
+        }
+        warn!(log, "cannot start yet"; "reason" => "system", "error" => %error);
+        Timer::after(START_AGAIN).await;
+    }
+}
+
+async fn open_once(
+    config: &Config,
+    clock: Clock,
+    unreadable: Unreadable,
+    log: &Logger,
+    executor: &LocalExecutor<'static>,
+) -> Result<Option<Opened>, StartError> {
+    let folder = |e: std::io::Error| StartError::Folder(config.state.clone(), e);
+    let mut claim = match config.operator {
+        Some(_) => Some(handover::claim(config, log, executor).await.map_err(folder)?),
+        None => None,
+    };
+    let storage = Folder::open(&config.state).map_err(folder)?;
+    let (limit, salt) = (config.journal_disk(), fastrand::u32(..));
+    let opened = Journal::open(Box::new(storage), limit, move || clock.moment(), salt, unreadable);
+    let (journal, restored) = opened.map_err(folder)?;
+    let sockets = Sockets::open(config)?;
+    if let Some(claim) = &mut claim {
+        if !claim.take_over(config).await.map_err(folder)? {
+            return Ok(None);
+        }
+    }
+    Ok(Some(Opened { claim, sockets, journal, restored }))
+}
+
+/// Why a process could not begin.
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("state folder `{}`: {}", .0.display(), .1)]
+    Folder(PathBuf, #[source] std::io::Error),
+    #[error("cannot listen {0}on {1}: {2}")]
+    Listen(&'static str, SocketAddr, #[source] std::io::Error),
+}
+
+impl StartError {
+    /// It may go well a moment later: the system was short of something, or its storage failed.
+    fn may_pass(&self) -> bool {
+        let (StartError::Folder(_, e) | StartError::Listen(_, _, e)) = self;
+        let short =
+            [Errno::IO, Errno::NOSPC, Errno::INTR, Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+        e.raw_os_error().is_some_and(|number| short.contains(&Errno::from_raw_os_error(number)))
+    }
 }
 
-/// Nothing, once a signal ends the program; a SIGHUP that comes before it serves has nothing to change yet.
-async fn until_ended<T>(signals: &mut Signals) -> Option<T> {
-    while let Some(Ok(Signal::Hup)) = signals.next().await {}
+/// The next signal. An error as it is read, such as an interruption, is no signal, and must not end the program.
+async fn next_signal(signals: &mut Signals, log: &Logger) -> Signal {
+    loop {
+        match signals.next().await {
+            Some(Ok(signal)) => return signal,
+            Some(Err(e)) => warn!(log, "a signal could not be read"; "error" => %e),
+            None => warn!(log, "signals have ended"),
+        }
+        Timer::after(LOOK).await;
+    }
+}
+
+/// Nothing, once a signal ends the program; a SIGHUP that comes before it serves is noted, as the configuration was read already.
+async fn until_ended<T>(signals: &mut Signals, log: &Logger, asked_to_reload: &Cell<bool>) -> Option<T> {
+    while next_signal(signals, log).await == Signal::Hup {
+        asked_to_reload.set(true);
+    }
     None
 }
 
@@ -378,11 +463,11 @@
 }
 
 impl Sockets {
-    fn open(config: &Config) -> Result<Sockets, String> {
-        let open = |at: SocketAddr, shared: bool, whom: &str| {
+    fn open(config: &Config) -> Result<Sockets, StartError> {
+        let open = |at: SocketAddr, shared: bool, whom: &'static str| {
             // The port may have been left to the system.
             let opened = front::listen(at, shared).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
-            opened.map_err(|e| format!("cannot listen {whom}on {at}: {e}"))
+            opened.map_err(|e| StartError::Listen(whom, at, e))
         };
         let (at, listener) = open(config.listen, config.operator.is_some(), "")?;
         let operators = config.operator.map(|at| open(at, false, "for operators ")).transpose()?;
@@ -432,18 +517,22 @@
     load: &Arc<Load>,
     members: &Sender<ToMembers>,
 ) {
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        match reload(context, load).await {
-            Ok(settings) => {
-                let discovery = context.config().discovery;
-                info!(context.log, "configuration reloaded"; "discovery" => %discovery);
-                let _ = context.decider.send(ToDecider::Settings(Box::new(settings))).await;
-                let _ = members.send(ToMembers::Look).await;
-                context.counters.reloads.add();
-            }
-            Err(e) => {
-                warn!(context.log, "configuration not reloaded, the old one holds"; "error" => e.replace('\n', "; "))
-            }
+    while next_signal(signals, &context.log).await == Signal::Hup {
+        reread(context, load, members).await;
+    }
+}
+
+async fn reread(context: &Context, load: &Arc<Load>, members: &Sender<ToMembers>) {
+    match reload(context, load).await {
+        Ok(settings) => {
+            let discovery = context.config().discovery;
+            info!(context.log, "configuration reloaded"; "discovery" => %discovery);
+            let _ = context.decider.send(ToDecider::Settings(Box::new(settings))).await;
+            let _ = members.send(ToMembers::Look).await;
+            context.counters.reloads.add();
+        }
+        Err(e) => {
+            warn!(context.log, "configuration not reloaded, the old one holds"; "error" => e.replace('\n', "; "))
         }
     }
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -182,3 +182,24 @@
          wait restored=5",
     );
 }
+
+/// Guards against an end of the program as the owner's name cannot be written: it serves, and may be replaced once it can.
+#[test]
+fn a_full_folder_at_the_start_does_not_end_a_process_that_operators_may_call() {
+    play(
+        "with e1=1 operator=on faults=on
+         faults write ENOSPC count=2; read EIO count=1
+         start
+         struck write
+         stands 400
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         upgrade
+         o health 200
+         old term
+         old exit",
+    );
+}
