Answer whoever still reads, and give up nothing that a restart found to make room

Cause: the end of a client's sending while its answer was decided was taken for its leaving, and a connection that never sent anything was half-closed without a word, so that a request which crossed that was read away and answered by nothing. Shedding ranked what a restart found, which nobody sends again, with what has just come and can be refused harmlessly. Change: one that ends its sending gets the reply or a 503; a connection that never sent anything gets a 503 before it is closed, whatever closes it; shedding passes over what an earlier process had taken on. Two tests expected a silent connection to end without a word; they now want the 503 and then the end.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -233,8 +233,13 @@
         let newcomer = Instant::now() + SLOW;
         let (mut stay, mut until) = (Stay::Silent, newcomer);
         loop {
-            if let Err(parting) = self.await_request(stay, until).await {
-                return parting;
+            match self.await_request(stay, until).await {
+                Ok(()) => {}
+                // A request may be on its way and has nowhere else to go: whatever crosses the end has its answer.
+                Err(Parting::Closes(reason)) if stay == Stay::Silent => {
+                    return self.part_with(&Answer::service_unavailable(LATER), reason).await;
+                }
+                Err(parting) => return parting,
             }
             let due = if stay == Stay::Silent { newcomer } else { Instant::now() + SLOW };
             let (head, body) = match self.read_in_time(due).await {
@@ -480,35 +485,49 @@
         if self.context.decider.send(ToDecider::Take { request, reply }).await.is_err() {
             return Ok(Answer::service_unavailable(1_000_000));
         }
-        let said = async { answer.recv().await.ok() };
+        let decided = async { Waited::Decided(answer.recv().await.ok()) };
         let followed = Cell::new(false);
         let wire = &mut self.wire;
-        let gone = async {
-            if matches!(wire.fill().await, Ok(n) if n > 0) {
-                followed.set(true);
-                future::pending::<()>().await;
+        let interrupted = async {
+            match wire.fill().await {
+                Ok(0) => Waited::EndedSending,
+                Ok(_) => {
+                    followed.set(true);
+                    future::pending().await
+                }
+                Err(_) => Waited::Disconnected,
             }
-            None
         };
         // Looked at first, so that one who went as the answer came is not counted as told.
-        let said = future::or(gone, said).await;
-        // No word can come any more that nobody reads: it is here, or the module's actor finds nobody to tell.
+        let waited = future::or(interrupted, decided).await;
+        // No reply can come any more that nobody reads: it is here, or the policy's actor finds nobody to tell.
         answer.close();
-        let late = answer.try_recv().ok();
-        let taken = match said.or(late) {
+        let reply = match waited {
+            Waited::Decided(reply) => reply,
+            Waited::EndedSending | Waited::Disconnected => answer.try_recv().ok(),
+        };
+        let taken = match reply {
             Some(Reply::Taken(id)) => Some(id),
             _ => None,
         };
-        if let Some(id) = taken.filter(|_| said.is_none() || followed.get()) {
-            self.withdraw(id).await;
+        if matches!(waited, Waited::Disconnected) || followed.get() {
+            if let Some(id) = taken {
+                self.withdraw(id).await;
+            }
         }
-        match said {
-            None => Err(Parting::Gone("agent-gone")),
-            Some(_) if followed.get() => Err(self.refuse_followed().await),
-            Some(Reply::Taken(_)) => Ok(Answer { taken, ..Answer::plain(202, "") }),
-            Some(Reply::Unavailable(after)) => Ok(Answer::service_unavailable(after)),
-            Some(Reply::Failed) => Ok(Answer::plain(500, "failed\n")),
-            Some(Reply::Held) => {
+        match (waited, reply) {
+            (Waited::Disconnected, _) => Err(Parting::Gone("agent-gone")),
+            _ if followed.get() => Err(self.refuse_followed().await),
+            // It may still read: undecided, its message is withdrawn, and it is told that it was not taken on.
+            (Waited::EndedSending, None) => {
+                self.context.counters.unavailable.add();
+                Err(self.part_with(&Answer::service_unavailable(LATER), "agent-gone").await)
+            }
+            (_, None) => Ok(Answer::service_unavailable(LATER)),
+            (_, Some(Reply::Taken(_))) => Ok(Answer { taken, ..Answer::plain(202, "") }),
+            (_, Some(Reply::Unavailable(after))) => Ok(Answer::service_unavailable(after)),
+            (_, Some(Reply::Failed)) => Ok(Answer::plain(500, "failed\n")),
+            (_, Some(Reply::Held)) => {
                 self.context.counters.bad_requests.add();
                 Ok(Answer::plain(409, "a message of that id is not over yet\n"))
             }
@@ -520,6 +539,16 @@
     }
 }
 
+/// What ended the wait for the decision on a message.
+enum Waited {
+    /// It came, or nobody is there to make it.
+    Decided(Option<Reply>),
+    /// The client has ended its sending; it may still read.
+    EndedSending,
+    /// The connection broke.
+    Disconnected,
+}
+
 async fn read(wire: &mut Wire) -> Result<(Asked, Vec<u8>), Broken> {
     let head = wire.read_request().await?;
     if head.fields.expects_continue() && !head.longer_than(BODY_LIMIT) {
--- a/src/policy/ending.rs
+++ b/src/policy/ending.rs
@@ -102,7 +102,9 @@
     pub(super) fn shed(&mut self, now: Micros) {
         let room = self.s.max_open - (self.s.max_open / RESERVE).min(self.s.max_open - 1);
         while self.open > room {
-            let held = || self.messages.iter().filter(|(_, m)| !m.over && m.out.is_none());
+            // What a restart found was taken on long ago: its client does not come again unasked.
+            let may_go = |m: &Message| !m.over && m.out.is_none() && !m.restored;
+            let held = || self.messages.iter().filter(|(_, m)| may_go(m));
             let to: BTreeSet<_> = held().map(|(_, m)| m.destination).collect();
             let waits: BTreeMap<_, _> = to.iter().map(|d| (*d, self.expected_wait(now, *d))).collect();
             let earns = |m: &Message| (self.worth_at(m, now + waits[&m.destination]) * GRAIN) as i64;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -157,6 +157,7 @@
         }
         let known =
             Message { class: m.class, worth, key, born, deadline, may_have_run, ..Message::default() };
+        let known = Message { restored: m.restored, ..known };
         let (destination, attempts) = (m.destination, m.attempts);
         self.messages.insert(m.id, Message { destination, attempts, ..known });
         self.open += 1;
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -43,6 +43,7 @@
     /// Where the attempt was cut that a copy is to follow elsewhere
     pub(super) avoid: Option<EndpointId>,
     pub(super) last_until: Option<Micros>, // Its end, fixed once the attempt is out that lasts up to it
+    pub(super) restored: bool,             // An earlier process had taken it on
     pub(super) unsent: u32,                // Attempts that count as none, as nothing could be noted of them
 }
 
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -751,6 +751,7 @@
          start
          u1 connect
          u2 send-raw POST /api HTTP/1.1\\r\\nX-Request-Id: m1\\r\\n
+         u1 expect 503 close
          u1 expect end
          log reason: silent
          u2 expect 408 close
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -143,6 +143,7 @@
          u4 expect 202 Connection: close
          u4 expect end
          u1 expect end
+         u2 expect 503 close
          u2 expect end
          u3 expect 408
          e1 send m1 200
