Ask one place whether something may be done now, check what was done, and log each message's states

A Ledger, written apart from that and from the policy, sees attempts and ends as they happen; what breaks a rule is counted under invariant_violations and logged with ids. The policy says why it gives up (time-up, blocked, attempts-spent, no-room). One log line a state: taken-on, attempt, attempt-ended, given-up, returned, failed, delivered, reported, rejected; counters not_sent, rejected, given_up by reason.

--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -695,8 +695,8 @@
                     open = Some((call, number));
                     self.add_part(number, id.0 as usize, cut_at.saturating_sub(clock), last);
                 }
-                Action::Refuse { id, retry_after } => self.end(id.0 as usize, Some(retry_after)),
-                Action::Fail { id } => self.end(id.0 as usize, None),
+                Action::Refuse { id, retry_after, .. } => self.end(id.0 as usize, Some(retry_after)),
+                Action::Fail { id, .. } => self.end(id.0 as usize, None),
                 Action::Cancel { id, attempt } => self.cancel(id.0 as usize, attempt),
                 Action::Timer { delay, .. } => self.at(now + delay, What::Timer(forwarder)),
                 Action::CloseIdle { endpoint } => {
--- a/src/api.rs
+++ b/src/api.rs
@@ -385,6 +385,31 @@
     pub limit: Option<LimitReport>,
 }
 
+/// Why a message is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum GiveUpReason {
+    /// Its time is up, or the time in which it may be repeated.
+    TimeUp,
+    /// Nothing can go to its destination before that.
+    Blocked,
+    /// It has had all its attempts.
+    AttemptsSpent,
+    /// More is held than there is room for.
+    NoRoom,
+}
+
+impl GiveUpReason {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            GiveUpReason::TimeUp => "time-up",
+            GiveUpReason::Blocked => "blocked",
+            GiveUpReason::AttemptsSpent => "attempts-spent",
+            GiveUpReason::NoRoom => "no-room",
+        }
+    }
+}
+
 /// What the caller is to do, in order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
@@ -409,11 +434,15 @@
         id: MessageId,
         /// Advice on when to come again.
         retry_after: Option<Micros>,
+        /// Why.
+        reason: GiveUpReason,
     },
     /// End a message as failed; it may or may not have taken effect.
     Fail {
         /// Which message.
         id: MessageId,
+        /// Why.
+        reason: GiveUpReason,
     },
     /// Cease waiting for an attempt; its result follows.
     Cancel {
--- a/src/bin/cedarbridge-simhost/wire.rs
+++ b/src/bin/cedarbridge-simhost/wire.rs
@@ -237,7 +237,7 @@
         for action in actions {
             match action {
                 Action::Send { id, .. } => note(id, true, false, false),
-                Action::Refuse { id, .. } | Action::Fail { id } => note(id, false, false, true),
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => note(id, false, false, true),
                 _ => {}
             }
         }
@@ -255,10 +255,10 @@
             Action::Send { id, endpoint, cut_at, .. } => {
                 json!(["submit-to", word(id), millis(*cut_at), endpoint.0])
             }
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, .. } => {
                 json!(["decline", word(id), retry_after.map_or(0.0, millis)])
             }
-            Action::Fail { id } => json!(["finish-error", word(id)]),
+            Action::Fail { id, .. } => json!(["finish-error", word(id)]),
             Action::Cancel { id, attempt } => json!(["drop-attempt", word(id), attempt]),
             Action::Timer { delay, token } => json!(["arm", millis(*delay), token]),
             Action::Probe { endpoint } => json!(["ask-load", endpoint.0]),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod breach;
 pub mod cli;
+pub mod invariants;
 pub mod journal;
 
 pub mod measured;
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -1,6 +1,7 @@
 //! What every call looks at just before its first byte: who is in service, who told a wait.
 
 use super::clock::Clock;
+use crate::invariants::EndpointFacts;
 use crate::{DestinationId, EndpointId, Lifecycle, Micros, ZoneId};
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
@@ -10,9 +11,6 @@
 
 /// After so long nothing is under way any more to an endpoint that was told to leave.
 const LONG_AGO: Micros = 120_000_000;
-/// The platform allows for a process that is held up for so long between its look at the clock and its write; a drain's grace has
-/// to cover that.
-const HELD_UP: Micros = 150_000;
 
 /// What is known of an endpoint now.
 #[derive(Clone, Debug)]
@@ -63,14 +61,18 @@
         let last_sends = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that are in order");
         let last_sends = RefCell::new(last_sends);
         let board = Board { clock, grace: Cell::new(0), endpoints, waits, last_sends };
-        board.grace(grace);
+        board.set_grace(grace);
         board
     }
 
     /// Sets the grace.
-    pub fn grace(&self, grace: Micros) {
-        // The platform's moment of telling lies a little before ours.
-        self.grace.set(grace.saturating_sub(HELD_UP) * 4 / 5);
+    pub fn set_grace(&self, grace: Micros) {
+        self.grace.set(grace);
+    }
+
+    /// For how long work may go to an endpoint after it was told to leave.
+    pub fn grace(&self) -> Micros {
+        self.grace.get()
     }
 
     /// Writes down an endpoint, learnt at a time; the time of an earlier leave stays.
@@ -155,15 +157,11 @@
         *until = (*until).max(self.clock.now().saturating_add(wait));
     }
 
-    /// Why nothing may go to an endpoint just now, if so. Time passes between the module's step and the first
-    /// byte, above all while a connection is made; what came in meanwhile binds that byte.
-    pub fn bars(&self, endpoint: EndpointId) -> Option<&'static str> {
-        let now = self.clock.now();
-        let Some(known) = self.get(endpoint) else { return Some("unknown-endpoint") };
-        if known.leaving_since.is_some_and(|t| now >= t + self.grace.get()) {
-            return Some("leaving");
-        }
-        let until = self.waiter(endpoint).and_then(|w| self.waits.borrow().get(&w).copied());
-        until.is_some_and(|t| now < t).then_some("told-to-wait")
+    /// What binds a call to an endpoint just now; none if the list does not name it. Time passes between the policy's step and
+    /// the first byte, above all while a connection is made; what came in meanwhile binds that byte.
+    pub fn facts(&self, endpoint: EndpointId) -> Option<EndpointFacts> {
+        let leaving_since = self.get(endpoint)?.leaving_since;
+        let retry_after = self.waiter(endpoint).and_then(|w| self.waits.borrow().get(&w).copied());
+        Some(EndpointFacts { leaving_since, retry_after })
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,9 +1,10 @@
 //! What the program is told at its start.
 
 use super::eureka::snapshot::Snapshot;
+use crate::invariants::RepeatRules;
 use crate::membership::RegistrySettings;
 use crate::words::{field, in_field, micros, own_number, settings, text, whole, Names};
-use crate::{Kind, Micros, Settings};
+use crate::{Class, Kind, Micros, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -60,6 +61,8 @@
     pub keyed: Vec<bool>,
     /// Whether a message of each class must never run twice, by class.
     pub unsafe_twice: Vec<bool>,
+    /// How messages of each class may be repeated, by class.
+    pub repeats: Vec<RepeatRules>,
     /// A registry that the list also comes from.
     pub registry: Option<Arc<RegistrySettings>>,
     /// The longest time for which a message of each class is held, by class.
@@ -94,6 +97,11 @@
     Ok((settings, names))
 }
 
+fn repeat_rules(class: &Class, settings: &Settings) -> RepeatRules {
+    let Class { effect, dedup_scope: scope, memory_span: window, .. } = *class;
+    RepeatRules { effect, scope, window, max_attempts: settings.max_attempts }
+}
+
 impl Config {
     /// Reads the text of a configuration. Variables, as the platform sets them, go before what it says.
     pub fn read(json: &str, variable: impl Fn(&str) -> Option<String>) -> Result<(Self, Settings), String> {
@@ -140,6 +148,7 @@
             names: Arc::new(names),
             keyed: of(crate::Effect::Keyed),
             unsafe_twice: of(crate::Effect::Unsafe),
+            repeats: settings.classes.iter().map(|c| repeat_rules(c, &settings)).collect(),
             registry: None,
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
         };
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,20 +1,31 @@
 //! What the program has taken in, sent and answered.
 
-use crate::Outcome;
+use crate::invariants::{Rejection, SendRefusal, Violation};
+use crate::{GiveUpReason, Outcome};
 use serde_json::{Map, Value};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
         /// Counts since the start of the process.
         #[derive(Debug, Default)]
-        pub struct Counters { $($(#[$doc])* pub $name: Count,)* }
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Count,)*
+            /// Why calls were not sent, messages not taken on or given up, and rules that were broken.
+            by_reason: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+        }
 
         impl Counters {
             /// All of them, by name.
             pub fn report(&self) -> Value {
                 let mut all = Map::new();
                 $(all.insert(stringify!($name).into(), self.$name.0.get().into());)*
+                for kind in [NOT_SENT, REJECTED, GIVEN_UP, VIOLATIONS] {
+                    let of_kind = self.by_reason.borrow().iter().filter(|r| r.0 .0 == kind)
+                        .map(|r| (r.0 .1.to_owned(), Value::from(*r.1))).collect();
+                    all.insert(kind.into(), Value::Object(of_kind));
+                }
                 Value::Object(all)
             }
         }
@@ -98,7 +109,38 @@
     journal_failures,
 }
 
+/// What is counted by reason, by its name in the report.
+const NOT_SENT: &str = "not_sent";
+const REJECTED: &str = "rejected";
+const GIVEN_UP: &str = "given_up";
+const VIOLATIONS: &str = "invariant_violations";
+
 impl Counters {
+    fn reason(&self, kind: &'static str, reason: &'static str) {
+        // Reasons are names in the program: their number has a bound.
+        *self.by_reason.borrow_mut().entry((kind, reason)).or_default() += 1;
+    }
+
+    /// Counts a call that was held back at its first byte.
+    pub fn not_sent(&self, why: SendRefusal) {
+        self.reason(NOT_SENT, why.name());
+    }
+
+    /// Counts a message that was not taken on.
+    pub fn rejected(&self, why: Rejection) {
+        self.reason(REJECTED, why.name());
+    }
+
+    /// Counts a message that was given up.
+    pub fn given_up(&self, why: GiveUpReason) {
+        self.reason(GIVEN_UP, why.name());
+    }
+
+    /// Counts a rule that was broken.
+    pub fn violation(&self, violation: Violation) {
+        self.reason(VIOLATIONS, violation.name());
+    }
+
     /// Counts the end of an attempt.
     pub fn outcome(&self, outcome: Outcome) {
         match outcome {
--- a/src/net/decider.rs
+++ b/src/net/decider.rs
@@ -8,11 +8,13 @@
 use super::peer::{self, ToPeer};
 use super::transaction::{Request, Transaction};
 use super::Context;
-use crate::journal::{JournaledMessage, Progress, ReportedEnd};
+use crate::invariants::{may_take_on, AdmissionFacts, Rejection};
+use crate::journal::{JournalError, JournaledMessage, Progress, ReportedEnd};
 use crate::membership::Carried;
 use crate::words::Names;
 use crate::{
-    Action, ClassId, DeliveryPolicy, DestinationId, EndpointId, Event, KindId, Lifecycle, ListNews, MessageId,
+    Action, ClassId, DeliveryPolicy, DestinationId, EndpointId, Event, GiveUpReason, KindId, Lifecycle,
+    ListNews, MessageId,
 };
 use crate::{Micros, Outcome, Settings, Shown, Status, TenantId, ZoneId};
 use async_channel::{Receiver, Sender};
@@ -81,6 +83,8 @@
     Failed,
 }
 
+/// How a message ended that its client may hand in again.
+const RETURNED: &str = "returned";
 /// The advice to come again where the module had no say.
 pub const LATER: Micros = 1_000_000;
 
@@ -321,6 +325,10 @@
 
     fn enter(&mut self, transaction: Transaction, out: Option<Out>, reply: Option<Sender<Reply>>) {
         self.context.keep_word(&transaction.request.word);
+        let rules = self.context.config().repeats[transaction.request.class.0];
+        let first = transaction.first.map(|(at, zone)| (at, Some(zone)));
+        let attempt = out.as_ref().map(|o| o.attempt);
+        self.context.ledger.borrow_mut().hold(transaction.id, rules, transaction.attempts(), first, attempt);
         let held = Held { transaction: Rc::new(transaction), out, reply };
         self.held.insert(held.transaction.id, held);
         self.open += 1;
@@ -425,7 +433,6 @@
     }
 
     fn take_on(&mut self, request: Request, reply: Sender<Reply>) {
-        let counters = &self.context.counters;
         if let Some(n) = request.tenant.and_then(|t| self.handed_in.get_mut(t.0)) {
             *n += 1;
         }
@@ -433,10 +440,15 @@
         debug!(self.context.log, "handed in"; "id" => &request.word, "destination" => request.destination.0,
             "channel" => request.tenant.and_then(|t| self.names.tenants.get(t.0)),
             "wall_ms" => FnValue(|_| super::clock::wall() as f64 / 1e3));
-        // Neither may the one replace the other, nor may one end be told for both.
-        if self.context.word_in_use(&request.word) {
-            let _ = reply.try_send(Reply::Held);
-            return;
+        let facts = AdmissionFacts {
+            closed: self.closed,
+            id_in_use: self.context.word_in_use(&request.word),
+            open: self.open,
+            max_open: self.context.config().max_open,
+            journal_writable: self.context.journal.is_writable(),
+        };
+        if let Err(why) = may_take_on(&facts) {
+            return self.reject(&request.word, why, &reply);
         }
         let name = |all: &[String], at: usize| all.get(at).cloned().unwrap_or_default();
         let message = JournaledMessage {
@@ -450,17 +462,29 @@
             progress: Progress { ran: request.orphan, ..Progress::default() },
         };
         self.next += 1;
-        let crowded = self.closed || self.open >= self.context.config().max_open;
-        if crowded || self.context.journal.take(MessageId(self.next), &message).is_err() {
-            counters.unavailable.add();
-            let _ = reply.try_send(Reply::Unavailable(LATER));
-            return;
+        match self.context.journal.take(MessageId(self.next), &message) {
+            Ok(()) => {}
+            Err(JournalError::Full) => return self.reject(&request.word, Rejection::JournalFull, &reply),
+            Err(_) => return self.reject(&request.word, Rejection::JournalFailing, &reply),
         }
         let mut transaction = Transaction::new(MessageId(self.next), request, 0);
         transaction.since = Some(self.context.clock.now());
         self.hold(transaction, Some(reply));
     }
 
+    /// Does not take a message on, and says why.
+    fn reject(&self, request_id: &str, why: Rejection, reply: &Sender<Reply>) {
+        self.context.rejected(request_id, why);
+        let answer = match why {
+            Rejection::IdInUse => Reply::Held,
+            _ => {
+                self.context.counters.unavailable.add();
+                Reply::Unavailable(LATER)
+            }
+        };
+        let _ = reply.try_send(answer);
+    }
+
     fn withdraw(&mut self, id: MessageId) {
         if self.finish(id, "withdrawn") {
             self.context.journal.end(id);
@@ -477,12 +501,17 @@
         held.transaction.stats.iter().for_each(|s| s.end(how));
         self.open -= 1;
         self.context.open.set(self.open);
+        let word = &held.transaction.request.word;
+        info!(self.context.log, "message"; "state" => how, "id" => word, "attempts" => held.transaction.attempts());
+        let violation = self.context.ledger.borrow_mut().end(id, how == RETURNED);
+        violation.into_iter().for_each(|v| self.context.violated(v, word, None));
         true
     }
 
     /// Forgets a message that is over once none of its attempts is out.
     fn forget(&mut self, id: MessageId) {
         if self.held.get(&id).is_some_and(|h| h.transaction.is_over() && h.out.is_none()) {
+            self.context.ledger.borrow_mut().forget(id);
             if let Some(held) = self.held.remove(&id) {
                 self.context.release_word(&held.transaction.request.word);
             }
@@ -535,10 +564,15 @@
         for ((id, attempt), end) in parts.into_iter().zip(&ended.ends) {
             self.context.counters.outcome(end.outcome);
             self.older.remove(&(id, attempt));
+            self.context.ledger.borrow_mut().attempt_ended(id, attempt, end.outcome);
             let transaction = self.held.get_mut(&id).map(|held| {
                 held.out = held.out.take().filter(|o| o.attempt != attempt);
                 held.transaction.clone()
             });
+            if let Some(transaction) = &transaction {
+                info!(self.context.log, "message"; "state" => "attempt-ended", "id" => &transaction.request.word,
+                    "attempt" => attempt, "endpoint" => endpoint.0, "outcome" => ?end.outcome, "ms" => elapsed / 1000);
+            }
             let stats = transaction.as_ref().and_then(|t| t.stats.as_ref());
             stats.iter().for_each(|s| s.outcome(end.outcome));
             if end.ended {
@@ -610,8 +644,10 @@
                 Action::Send { id, endpoint, call, cut_at, send_by, last } => {
                     self.gather(&mut passes, (call, endpoint), id, (cut_at, send_by, last));
                 }
-                Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)).await,
-                Action::Fail { id } => self.give_up(id, None).await,
+                Action::Refuse { id, retry_after, reason } => {
+                    self.give_up(id, Some(retry_after), reason).await;
+                }
+                Action::Fail { id, reason } => self.give_up(id, None, reason).await,
                 Action::Cancel { id, attempt } => self.call_off(id, attempt),
                 Action::Timer { delay, token } => self.timers.push(Reverse((now + delay, token))),
                 Action::CloseIdle { endpoint } => {
@@ -631,6 +667,9 @@
             if let Some(reply) = self.held.get_mut(&m.id).and_then(|h| h.reply.take()) {
                 if reply.try_send(Reply::Taken(m.id)).is_ok() {
                     self.context.counters.taken.add();
+                    let word = self.held.get(&m.id).map(|h| h.transaction.request.word.as_str());
+                    info!(self.context.log, "message"; "state" => "taken-on", "id" => word,
+                        "class" => m.class.0, "destination" => m.destination.0, "left_ms" => m.time_left / 1000);
                 } else {
                     self.withdraw(m.id);
                 }
@@ -707,12 +746,14 @@
     }
 
     /// The module's end of a message: as the answer if that is still to be written, or else by notice.
-    async fn give_up(&mut self, id: MessageId, refused: Option<Option<Micros>>) {
-        if !self.finish(id, if refused.is_some() { "returned" } else { "failed" }) {
+    async fn give_up(&mut self, id: MessageId, refused: Option<Option<Micros>>, reason: GiveUpReason) {
+        if !self.finish(id, if refused.is_some() { RETURNED } else { "failed" }) {
             return;
         }
+        self.context.counters.given_up(reason);
         let Some(held) = self.held.get_mut(&id) else { return };
         let word = held.transaction.request.word.clone();
+        info!(self.context.log, "message"; "state" => "given-up", "id" => &word, "reason" => reason.name());
         if let Some(reply) = held.reply.take() {
             self.context.journal.end(id);
             let answer = match refused {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -6,6 +6,7 @@
 use super::lobby::{Lobby, Stay};
 use super::transaction::Request;
 use super::{Context, ToDecider};
+use crate::invariants::Rejection;
 use crate::words::{index, Names};
 use crate::{ClassId, DestinationId, MessageId, Micros, TenantId};
 use async_io::{Async, Timer};
@@ -406,12 +407,14 @@
             ("GET", "/_counters") => Ok(Answer::plain(200, format!("{}\n", self.context.report()))),
             ("POST", "/api") => match self.read_message(head, body, came) {
                 // It may have ended its sending only: it is told that this was not taken on.
-                Ok(_) if gone => {
+                Ok(request) if gone => {
                     self.context.counters.unavailable.add();
+                    self.context.rejected(&request.word, Rejection::ClientGone);
                     Err(self.part_with(&Answer::service_unavailable(LATER), "agent-gone").await)
                 }
                 Ok(request) if !self.context.board.names(request.destination) => {
                     self.context.counters.unavailable.add();
+                    self.context.rejected(&request.word, Rejection::UnknownDestination);
                     info!(self.context.log, "unknown destination"; "destination" => request.destination.0);
                     Ok(Answer::service_unavailable(UNKNOWN_FOR))
                 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,8 +24,9 @@
 pub mod route_stats;
 pub mod transaction;
 
+use crate::invariants::{Ledger, Rejection, Violation};
 use crate::journal::{Journal, Restored, Unreadable};
-use crate::{DeliveryPolicy, Settings};
+use crate::{DeliveryPolicy, EndpointId, Settings};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -44,7 +45,7 @@
 use pulse::Pulse;
 use rustix::io::Errno;
 use serde_json::Value;
-use slog::{info, warn, Logger};
+use slog::{error, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
@@ -83,6 +84,8 @@
     pub journal: JournalKeeper,
     /// Counts.
     pub counters: Counters,
+    /// What was done for each message, held against the rules.
+    pub ledger: RefCell<Ledger>,
     /// Counts by the entries of the site file.
     pub routes: route_stats::Routes,
     /// Counts of what the registry was asked.
@@ -195,6 +198,19 @@
         report
     }
 
+    /// Counts and logs a message that is not taken on, and why.
+    pub fn rejected(&self, request_id: &str, why: Rejection) {
+        self.counters.rejected(why);
+        info!(self.log, "message"; "state" => "rejected", "id" => request_id, "reason" => why.name());
+    }
+
+    /// Counts and logs a rule that was broken, with the ids that it is about. The program goes on.
+    pub fn violated(&self, violation: Violation, request_id: &str, endpoint: Option<EndpointId>) {
+        self.counters.violation(violation);
+        error!(self.log, "invariant violated"; "rule" => violation.name(), "id" => request_id,
+            "endpoint" => endpoint.map(|e| e.0));
+    }
+
     /// A message of that name is not over yet.
     pub fn word_in_use(&self, word: &str) -> bool {
         self.words.borrow().contains_key(word)
@@ -276,6 +292,7 @@
         words: RefCell::default(),
         config: RefCell::new(Rc::new(config)),
         counters: Counters::default(),
+        ledger: RefCell::default(),
         routes: route_stats::Routes::default(),
         registry: eureka::Counts::default(),
         registry_view: RefCell::default(),
@@ -547,7 +564,7 @@
         return Err(why.into());
     }
     context.journal.set_limit(config.journal_disk());
-    context.board.grace(config.drain_grace);
+    context.board.set_grace(config.drain_grace);
     context.routes.apply(settings.routes.clone());
     *context.config.borrow_mut() = Rc::new(config);
     tell_number(context);
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -69,6 +69,7 @@
         match future::or(post(&context, &mut connection, &body), late).await {
             Ok(204) => {
                 for notice in pending.drain(..count) {
+                    info!(context.log, "message"; "state" => "reported", "id" => &notice.word, "end" => ?notice.end);
                     context.journal.end(notice.id);
                     context.release_word(&notice.word);
                     context.counters.notices.add();
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -3,8 +3,10 @@
 use super::call::{Call, Came, End, Ended};
 use super::http::{Answered, Broken, Wire};
 use super::{Context, ToDecider};
+use crate::invariants::connection::idle_until;
+use crate::invariants::{may_reuse, may_send, IdleFacts, SendFacts, SendPermit, SendRefusal, Violation};
 use crate::journal::AttemptStart;
-use crate::{EndpointId, LimitReport, Micros, Outcome};
+use crate::{EndpointId, LimitReport, Micros, Outcome, ZoneId};
 use async_channel::{Receiver, Sender, WeakSender};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -24,8 +26,6 @@
     Idle(Wire),
 }
 
-/// A connection is given up so long before the endpoint may close it: a request must not cross that.
-const IDLE_MARGIN: Micros = 250_000;
 const ANSWER_LIMIT: usize = 64 * 1024;
 /// An answer that has begun and does not go on for so long is spoilt: its call must not keep a slot until it is
 /// cut, and its connection is of no more use.
@@ -60,7 +60,7 @@
         }
         kept.set(kept.get() + 1);
         let span = self.context.config().conn_idle;
-        let until = self.context.clock.now() + span.saturating_sub(IDLE_MARGIN.min(span / 4));
+        let until = idle_until(self.context.clock.now(), span);
         let address = wire.peer();
         self.idle.push(Idle { wire, address, until });
     }
@@ -95,17 +95,16 @@
         let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
         for at in (0..self.idle.len()).rev() {
             let idle = &mut self.idle[at];
-            let reason = if now >= idle.until {
-                "idle"
-            } else if idle.address != address {
-                "moved"
-            } else {
-                // What came unasked would be read as the answer to the next call.
-                let Some(reason) = idle.wire.poll_disturbed(&mut cx) else { continue };
-                reason
+            let facts = IdleFacts {
+                now,
+                until: idle.until,
+                at_its_address: idle.address == address,
+                disturbed: idle.wire.poll_disturbed(&mut cx),
             };
-            drop(self.remove(at));
-            self.closed(reason);
+            if let Err(reason) = may_reuse(&facts) {
+                drop(self.remove(at));
+                self.closed(reason.name());
+            }
         }
     }
 
@@ -342,39 +341,25 @@
     wire.stall = Some(STALL);
     context.list_told.wait().await;
     context.pulse.until_caught_up(&context.clock).await;
-    let now = context.clock.now();
-    let over = pass.parts.iter().any(|p| p.transaction.is_over());
-    let bar = if over {
-        Some("over")
-    } else if context.journal.is_paused() {
-        Some("handed-over")
-    } else if now >= pass.first_cut(&vec![true; pass.parts.len()]) {
-        Some("cut")
-    } else if now >= pass.send_by() {
-        Some("too-late")
-    } else {
-        context.board.bars(pass.endpoint)
-    };
-    if let Some(bar) = bar {
-        info!(context.log, "not sent"; "endpoint" => pass.endpoint.0, "reason" => bar);
-        stage.set(Stage::Barred);
-        return Stop::Barred;
+    if let Err(refusal) = may_send(&send_facts(context, pass)) {
+        return not_sent(context, pass, stage, refusal);
     }
-    let zone = context.board.get(pass.endpoint).map(|k| context.config().names.zones[k.zone.0].clone());
+    let zone = context.board.get(pass.endpoint).map(|k| k.zone);
+    let zone_name = zone.map(|z| context.config().names.zones[z.0].clone()).unwrap_or_default();
     for part in &pass.parts {
-        let start = AttemptStart { at: pass.sent, zone: zone.clone().unwrap_or_default() };
-        if let Err(e) = context.journal.attempt(part.transaction.id, part.attempt, start) {
-            let word = &part.transaction.request.word;
-            info!(context.log, "not sent"; "endpoint" => pass.endpoint.0, "id" => word, "reason" => "journal", "error" => %e);
-            stage.set(Stage::Barred);
-            return Stop::Unnoted;
+        let start = AttemptStart { at: pass.sent, zone: zone_name.clone() };
+        if context.journal.attempt(part.transaction.id, part.attempt, start).is_err() {
+            return not_sent(context, pass, stage, SendRefusal::JournalFailing);
         }
     }
+    // Writing that down may have taken a while.
+    let permit = match may_send(&send_facts(context, pass)) {
+        Ok(permit) => permit,
+        Err(refusal) => return not_sent(context, pass, stage, refusal),
+    };
     stage.set(Stage::Writing);
-    context.board.first_byte(pass.endpoint);
-    context.counters.calls.add();
-    context.counters.attempts.more(pass.parts.len());
-    if let Err(e) = wire.write(&request(pass, now)).await {
+    note_first_byte(context, pass, zone.unwrap_or_default());
+    if let Err(e) = write_call(wire, permit, &request(pass, context.clock.now())).await {
         return Stop::Broke(Broken::Socket(e));
     }
     stage.set(Stage::Written);
@@ -396,6 +381,61 @@
     }
 }
 
+/// All that binds the first byte of a call now.
+fn send_facts(context: &Context, pass: &Call) -> SendFacts {
+    SendFacts {
+        now: context.clock.now(),
+        message_over: pass.parts.iter().any(|p| p.transaction.is_over()),
+        handed_over: context.journal.is_paused(),
+        journal_writable: context.journal.is_writable(),
+        cut_at: pass.first_cut(&vec![true; pass.parts.len()]),
+        send_by: pass.send_by(),
+        drain_grace: context.board.grace(),
+        endpoint: context.board.facts(pass.endpoint),
+    }
+}
+
+/// Tells why a call is held back.
+fn not_sent(context: &Context, pass: &Call, stage: &Cell<Stage>, why: SendRefusal) -> Stop {
+    for part in &pass.parts {
+        context.counters.not_sent(why);
+        info!(context.log, "not sent"; "id" => &part.transaction.request.word, "attempt" => part.attempt,
+            "endpoint" => pass.endpoint.0, "reason" => why.name());
+    }
+    stage.set(Stage::Barred);
+    match why {
+        SendRefusal::JournalFailing => Stop::Unnoted,
+        _ => Stop::Barred,
+    }
+}
+
+/// Counts and logs a call whose first byte is about to be written, and holds it against the rules.
+fn note_first_byte(context: &Context, pass: &Call, zone: ZoneId) {
+    let now = context.clock.now();
+    let facts = context.board.facts(pass.endpoint);
+    let leaves = facts.and_then(|f| f.leaving_since).is_some_and(|t| now > t + context.board.grace());
+    let waits = facts.and_then(|f| f.retry_after).is_some_and(|t| now < t);
+    for part in &pass.parts {
+        let id = &part.transaction.request.word;
+        let done = context.ledger.borrow_mut().attempt(part.transaction.id, part.attempt, now, zone);
+        let leaves = leaves.then_some(Violation::SentToLeaving);
+        let waits = waits.then_some(Violation::SentWithinRetryAfter);
+        for violation in [done, leaves, waits].into_iter().flatten() {
+            context.violated(violation, id, Some(pass.endpoint));
+        }
+        info!(context.log, "message"; "state" => "attempt", "id" => id, "attempt" => part.attempt,
+            "endpoint" => pass.endpoint.0, "left_ms" => part.cut_at.saturating_sub(now) / 1000);
+    }
+    context.board.first_byte(pass.endpoint);
+    context.counters.calls.add();
+    context.counters.attempts.more(pass.parts.len());
+}
+
+/// Writes a call; nothing else does.
+async fn write_call(wire: &mut Wire, _permit: SendPermit, bytes: &[u8]) -> std::io::Result<()> {
+    wire.write(bytes).await
+}
+
 async fn dial(context: &Rc<Context>, endpoint: EndpointId) -> Result<Wire, Broken> {
     let Some(known) = context.board.get(endpoint) else { return Err(Broken::Malformed("unknown endpoint")) };
     context.counters.opened.add();
--- a/src/policy/ending.rs
+++ b/src/policy/ending.rs
@@ -62,14 +62,14 @@
 
     /// Gives the final answer to a message that is given up: the one place that refuses or fails (rule 2:
     /// refused only if no attempt may have run, or if it is safe to repeat).
-    pub(super) fn give_up(&mut self, now: Micros, id: MessageId) {
+    pub(super) fn give_up(&mut self, now: Micros, id: MessageId, reason: GiveUpReason) {
         let Some(m) = self.messages.get(&id).filter(|m| !m.over && m.out.is_none()) else { return };
         if m.may_have_run.is_none() || self.effect(id) == Effect::Safe {
             let wait = self.expected_wait(now, m.destination).min(self.s.max_retry_after);
             let retry_after = (self.s.retry_after && wait > 0).then_some(wait);
-            self.actions.push(Action::Refuse { id, retry_after });
+            self.actions.push(Action::Refuse { id, retry_after, reason });
         } else {
-            self.actions.push(Action::Fail { id });
+            self.actions.push(Action::Fail { id, reason });
         }
         self.end(id);
     }
@@ -81,11 +81,15 @@
         for (id, m) in self.messages.iter().filter(|(_, m)| !m.over && m.out.is_none()) {
             let end = self.last_send(m);
             let blocked = self.destinations.get(&m.destination).map_or(0, |d| self.blocked_until(d));
-            if now >= end
-                || blocked >= end
-                || m.attempts - m.unsent >= self.timing(m).most(self.s.max_attempts)
-            {
-                lost.push(*id);
+            let spent = m.attempts - m.unsent >= self.timing(m).most(self.s.max_attempts);
+            let reason = match () {
+                () if now >= end => Some(GiveUpReason::TimeUp),
+                () if spent => Some(GiveUpReason::AttemptsSpent),
+                () if blocked >= end => Some(GiveUpReason::Blocked),
+                () => None,
+            };
+            if let Some(reason) = reason {
+                lost.push((*id, reason));
             } else {
                 let rest = m.key.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.rest_until);
                 let rest = rest.max(m.rest_until);
@@ -93,8 +97,8 @@
             }
         }
         self.wake_at(wake);
-        for id in lost {
-            self.give_up(now, id);
+        for (id, reason) in lost {
+            self.give_up(now, id, reason);
         }
     }
 
@@ -110,7 +114,7 @@
             let earns = |m: &Message| (self.worth_at(m, now + waits[&m.destination]) * GRAIN) as i64;
             let least = held().map(|(id, m)| (earns(m), Reverse(*id))).min();
             let Some((_, Reverse(id))) = least else { break };
-            self.give_up(now, id);
+            self.give_up(now, id, GiveUpReason::NoRoom);
         }
     }
 
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -1,5 +1,6 @@
 //! The board that binds first bytes, with a clock but no sockets.
 
+use cedarbridge::invariants::{may_send, SendFacts, SendRefusal};
 use cedarbridge::net::board::{Board, Known};
 use cedarbridge::net::clock::Clock;
 use cedarbridge::{DestinationId, EndpointId, Lifecycle, ZoneId};
@@ -29,9 +30,22 @@
     let clock = Clock::start();
     let grace = 250_000;
     let board = Board::new(clock, grace);
+    let bars = |endpoint| {
+        let open = SendFacts {
+            now: clock.now(),
+            message_over: false,
+            handed_over: false,
+            journal_writable: true,
+            cut_at: u64::MAX,
+            send_by: u64::MAX,
+            drain_grace: board.grace(),
+            endpoint: board.facts(endpoint),
+        };
+        may_send(&open).err()
+    };
     let known = Known::new("127.0.0.1:1".parse().expect("an address"), DestinationId(1), ZoneId(0), false);
     board.list(EndpointId(1), Lifecycle::Draining, clock.now() - (grace - HELD_UP), known.clone());
-    assert!(board.bars(EndpointId(1)).is_some(), "a byte that is held up would come past the grace");
+    assert_eq!(bars(EndpointId(1)), Some(SendRefusal::Leaving), "a byte held up would come past the grace");
     board.list(EndpointId(2), Lifecycle::Draining, clock.now(), known);
-    assert!(board.bars(EndpointId(2)).is_none(), "what was under way goes through");
+    assert_eq!(bars(EndpointId(2)), None, "what was under way goes through");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -163,5 +163,5 @@
 }
 
 pub fn failed(actions: &[Action], id: MessageId) -> bool {
-    actions.contains(&Action::Fail { id })
+    actions.iter().any(|a| matches!(a, Action::Fail { id: i, .. } if *i == id))
 }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -432,7 +432,7 @@
                         }
                         prop_assert!(out.insert(id, (endpoint, *n - 1, w.now, cut_at)).is_none(), "two out");
                     }
-                    Action::Refuse { id, .. } | Action::Fail { id } => {
+                    Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                         prop_assert!(over.insert(id, w.now).is_none(), "one end");
                     }
                     _ => {}
