Connect through the C library, and take a shortage on this machine for no failure of an endpoint

Cause: connect went by raw calls that no shim sees, and EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS or ENOMEM counted as an endpoint that cannot be reached: two of them opened its breaker.

--- a/src/net/eureka/client.rs
+++ b/src/net/eureka/client.rs
@@ -1,14 +1,14 @@
 //! One registry address over HTTP: a question, its answer within time and size limits. It decides nothing.
 
+use super::super::dial::connect;
 use super::model::Applications;
 use super::{json, xml};
 use crate::membership::Address;
 use crate::net::http::{Broken, Wire};
 use crate::net::{beside, in_time};
 use crate::Micros;
-use async_io::Async;
 use std::io::Read;
-use std::net::{IpAddr, SocketAddr, TcpStream, ToSocketAddrs};
+use std::net::{IpAddr, SocketAddr, ToSocketAddrs};
 use std::time::Duration;
 
 /// Why a question has no answer that can be used.
@@ -91,7 +91,7 @@
             Some(wire) => wire,
             None => {
                 let to = resolve(&self.address).await?;
-                Wire::new(Async::<TcpStream>::connect(to).await.map_err(Broken::Socket)?)
+                Wire::new(connect(to).await.map_err(Broken::Socket)?)
             }
         };
         let Address { host, port, prefix } = &self.address;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,6 +4,7 @@
 use super::call::Came;
 use super::config::Config;
 use super::decider::{Decider, Reply, ToDecider, LATER};
+use super::dial::connect;
 use super::http::{frame, write_all, Broken, Wire};
 use super::members::ToMembers;
 use super::operator::{self, No, Operation};
@@ -341,7 +342,7 @@
     owner: &Owner,
     executor: &LocalExecutor<'static>,
 ) -> Result<((Box<State>, DeliveryPolicy), Link), Broken> {
-    let stream = Async::<TcpStream>::connect(owner.operator).await.map_err(Broken::Socket)?;
+    let stream = connect(owner.operator).await.map_err(Broken::Socket)?;
     let mut wire = Wire::new(stream);
     let Owner { operator, token } = owner;
     let head = format!("POST /admin/handover HTTP/1.1\r\nHost: {operator}\r\nX-Token: {token}\r\n");
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -3,6 +3,7 @@
 use super::board::Known;
 use super::clock::wall;
 use super::cordons::Cordons;
+use super::dial::connect;
 use super::eureka::snapshot::Snapshot;
 use super::http::{Broken, Wire};
 use super::operator::No;
@@ -14,13 +15,13 @@
 use crate::{DestinationId, EndpointId, Entry, KindId, Lifecycle, ListNews, Micros, ZoneId};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use serde_json::{json, Value};
 use slog::{info, warn};
 use std::collections::{HashSet, VecDeque};
 use std::future::Future;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -701,7 +702,7 @@
 /// Hands on line after line until the connection ends; why it did.
 async fn watch(address: SocketAddr, after: Option<u64>, number: u64, members: &Sender<ToMembers>) -> Over {
     let opening = async {
-        let mut wire = Wire::new(Async::<TcpStream>::connect(address).await.map_err(Broken::Socket)?);
+        let mut wire = Wire::new(connect(address).await.map_err(Broken::Socket)?);
         let after = after.map_or(String::new(), |g| format!("&after={g}"));
         let request = format!("GET /catalog/members?watch=1{after} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         wire.write(request.as_bytes()).await.map_err(Broken::Socket)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod cordons;
 pub mod counters;
 pub mod decider;
+pub mod dial;
 pub mod eureka;
 pub mod folder;
 pub mod front;
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -1,16 +1,17 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
 
+use super::dial::connect;
 use super::http::{Broken, Wire};
 use super::Context;
 use crate::journal::ReportedEnd;
 use crate::MessageId;
 use async_channel::Receiver;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use serde_json::json;
 use slog::{info, warn};
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -107,7 +108,7 @@
     }
     let mut wire = match connection.take() {
         Some((_, wire)) => wire,
-        None => Wire::new(Async::<TcpStream>::connect(address).await.map_err(Broken::Socket)?),
+        None => Wire::new(connect(address).await.map_err(Broken::Socket)?),
     };
     let head = format!("POST /reports HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
     let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -1,6 +1,7 @@
 //! An endpoint's actor: its pool of connections and the calls on them.
 
 use super::call::{Call, Came, End, Ended};
+use super::dial::connect_within;
 use super::http::{Answered, Broken, Wire};
 use super::{Context, ToDecider};
 use crate::invariants::connection::idle_until;
@@ -8,11 +9,11 @@
 use crate::journal::AttemptStart;
 use crate::{EndpointId, LimitReport, Micros, Outcome, ZoneId};
 use async_channel::{Receiver, Sender, WeakSender};
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use slog::{info, warn};
 use std::cell::Cell;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -439,13 +440,8 @@
 async fn dial(context: &Rc<Context>, endpoint: EndpointId) -> Result<Wire, Broken> {
     let Some(known) = context.board.get(endpoint) else { return Err(Broken::Malformed("unknown endpoint")) };
     context.counters.opened.add();
-    let late = async {
-        Timer::after(Duration::from_micros(context.config().dial_timeout)).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    let stream =
-        future::or(Async::<TcpStream>::connect(known.address), late).await.map_err(Broken::Socket)?;
-    Ok(Wire::new(stream))
+    let span = Duration::from_micros(context.config().dial_timeout);
+    Ok(Wire::new(connect_within(known.address, span).await?))
 }
 
 fn request(pass: &Call, now: Micros) -> Vec<u8> {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -239,3 +239,31 @@
          exit",
     );
 }
+
+/// Guards against breakers that open, and tries that are spent, as this machine is short of ports or descriptors for a moment.
+#[test]
+fn a_shortage_on_this_machine_is_no_failure_of_an_endpoint() {
+    play(
+        "with e1=1 faults=on
+         start
+         faults connect EADDRNOTAVAIL count=3; socket ENFILE count=2
+         u1 send m1
+         u1 expect 202
+         e1 serves m1
+         wait delivered=1 connect_failed=0",
+    );
+}
+
+/// What the network says of one try is a failed try, and the message goes again.
+#[test]
+fn a_network_that_cannot_be_reached_fails_a_try_and_not_the_message() {
+    play(
+        "with e1=1 faults=on
+         start
+         faults connect ENETUNREACH count=1
+         u1 send m1
+         u1 expect 202
+         e1 serves m1
+         wait delivered=1 connect_failed=1",
+    );
+}
