Soak real forwarders under overlapping troubles, judged from outside

Change: crates/soak starts a few dozen forwarders, each with the fault library, and plays clients, endpoints and the platform; signals, new configurations, wall-clock steps, storage and system-call faults, stalls, endpoints and discovery overlap by seed; a judge that knows nothing of the forwarders holds what was seen against the invariants.

--- /dev/null
+++ b/crates/soak/src/troubles.rs
@@ -0,0 +1,245 @@
+//! What goes wrong: at each moment two or three troubles overlap, drawn by the seed.
+
+use crate::endpoint;
+use crate::forwarder::Forwarder;
+use crate::judge::Effect;
+use crate::world::{sleep, Class, Discovery, Endpoint, Mood, World};
+use serde_json::{json, Value};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Partners, and endpoints of each.
+pub const DESTINATIONS: usize = 5;
+pub const ENDPOINTS: usize = 3;
+/// Forwarders that share their troubles, and how many overlap for them; those of endpoints and discovery come beside these.
+const GROUP: usize = 5;
+const OVERLAP: usize = 3;
+/// An hour, in microseconds.
+const HOUR: i64 = 3_600_000_000;
+
+/// The classes: one of each effect, one that drops repeats by zone, and one that drops them for a short time.
+pub fn classes() -> Vec<Class> {
+    let keyed = |window, by_zone| Effect::Keyed { window: Duration::from_millis(window), by_zone };
+    vec![
+        Class { name: "free", effect: Effect::Safe },
+        Class { name: "notice", effect: keyed(30_000, false) },
+        Class { name: "zoned", effect: keyed(30_000, true) },
+        Class { name: "brief", effect: keyed(1_500, false) },
+        Class { name: "once", effect: Effect::Unsafe },
+    ]
+}
+
+/// A class as the settings have it.
+pub fn class(class: &Class) -> Value {
+    let (semantics, span, scope) = match class.effect {
+        Effect::Safe => ("pure", 0, "all"),
+        Effect::Unsafe => ("side_effect", 0, "all"),
+        Effect::Keyed { window, by_zone } => {
+            ("token", window.as_millis() as u64, if by_zone { "zone" } else { "all" })
+        }
+    };
+    json!({"name": class.name, "semantics": semantics, "promise": 2000.0, "deadline": 8000.0, "gain": 1.0,
+        "late-worth": 0.3, "memory-span": span, "dedup-scope": scope})
+}
+
+/// Keeps troubles going until the run is over.
+pub async fn run(world: Rc<World>, forwarders: Rc<Vec<Rc<Forwarder>>>) {
+    for group in forwarders.chunks(GROUP) {
+        for _ in 0..OVERLAP {
+            let (world, group) = (world.clone(), group.to_vec());
+            world.clone().spawn(async move {
+                while !world.quiet.get() {
+                    sleep(world.span(0, 150)).await;
+                    of_forwarders(&world, &group).await;
+                }
+            });
+        }
+    }
+    for _ in 0..OVERLAP - 1 {
+        let world = world.clone();
+        world.clone().spawn(async move {
+            while !world.quiet.get() {
+                sleep(world.span(0, 300)).await;
+                of_surroundings(&world).await;
+            }
+        });
+    }
+    // Each forwarder has a stall of its own now and then, before a write.
+    for forwarder in forwarders.iter() {
+        forwarder.add_faults("send stall=150 chance=0.002");
+    }
+}
+
+async fn of_forwarders(world: &Rc<World>, forwarders: &[Rc<Forwarder>]) {
+    match world.below(9) {
+        0 | 1 => restarts(world, forwarders, false).await,
+        2 | 3 => restarts(world, forwarders, true).await,
+        4 => {
+            some(world, forwarders, 3, |f| async move { f.stall(world, world.span(150, 1_200)).await }).await
+        }
+        5 => configurations(world, forwarders).await,
+        6 => wall_clock(world, forwarders).await,
+        7 => storage(world, forwarders).await,
+        _ => system_calls(world, forwarders).await,
+    }
+}
+
+async fn of_surroundings(world: &Rc<World>) {
+    match world.below(5) {
+        0 | 1 => endpoint_trouble(world).await,
+        2 | 3 => replacement(world).await,
+        _ => discovery(world).await,
+    }
+}
+
+/// Does something to some forwarders at once, each of which nothing else is being done to.
+async fn some<F: std::future::Future<Output = ()>>(
+    world: &Rc<World>,
+    forwarders: &[Rc<Forwarder>],
+    most: usize,
+    what: impl Fn(Rc<Forwarder>) -> F,
+) {
+    let count = 1 + world.below(most);
+    let mut all = Vec::new();
+    for _ in 0..count {
+        let forwarder = forwarders[world.below(forwarders.len())].clone();
+        if forwarder.busy.replace(true) {
+            continue;
+        }
+        let done = what(forwarder.clone());
+        all.push(Box::pin(async move {
+            done.await;
+            forwarder.busy.set(false);
+        }));
+    }
+    for one in all {
+        one.await;
+    }
+}
+
+async fn restarts(world: &Rc<World>, forwarders: &[Rc<Forwarder>], in_order: bool) {
+    world.log(if in_order { "SIGTERM" } else { "SIGKILL" });
+    some(world, forwarders, 2, |f| async move {
+        let away = world.span(0, 600);
+        // The wall clock may be set while nobody runs.
+        if world.chance(0.3) {
+            let offset = if world.chance(0.5) { HOUR } else { -HOUR };
+            f.add_faults(&format!("wall {offset}"));
+        }
+        match in_order {
+            true => f.end(world, Some(away)).await,
+            false => f.kill(world, away).await,
+        }
+    })
+    .await;
+}
+
+async fn configurations(world: &Rc<World>, forwarders: &[Rc<Forwarder>]) {
+    world.log("new configurations in a row");
+    some(world, forwarders, 4, |f| async move {
+        for _ in 0..1 + world.below(4) {
+            f.reload(world);
+            sleep(world.span(0, 120)).await;
+        }
+    })
+    .await;
+}
+
+async fn wall_clock(world: &Rc<World>, forwarders: &[Rc<Forwarder>]) {
+    world.log("the wall clock is set");
+    let forwarder = &forwarders[world.below(forwarders.len())];
+    let offset = (world.below(7_200) as i64 - 3_600) * 1_000_000;
+    let faults = forwarder.add_faults(&format!("wall {offset}"));
+    sleep(world.span(200, 1_500)).await;
+    forwarder.remove_faults(faults);
+}
+
+async fn faults_for_a_while(world: &Rc<World>, forwarders: &[Rc<Forwarder>], rules: &str) {
+    let chosen: Vec<_> =
+        (0..1 + world.below(3)).map(|_| forwarders[world.below(forwarders.len())].clone()).collect();
+    let faults: Vec<u64> = chosen.iter().map(|f| f.add_faults(rules)).collect();
+    sleep(world.span(200, 1_500)).await;
+    chosen.iter().zip(faults).for_each(|(f, number)| f.remove_faults(number));
+}
+
+async fn storage(world: &Rc<World>, forwarders: &[Rc<Forwarder>]) {
+    let rules = [
+        "write ENOSPC",
+        "write EIO chance=0.5",
+        "write torn=EIO\nftruncate EIO",
+        "write torn=ENOSPC chance=0.3\nftruncate EIO chance=0.5\nopen EIO chance=0.3",
+        "unlink EIO chance=0.7\nread EIO chance=0.3\nopendir EIO chance=0.3",
+        "write short chance=0.5\nread short chance=0.5",
+    ];
+    let rules = rules[world.below(rules.len())];
+    world.log(&format!("storage: {}", rules.replace('\n', "; ")));
+    faults_for_a_while(world, forwarders, rules).await;
+}
+
+async fn system_calls(world: &Rc<World>, forwarders: &[Rc<Forwarder>]) {
+    let rules = [
+        "accept ECONNABORTED chance=0.5\naccept ENFILE chance=0.3",
+        "accept ENOBUFS chance=0.4\naccept EINTR chance=0.5",
+        "connect EADDRNOTAVAIL chance=0.4\nsocket ENFILE chance=0.2",
+        "connect ENETUNREACH chance=0.3\nconnect EINTR chance=0.1",
+        "recv EINTR chance=0.2\nsend EINTR chance=0.2\nrecv short chance=0.3\nsend short chance=0.3",
+        "send stall=150 chance=0.05",
+    ];
+    let rules = rules[world.below(rules.len())];
+    world.log(&format!("system calls: {}", rules.replace('\n', "; ")));
+    faults_for_a_while(world, forwarders, rules).await;
+}
+
+fn listed(world: &World) -> Vec<Rc<Endpoint>> {
+    world.endpoints.borrow().iter().filter(|e| e.lifecycle.get() == "active").cloned().collect()
+}
+
+async fn endpoint_trouble(world: &Rc<World>) {
+    let all = listed(world);
+    let pause = 300 + world.below(1_200) as u64;
+    let moods = [
+        Mood::Hangs,
+        Mood::Refuses(pause),
+        Mood::Errs,
+        Mood::Resets,
+        Mood::Shuts,
+        Mood::HalfAnswers,
+        Mood::Well,
+    ];
+    let mood = moods[world.below(moods.len())];
+    let count = 1 + world.below(all.len() / 2);
+    world.log(&format!("{count} endpoints: {mood:?}"));
+    let chosen: Vec<_> = (0..count).map(|_| all[world.below(all.len())].clone()).collect();
+    for e in &chosen {
+        e.mood.set(mood);
+        // With any trouble they may forget their idle connections, too.
+        e.forgets.set(e.forgets.get() + u32::from(mood == Mood::Well || world.chance(0.5)));
+    }
+    sleep(world.span(300, 2_500)).await;
+    chosen.iter().for_each(|e| e.mood.set(Mood::Well));
+}
+
+async fn replacement(world: &Rc<World>) {
+    let all = listed(world);
+    let old = all[world.below(all.len())].clone();
+    world.log(&format!("{} is drained and replaced", old.name));
+    let turn = |lifecycle| {
+        old.lifecycle.set(lifecycle);
+        world.generation.set(world.generation.get() + 1);
+    };
+    turn("leaving");
+    sleep(world.span(300, 1_500)).await;
+    let name = format!("e{}", world.endpoints.borrow().len());
+    if endpoint::begin(world, name, old.destination, old.zone).is_err() {
+        return world.log("no new endpoint could be begun");
+    }
+    turn("left");
+}
+
+async fn discovery(world: &Rc<World>) {
+    let silent = world.chance(0.5);
+    world.log(if silent { "discovery is silent" } else { "discovery is slow" });
+    world.discovery.set(Discovery { silent, slow: world.span(50, 400) });
+    sleep(world.span(500, 3_000)).await;
+    world.discovery.set(Discovery::default());
+}
