Mark each signal where it cannot be lost, and use the pipe only to wake

Cause: async-signal passes a signal's number through a pipe and forgets half of it when a read is interrupted after a short one; from then on every number is read across two and SIGTERM is never heard. Change: src/net/signals.rs on signal-hook: a mark for each signal, a pipe whose content means nothing, and a look every 0.1 s.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 pub mod peer;
 pub mod pulse;
 pub mod route_stats;
+pub mod signals;
 pub mod transaction;
 
 use crate::invariants::{Ledger, Rejection, Violation};
@@ -31,14 +32,13 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
 use board::Board;
 use clock::Clock;
 use config::Config;
 use counters::Counters;
 use decider::{Decider, ToDecider};
 use folder::Folder;
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use handover::Claim;
 use journal_keeper::JournalKeeper;
 use latch::Latch;
@@ -46,6 +46,7 @@
 use pulse::Pulse;
 use rustix::io::Errno;
 use serde_json::Value;
+use signals::{Signal, Signals};
 use slog::{error, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -256,13 +257,12 @@
 }
 
 async fn start(load: &Arc<Load>, log: Logger, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let (config, settings) = load(Reading::Start)?;
     let clock = Clock::start();
     let opening = async { Some(open(&config, clock, &log, &executor).await) };
     let asked_to_reload = Cell::new(false);
-    let Some(opened) = future::or(opening, until_ended(&mut signals, &log, &asked_to_reload)).await else {
+    let Some(opened) = future::or(opening, until_ended(&signals, &asked_to_reload)).await else {
         info!(log, "ended before it owned the folder");
         return Ok(());
     };
@@ -357,7 +357,7 @@
         if asked_to_reload.get() {
             reread(&context, load, &members_box).await;
         }
-        attend_signals(&context, &mut signals, load, &members_box).await;
+        attend_signals(&context, &signals, load, &members_box).await;
     };
     future::or(signalled, handover::left_over(&context)).await;
     end(&context, close, front).await;
@@ -453,21 +453,9 @@
     }
 }
 
-/// The next signal. An error as it is read, such as an interruption, is no signal, and must not end the program.
-async fn next_signal(signals: &mut Signals, log: &Logger) -> Signal {
-    loop {
-        match signals.next().await {
-            Some(Ok(signal)) => return signal,
-            Some(Err(e)) => warn!(log, "a signal could not be read"; "error" => %e),
-            None => warn!(log, "signals have ended"),
-        }
-        Timer::after(LOOK).await;
-    }
-}
-
 /// Nothing, once a signal ends the program; a SIGHUP that comes before it serves is noted, as the configuration was read already.
-async fn until_ended<T>(signals: &mut Signals, log: &Logger, asked_to_reload: &Cell<bool>) -> Option<T> {
-    while next_signal(signals, log).await == Signal::Hup {
+async fn until_ended<T>(signals: &Signals, asked_to_reload: &Cell<bool>) -> Option<T> {
+    while signals.next().await == Signal::Reload {
         asked_to_reload.set(true);
     }
     None
@@ -529,13 +517,8 @@
 
 /// Reads the configuration again on each SIGHUP, up to the signal that ends the program. A SIGHUP that comes
 /// later finds it ending and changes nothing.
-async fn attend_signals(
-    context: &Context,
-    signals: &mut Signals,
-    load: &Arc<Load>,
-    members: &Sender<ToMembers>,
-) {
-    while next_signal(signals, &context.log).await == Signal::Hup {
+async fn attend_signals(context: &Context, signals: &Signals, load: &Arc<Load>, members: &Sender<ToMembers>) {
+    while signals.next().await == Signal::Reload {
         reread(context, load, members).await;
     }
 }
