Read a replaced watch for a moment more, and try a failed accept again at once

Cause, both found by the soak: a process that stood still while SIGHUP moved its discovery took the new watch's list, which was older, and let the old watch go with a drain unread on it: sent 0.7 s after it was told (seed 1). Under accepts that fail now and then the growing pause kept requests with 40 to 120 ms left in the queue until their time was up: ends 16 and 32 ms late (seed 2). Change: a watch that another replaces is read for 0.2 s more, and what it tells counts if its generation is newer; 16 failed accepts in a row are tried again at once, with one log line for each power of two.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -44,7 +44,7 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// The pause after a failed accept grows by the first with each in a row, up to the second.
 const ACCEPT_RETRY: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
-/// So many failures in a row that belong to one connection each are followed by another try at once.
+/// So many tries in a row are made at once.
 const AT_ONCE: u32 = 16;
 /// So many connections wait at most to be taken; a crowd must not make the system drop those behind it.
 const QUEUE: i32 = 1024;
@@ -124,8 +124,8 @@
     taken
 }
 
-/// How soon a failed accept is tried again. An error that belongs to one connection says nothing of the next; one for want of
-/// descriptors or memory comes again at once.
+/// How soon a failed accept is tried again. The first few tries follow at once: an error may belong to one connection alone, and
+/// requests in the queue run out of time while it waits. Where it goes on failing, something has run out, and it is left in peace.
 #[derive(Default)]
 struct AcceptRetry {
     failures: u32,
@@ -140,12 +140,13 @@
     async fn pause(&mut self, context: &Context, error: &io::Error) {
         self.failures += 1;
         context.counters.accept_failures.add();
-        warn!(context.log, "cannot accept"; "error" => %error, "in_a_row" => self.failures);
-        let of_one = matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted);
-        if of_one && self.failures < AT_ONCE {
+        if self.failures.is_power_of_two() {
+            warn!(context.log, "cannot accept"; "error" => %error, "in_a_row" => self.failures);
+        }
+        if self.failures < AT_ONCE {
             return future::yield_now().await;
         }
-        let pause = ACCEPT_RETRY.0 * self.failures;
+        let pause = ACCEPT_RETRY.0 * (self.failures - AT_ONCE + 1);
         Timer::after(pause.min(ACCEPT_RETRY.1)).await;
     }
 }
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -43,6 +43,8 @@
 /// The file of the cordons is read so often at most, with a pause between two tries.
 const CORDON_READS: u32 = 20;
 const READ_AGAIN: Duration = Duration::from_millis(50);
+/// A watch that another has replaced is still read for so long.
+const PARTS: Duration = Duration::from_millis(200);
 /// What left before this process began counts as told so long before its start.
 const BEFORE_START: Micros = 60_000_000;
 const LINE_LIMIT: usize = 4 * 1024 * 1024;
@@ -65,6 +67,11 @@
         /// Which watch.
         watch: u64,
     },
+    /// The watch before has had its moment.
+    Parted {
+        /// Which watch.
+        watch: u64,
+    },
     /// A watch has ended.
     Ended {
         /// Which watch.
@@ -149,6 +156,8 @@
     membership: Membership,
     /// The watch that the list comes from.
     held: Option<Watch>,
+    /// The one before it, for a moment: what it had been told and was not read yet has been told all the same.
+    parting: Option<Watch>,
     /// Those of which the first to tell its list is to take its place, the newest last.
     opening: VecDeque<Watch>,
     watches: u64,
@@ -175,7 +184,7 @@
         let approach = Approach::new(context.config().forwarders);
         let sources = vec![("pushed", Policy::default()), ("registry", by_address())];
         let membership = Membership::new(sources);
-        let (held, opening, generation, source, registry, left) = Default::default();
+        let (held, parting, opening, generation, source, registry, left) = Default::default();
         let heard = context.clock.now().saturating_sub(BEFORE_START);
         Members {
             context,
@@ -183,6 +192,7 @@
             own,
             membership,
             held,
+            parting,
             opening,
             watches: 0,
             heard,
@@ -387,6 +397,7 @@
             ToMembers::Watch => {}
             ToMembers::Line { watch, line } => self.take_line(watch, &line).await,
             ToMembers::Silent { watch } => self.fell_silent(watch),
+            ToMembers::Parted { watch } => drop(self.parting.take_if(|w| w.number == watch)),
             ToMembers::Ended { watch, over } => self.ended(watch, over),
             ToMembers::Unheard if !self.context.list_told.is_set() => {
                 warn!(self.context.log, "no list yet, calling by the one that was known"; "reason" => "unheard");
@@ -615,6 +626,7 @@
     /// A watch is over. While another address is wanted than the one that is watched, only a watch there counts.
     fn ended(&mut self, watch: u64, over: Over) {
         let of = |w: &mut Watch| w.number == watch;
+        self.parting.take_if(of);
         self.held.take_if(of);
         self.opening.retain_mut(|w| !of(w));
         // The agent is there and tells nothing: that is no reason to hold calls back.
@@ -629,7 +641,42 @@
         }
     }
 
+    /// Lets a watch go a moment after another has taken its place. Guards against news that lay unread on it, as after a stall, and
+    /// that the other does not have yet.
+    fn part_with(&mut self, watch: Watch) {
+        info!(self.context.log, "connection ended"; "side" => "membership", "reason" => "moved");
+        let (own, number) = (self.own.clone(), watch.number);
+        self.parting = Some(watch);
+        let parting = async move {
+            Timer::after(PARTS).await;
+            let _ = own.send(ToMembers::Parted { watch: number }).await;
+        };
+        self.context.executor.spawn(parting).detach();
+    }
+
+    /// What a watch still tells that another has replaced counts if it is newer than what that one has told.
+    async fn take_parting_line(&mut self, line: &[u8]) {
+        let Ok(told) = serde_json::from_slice::<Value>(line) else { return };
+        let newer = told.get("generation").and_then(Value::as_u64) > self.generation;
+        let complete = told.get("reset").and_then(Value::as_bool).unwrap_or(false);
+        if !newer || complete {
+            return;
+        }
+        let known = self.generation;
+        let Ok((_, listings)) = self.read(&told) else { return };
+        // The other watch goes on from what it has told itself.
+        self.generation = known;
+        let news = News::Patch { listings, removed: Vec::new() };
+        let learnt = self.context.pulse.since(self.context.clock.now());
+        let changes = self.membership.take(learnt, PUSHED, news);
+        info!(self.context.log, "list"; "generation" => told["generation"].as_u64(), "parting" => true);
+        self.tell(Telling::Patch, changes).await;
+    }
+
     async fn take_line(&mut self, watch: u64, line: &[u8]) {
+        if self.parting.as_ref().is_some_and(|w| w.number == watch) {
+            return self.take_parting_line(line).await;
+        }
         let held = self.held.as_ref().is_some_and(|w| w.number == watch);
         let opened = self.opening.iter().position(|w| w.number == watch);
         let now = self.context.pulse.since(self.context.clock.now());
@@ -652,8 +699,8 @@
             // Only now is the old one let go: nothing that it told meanwhile was missed.
             let next = self.opening.remove(opened);
             self.opening.clear();
-            if std::mem::replace(&mut self.held, next).is_some() {
-                info!(self.context.log, "connection ended"; "side" => "membership", "reason" => "moved");
+            if let Some(before) = std::mem::replace(&mut self.held, next) {
+                self.part_with(before);
             }
         }
         self.heard = now;
