--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -324,3 +324,36 @@
          exit",
     );
 }
+
+/// Guards against a drain that lies unread on a watch as that is replaced by one whose list is older: after a stall it went
+/// with the watch, and calls went to the endpoint.
+#[test]
+fn a_drain_that_lies_unread_on_a_replaced_watch_binds_calls() {
+    // Which of the two watches is read first is chance.
+    for _ in 0..3 {
+        play(
+            "with e1=1 e2=1:one:hidden
+             start
+             platform expect-watch -
+             u1 connect
+             platform delays-list
+             platform moves
+             reload
+             platform expect-watch -
+
+             stop
+             platform releases-list
+             sleep 50
+             platform changes-on-old-watches e1=leaving
+             u1 send m1
+             sleep 600
+             continue
+             u1 expect 202
+             platform send e2=active
+
+             e2 serves m1
+             wait delivered=1 attempts=1
+             log replaced: true",
+        );
+    }
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -338,3 +338,20 @@
          within 1300",
     );
 }
+
+/// Guards against a pause that grows with each failed accept: a request with little time left waited until that was over.
+#[test]
+fn a_request_with_little_time_left_is_accepted_although_accept_fails_now_and_then() {
+    play(
+        "with e1=1 faults=on
+         start
+
+         faults accept ECONNABORTED count=15
+         u1 send m1 deadline=250m
+
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1",
+    );
+}
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -78,3 +78,20 @@
          wait restored=2",
     );
 }
+
+/// Guards against a SIGHUP that is swallowed as it comes while the process starts.
+#[test]
+fn a_reload_during_the_start_is_made_once_the_process_serves() {
+    play(
+        "with e1=1 open=1 faults=on
+         faults opendir EIO
+         begin-start
+         fault-injected opendir
+         reload open=7
+         sleep 100
+         faults
+         started
+
+         wait reloads=1",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,6 +6,7 @@
 //! | `with window=2000` | adds the classes `zoned`, with repeats dropped by zone, and `brief`, with them dropped for so long |
 //! | `config settings/rules/drain-grace 500` | from the next start or reload on this value stands at that place of the configuration, `null` for none |
 //! | `caches-list`, `start-without-list` | from the next start on the forwarder is given the list as it is now; starts it without waiting for a list |
+//! | `begin-start`, `started` | starts the forwarder without waiting for it; waits until it serves |
 //! | `start`, `stop`, `continue`, `kill`, `term`, `exit` | starts the forwarder, signals it, waits for its end |
 //! | `exit-within 3700`, `exit-with-failure` | waits for its end, which must come within so many milliseconds; or be no success |
 //! | `sleep 900` | so many milliseconds go by while it is stopped |
@@ -30,6 +31,7 @@
 //! | `e1 send-raw m1 TEXT` | whatever else is written to the connection that m1 came on |
 //! | `e1 close m1`, `e1 open` | ends that call's connection; lets a stalled or closed endpoint accept |
 //! | `platform send e1=leaving`, `platform changes-silently e1=leaving` | the list changes; the open watches are not told |
+//! | `platform changes-on-old-watches e1=leaving` | a change that only the watches at an address which it has left are told |
 //! | `platform expect m1 failed [alone]`, `platform expect-all m*20 returned` | the next report, with no other beside it; reports of all of these in any order |
 //! | `platform expect-watch 1` | the next watch asks for what came after that generation |
 //! | `platform rejects-reports`, `… accepts-reports`, `… drops-next-report`, `… stops-heartbeats` | how it answers |
--- a/tests/scenario/platform.rs
+++ b/tests/scenario/platform.rs
@@ -85,6 +85,18 @@
         self.shared.send_on_watches(&self.shared.event(false, entries));
     }
 
+    /// Sends changed entries on the watches at the addresses that it has left, and on no other.
+    pub fn send_changes_on_old_watches(&self, entries: Vec<Value>) {
+        self.next_generation();
+        let line = self.shared.event(false, entries);
+        let present = self.shared.address_number.load(Ordering::SeqCst);
+        for (number, stream) in self.shared.watches.lock().expect("unpoisoned").iter_mut() {
+            if *number != present {
+                write(stream, chunk(&line).as_bytes()).expect("written");
+            }
+        }
+    }
+
     /// Counts a change that is not sent on the watches.
     pub fn next_generation(&self) {
         self.shared.generation.fetch_add(1, Ordering::SeqCst);
@@ -152,7 +164,7 @@
     }
 
     fn send_on_watches(&self, line: &str) {
-        let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+        let chunk = chunk(line);
         let mut watches = self.watches.lock().expect("unpoisoned");
         watches.retain_mut(|(_, stream)| write(stream, chunk.as_bytes()).is_ok());
     }
@@ -191,7 +203,7 @@
         }
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         let line = self.complete_list();
-        let _ = stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes());
+        let _ = stream.write_all(chunk(&line).as_bytes());
         self.watches.lock().expect("unpoisoned").push((number, stream));
     }
 
@@ -209,3 +221,7 @@
         "204 No Content"
     }
 }
+
+fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\r\n", line.len())
+}
--- a/tests/scenario/world.rs
+++ b/tests/scenario/world.rs
@@ -134,6 +134,8 @@
     fn process_step(&mut self, name: &str, words: &[&str], rest: &str) -> bool {
         match name {
             "start" => self.start(),
+            "begin-start" => self.spawn(),
+            "started" => self.until_serving(),
             "start-without-list" => {
                 self.spawn();
                 self.until_healthy();
@@ -267,6 +269,9 @@
                 }
                 self.platform.send_changes(self.list_all(changes));
             }
+            ["changes-on-old-watches", changes @ ..] => {
+                self.platform.send_changes_on_old_watches(self.list_all(changes));
+            }
             ["changes-silently", changes @ ..] => {
                 self.list_all(changes);
                 self.platform.next_generation();
