Retry the connect of a watch at once where this machine is short of ports

Callers could see: calls to an endpoint that had been told to drain, while the watch was not open.

Cause: a connect that failed for want of a port counted as a watch that broke, with a backoff doubled up to 1 s.

Change: the watch connects by connect_within, up to the time at which it is given up anyway.

--- a/src/net/platform/endpoint_list/watch.rs
+++ b/src/net/platform/endpoint_list/watch.rs
@@ -1,6 +1,6 @@
 //! One watch of the platform's endpoint list: a connection on which the agent sends a line for each version.
 
-use crate::net::dial::connect;
+use crate::net::dial::connect_within;
 use crate::net::http::{HttpConnection, HttpError};
 use crate::net::messages::{EndpointListMessage, WatchEnd};
 use crate::net::{within, within_or_error, Context};
@@ -117,7 +117,7 @@
 
     async fn open(&self, after_generation: Option<u64>) -> Result<Opened, HttpError> {
         let address = self.address;
-        let mut connection = HttpConnection::new(connect(address).await.map_err(HttpError::Socket)?);
+        let mut connection = HttpConnection::new(connect_within(address, GIVE_UP_TIMEOUT).await?);
         let after = after_generation.map_or(String::new(), |generation| format!("&after={generation}"));
         let request = format!("GET /catalog/members?watch=1{after} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         connection.write(request.as_bytes()).await.map_err(HttpError::Socket)?;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -372,3 +372,21 @@
          within 900",
     );
 }
+
+/// Guards against a growing pause between the connects of a watch that fail as this machine is short of ports: what the
+/// platform's new agent has counts as told 4 s after the signal.
+#[test]
+fn a_moved_watch_is_opened_in_time_although_connect_fails_now_and_then() {
+    play(
+        "with e1=1 faults=on
+         start
+
+         platform expect-watch -
+         faults connect EADDRNOTAVAIL count=14
+         platform moves
+         mark
+         reload
+         platform expect-watch -
+         within 4000",
+    );
+}
