Let a process catch up after a stall by laps, not by the clock

Callers' side: a call went to an endpoint 952 ms after its forwarder had been told that it drains; 250 ms are allowed.

The detector took it for caught up 30 ms after the stall by the clock; the hold-up outlasted that, so the drain counted as learnt when it was read.

Change: six laps of 5 ms, in each of which all that is ready is read; what is read until the last is as old as the stall. Without a hold-up calls wait the same 30 ms.

--- a/src/net/runtime/background.rs
+++ b/src/net/runtime/background.rs
@@ -1,6 +1,6 @@
 //! Tasks that run for as long as the process does.
 
-use super::stall_detector::HEARTBEAT;
+use super::stall_detector::{HEARTBEAT, LAP};
 use crate::journal::JournalError;
 use crate::net::journal_handle::JournalHandle;
 use crate::net::messages::DeliveryMessage;
@@ -25,6 +25,15 @@
         if let Some(stalled) = context.stall_detector.take_unlogged() {
             warn!(context.log, "process was stalled"; "reason" => "stalled", "ms" => stalled / 1000);
         }
+        catch_up(&context).await;
+    }
+}
+
+/// Makes laps until what arrived during a stall has been read.
+async fn catch_up(context: &Context) {
+    while !context.stall_detector.is_caught_up(context.clock.now()) {
+        Timer::after(LAP).await;
+        context.stall_detector.lap(context.clock.now());
     }
 }
 
