Count calls, not messages, for the soak's slow start, and give it a narrower one

Change: a call counts once. many_endpoints plays endpoints that drain, leave and come back, and 150 ms of work.

--- a/benches/many_endpoints.rs
+++ b/benches/many_endpoints.rs
@@ -22,6 +22,10 @@
 const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
 /// What all destinations take in a second.
 const TOTAL_CAPACITY_PER_S: f64 = 2_000.0;
+/// What the entry that changes becomes, in turn.
+const LIFECYCLES: [&str; 3] = ["leaving", "left", "active"];
+/// How long an endpoint works on a call.
+const WORK: Duration = Duration::from_millis(150);
 const CLIENTS: usize = 8;
 const DEFAULT_SECONDS: u64 = 20;
 /// Clock ticks a second in `/proc/PID/stat`.
@@ -73,15 +77,20 @@
 fn answer_all(stream: TcpStream, response: &str) {
     let mut writer = stream.try_clone().expect("a handle");
     let mut reader = BufReader::new(stream);
-    while read_message(&mut reader).is_some() && writer.write_all(response.as_bytes()).is_ok() {}
+    while read_message(&mut reader).is_some() {
+        thread::sleep(WORK);
+        if writer.write_all(response.as_bytes()).is_err() {
+            return;
+        }
+    }
 }
 
 /// An entry of the list: each endpoint has a loopback address of its own, and all share a port.
-fn entry(number: usize, endpoints: usize, port: u16, weight_factor: f64) -> Value {
+fn entry(number: usize, endpoints: usize, port: u16, lifecycle: &str) -> Value {
     let destinations = endpoints / ENDPOINTS_PER_DESTINATION;
-    let weight = TOTAL_CAPACITY_PER_S / destinations as f64 * weight_factor;
+    let weight = TOTAL_CAPACITY_PER_S / destinations as f64;
     json!({"instanceId": format!("s-{number}"), "hostPort": format!("127.9.{}.{}:{port}", number / 250, 1 + number % 250),
-        "zone": "room", "machineType": "one", "cell": number % destinations, "lifecycle": "active",
+        "zone": "room", "machineType": "one", "cell": number % destinations, "lifecycle": lifecycle,
         "weight": weight, "startedAtMs": 0})
 }
 
@@ -96,7 +105,7 @@
             writer.write_all(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
         return;
     }
-    let all: Vec<Value> = (0..endpoints).map(|number| entry(number, endpoints, port, 1.0)).collect();
+    let all: Vec<Value> = (0..endpoints).map(|number| entry(number, endpoints, port, "active")).collect();
     let mut line = json!({"generation": 1, "reset": true, "instances": all}).to_string() + "\n";
     let mut sent = writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     for generation in 2_usize.. {
@@ -105,8 +114,10 @@
             return;
         }
         thread::sleep(CHANGE_INTERVAL);
-        let factor = if generation.is_multiple_of(2) { 1.1 } else { 1.0 };
-        let changed = entry(generation * 37 % endpoints, endpoints, port, factor);
+        // One endpoint after the other drains, is removed and comes back.
+        let lifecycle = LIFECYCLES[generation % LIFECYCLES.len()];
+        let number = generation / LIFECYCLES.len() * 37 % endpoints;
+        let changed = entry(number, endpoints, port, lifecycle);
         line = json!({"generation": generation, "reset": false, "instances": [changed]}).to_string() + "\n";
     }
 }
--- a/crates/soak-test/src/checker.rs
+++ b/crates/soak-test/src/checker.rs
@@ -251,9 +251,6 @@
                 found.push(("retry-after", format!("{id}: {:?} before its end", pause.until - first_byte)));
             }
         }
-        if let Some(what) = self.slow_starts[destination].call(now, forwarder) {
-            found.push(("slow-start", format!("destination {destination}: {what}")));
-        }
         self.count("calls");
         found.into_iter().for_each(|(rule, what)| self.violate(rule, what));
         Some(number)
@@ -317,6 +314,14 @@
         }
     }
 
+    /// A destination has received a call, of one message or of several.
+    pub fn call_received(&mut self, id: &str, destination: usize) {
+        let Some(forwarder) = self.messages.get(id).map(|m| m.forwarder) else { return };
+        if let Some(what) = self.slow_starts[destination].call(Instant::now(), forwarder) {
+            self.violate("slow-start", format!("destination {destination}: {what}"));
+        }
+    }
+
     /// All endpoints of a destination go down.
     pub fn outage_begins(&mut self, destination: usize) {
         self.slow_starts[destination].outage_begins();
--- a/crates/soak-test/src/endpoint.rs
+++ b/crates/soak-test/src/endpoint.rs
@@ -91,7 +91,11 @@
         let Ok(body) = connection.request_body(&head, 1 << 20).await else { return };
         let target = CallTarget { endpoint: number, destination: endpoint.destination, zone: endpoint.zone };
         let mut calls = Vec::new();
-        for id in ids(&head, &body) {
+        let ids = ids(&head, &body);
+        if let Some(id) = ids.first() {
+            world.checker.borrow_mut().call_received(id, endpoint.destination);
+        }
+        for id in ids {
             let call = world.checker.borrow_mut().attempt(&id, target, first_byte);
             calls.extend(call.map(|n| (id, n)));
         }
--- a/crates/soak-test/src/faults.rs
+++ b/crates/soak-test/src/faults.rs
@@ -23,13 +23,13 @@
 /// The most forwarders that a crowd comes to.
 const MOST_CROWDED: usize = 6;
 /// Calls a second that a destination takes from all forwarders together, as the list says.
-pub const CAPACITY_PER_S: f64 = 200.0;
+pub const CAPACITY_PER_S: f64 = 100.0;
 /// A destination in slow start may get this multiple of its present capacity.
 pub const OVERLOAD_MULTIPLE: f64 = 2.0;
 /// The time in which calls to a destination in slow start are counted.
 pub const OVERLOAD_WINDOW: Duration = Duration::from_millis(2_000);
 /// How long a destination's slow start takes.
-pub const SLOW_START: Duration = Duration::from_millis(3_000);
+pub const SLOW_START: Duration = Duration::from_millis(8_000);
 /// The share of its capacity that a destination has as it returns.
 pub const SLOW_START_FLOOR: f64 = 0.3;
 /// Share of the drained endpoints to which connections come up late.
