--- a/crates/soak-test/src/endpoint.rs
+++ b/crates/soak-test/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! The destinations' endpoints. Each listens once, for all forwarders; a message's id says whose it is.
 
-use crate::checker::{AttemptOutcome, CallTarget};
+use crate::checker::CallTarget;
+use crate::observation::AttemptOutcome;
 use crate::world::{sleep, Behaviour, Endpoint, World};
 use async_io::{Async, Timer};
 use cedarbridge::net::http::{HttpConnection, RequestHead};
--- a/crates/soak-test/src/faults.rs
+++ b/crates/soak-test/src/faults.rs
@@ -1,8 +1,8 @@
 //! What goes wrong: at each moment two or three faults overlap, drawn by the seed.
 
-use crate::checker::Idempotency;
 use crate::endpoint;
 use crate::forwarder::Forwarder;
+use crate::observation::Idempotency;
 use crate::world::{sleep, Behaviour, Class, Discovery, Endpoint, World};
 use async_io::Async;
 use serde_json::{json, Value};
--- a/crates/soak-test/src/forwarder.rs
+++ b/crates/soak-test/src/forwarder.rs
@@ -1,17 +1,15 @@
 //! Forwarders as real processes: their files, signals and system-call faults. Each ends with the soak test, however that ends.
 
+use crate::process::{fault_library, free_address, get_from, program, send_signal};
 use crate::world::{sleep, World};
 use crate::{faults, platform};
-use async_io::Async;
-use cedarbridge::net::http::HttpConnection;
-use futures_lite::future;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::fs;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -55,26 +53,6 @@
     fault_number: Cell<u64>,
 }
 
-/// The program that is run: this one, by its hidden command, or another.
-pub fn program() -> Command {
-    let own = std::env::current_exe().expect("a path");
-    match std::env::var_os("CEDARBRIDGE_SOAK_PROGRAM") {
-        Some(other) => Command::new(other),
-        None => {
-            let mut command = Command::new(own);
-            command.arg("forwarder");
-            command
-        }
-    }
-}
-
-/// Where Cargo puts the library of `crates/faultshim`: beside the program, or in its `deps`.
-fn fault_library() -> Option<PathBuf> {
-    let folder = std::env::current_exe().ok()?.parent()?.to_owned();
-    let name = "libcedarbridge_faultshim.so";
-    [folder.join("deps").join(name), folder.join(name)].into_iter().find(|p| p.exists())
-}
-
 impl Forwarder {
     /// Writes its files; it is not started yet.
     pub fn prepare(world: &Rc<World>, number: usize, folder: &Path) -> std::io::Result<Forwarder> {
@@ -380,31 +358,3 @@
         }
     }
 }
-
-fn send_signal(process: &Child, signal: Signal) {
-    // It may just have ended, which is seen elsewhere.
-    if let Some(pid) = Pid::from_raw(process.id() as i32) {
-        let _ = kill_process(pid, signal);
-    }
-}
-
-/// A free address on the same host.
-fn free_address(beside: SocketAddr) -> std::io::Result<SocketAddr> {
-    TcpListener::bind((beside.ip(), 0))?.local_addr()
-}
-
-/// The body of a 200 response to a GET; `None` if it does not come at once.
-async fn get_from(address: SocketAddr, path: &str) -> Option<String> {
-    let asked = async {
-        let mut connection = HttpConnection::new(Async::<TcpStream>::connect(address).await.ok()?);
-        let text = format!("GET {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n");
-        connection.write(text.as_bytes()).await.ok()?;
-        let head = connection.read_response().await.ok().filter(|h| h.status == 200)?;
-        String::from_utf8(connection.response_body(&head, 1 << 20).await.ok()?).ok()
-    };
-    let late = async {
-        sleep(Duration::from_millis(500)).await;
-        None
-    };
-    future::or(asked, late).await
-}
--- a/crates/soak-test/src/main.rs
+++ b/crates/soak-test/src/main.rs
@@ -6,7 +6,9 @@
 mod endpoint;
 mod faults;
 mod forwarder;
+mod observation;
 mod platform;
+mod process;
 mod slow_start;
 mod world;
 
--- a/crates/soak-test/src/platform.rs
+++ b/crates/soak-test/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's agent beside each forwarder: the pushed endpoint list, and delivery reports.
 
-use crate::checker::Report;
 use crate::faults::CAPACITY_PER_S;
+use crate::observation::Report;
 use crate::world::{sleep, World};
 use async_io::Async;
 use cedarbridge::net::http::HttpConnection;
--- a/crates/soak-test/src/world.rs
+++ b/crates/soak-test/src/world.rs
@@ -1,6 +1,7 @@
 //! What all tasks of a run share: the present state of the forwarders' surroundings.
 
-use crate::checker::{Idempotency, InvariantChecker};
+use crate::checker::InvariantChecker;
+use crate::observation::Idempotency;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
