--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -392,3 +392,26 @@
          start",
     );
 }
+
+/// Guards against a successor that gives the hand-over up as the folder's lock fails once it owns the folder: its predecessor
+/// ended, and what that one had in flight was sent a second time.
+#[test]
+fn a_successor_takes_over_although_opening_files_fails_now_and_then() {
+    let mut script = String::from("with e1=1 operator=on open=64 faults=on\nstart");
+    // At which step it fails hangs on the seed of the faults.
+    for round in 1..=12 {
+        script += &format!(
+            "\nc{round} send m{round}
+             c{round} expect 202
+             e1 expect m{round}
+             faults seed {round}; open EIO chance=0.3
+             upgrade
+             faults
+             e1 send m{round} 200
+             wait delivered=1
+             old term
+             old exit"
+        );
+    }
+    play(&script);
+}
