Tell an end only once it is on disk or the message's time is over

A 503 to a client had the same fault.

Cause: report_end handed the report on whether or not record_end was written, and a new process knows nothing of the wait that made the policy give the message up, so it found it open with time left. reply to a client: likewise.

--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -180,6 +180,24 @@
         }
     }
 
+    /// Records that a message is complete before anybody is told.
+    ///
+    /// # Errors
+    ///
+    /// If the journal is failing or paused; nothing is recorded then, and a restart finds the message open.
+    pub fn try_record_completed(&mut self, id: u64) -> Result<(), JournalError> {
+        if self.log.contains(id) {
+            self.append(id, &JournalRecord::Completed)?;
+            self.log.remove_live(id);
+        }
+        Ok(())
+    }
+
+    /// Whether the end of a message waits to be written: a restart would find the message open.
+    pub fn has_unwritten_end(&self, id: u64) -> bool {
+        self.unwritten.iter().any(|unwritten| unwritten.message_id == id && unwritten.record.is_end())
+    }
+
     /// Records something that has happened, whether it can be written now or not.
     fn record_event(&mut self, message_id: u64, record: JournalRecord) {
         if let JournalRecord::Progressed(step) = &record {
--- a/src/journal/record.rs
+++ b/src/journal/record.rs
@@ -113,6 +113,11 @@
 }
 
 impl JournalRecord {
+    /// Whether nothing is sent for a message any more that has this record.
+    pub fn is_end(&self) -> bool {
+        matches!(self, JournalRecord::Progressed(ProgressStep::Ended(_)) | JournalRecord::Completed)
+    }
+
     /// Shifts all times in it by so many microseconds, but not below the start of the clock.
     pub fn shift_times(&mut self, shift_us: i64) {
         let shift = |time: &mut u64| *time = time.saturating_add_signed(shift_us);
--- a/src/net/delivery/message_end.rs
+++ b/src/net/delivery/message_end.rs
@@ -5,6 +5,7 @@
 use crate::net::message_end::MessageEnd;
 use crate::net::messages::{DeliveryReport, SubmitReply, DEFAULT_RETRY_AFTER};
 use crate::{AbandonReason, Event, MessageId, Micros};
+use async_channel::Sender;
 use slog::info;
 
 /// How the policy has ended a message.
@@ -61,22 +62,34 @@
         }
         self.context.counters.abandoned(reason);
         let Some(open) = self.messages.get_mut(&id) else { return };
-        let request_id = open.message.request.request_id.clone();
+        let request = &open.message.request;
+        let (request_id, deadline) = (request.request_id.clone(), request.deadline);
         info!(self.context.log, "message"; "state" => "abandoned", "id" => &request_id, "reason" => reason.name());
-        if let Some(reply) = open.reply.take() {
-            self.context.journal.record_completed(id);
-            match abandoned {
-                Abandoned::Returned(_) => self.context.counters.unavailable.add(),
-                Abandoned::Failed => self.context.counters.failed.add(),
-            }
-            // Where the client is gone, nobody waits for the reply.
-            let _ = reply.try_send(abandoned.reply());
-        } else {
-            self.report_end(id, request_id, abandoned.reported_end()).await;
+        let replied = open.reply.take().is_some_and(|reply| self.reply_end(id, abandoned, &reply));
+        if !replied {
+            self.report_end(DeliveryReport { id, request_id, end: abandoned.reported_end(), deadline }).await;
         }
         self.remove_if_over(id);
     }
 
+    /// Replies to the client how its message ended. If the journal does not take the end, a restart would find the message open
+    /// after the reply: the client is told that it is accepted, which the journal has, and false is returned.
+    fn reply_end(&self, id: MessageId, abandoned: Abandoned, reply: &Sender<SubmitReply>) -> bool {
+        if self.context.journal.try_record_completed(id).is_err() {
+            self.context.counters.messages_accepted.add();
+            // Where the client is gone, the end of its message is reported all the same.
+            let _ = reply.try_send(SubmitReply::Accepted(id));
+            return false;
+        }
+        match abandoned {
+            Abandoned::Returned(_) => self.context.counters.unavailable.add(),
+            Abandoned::Failed => self.context.counters.failed.add(),
+        }
+        // Where the client is gone, nobody waits for the reply.
+        let _ = reply.try_send(abandoned.reply());
+        true
+    }
+
     /// Marks the end of a message; false if it had ended before.
     pub(super) fn end_message(&mut self, id: MessageId, end: MessageEnd) -> bool {
         let Some(open) = self.messages.get(&id).filter(|open| !open.message.is_over()) else { return false };
@@ -102,16 +115,21 @@
         }
     }
 
-    /// Journals a delivery report and has it sent.
-    pub(super) async fn report_end(&mut self, id: MessageId, request_id: String, end: ReportedEnd) {
-        self.context.journal.record_end(id, end);
-        match end {
+    /// Journals the end of a message and has it reported.
+    pub(super) async fn report_end(&mut self, report: DeliveryReport) {
+        self.context.journal.record_end(report.id, report.end);
+        self.queue_report(report).await;
+    }
+
+    /// Has an end reported that the journal has.
+    pub(super) async fn queue_report(&mut self, report: DeliveryReport) {
+        match report.end {
             ReportedEnd::Failed => self.context.counters.failed.add(),
             ReportedEnd::Returned(_) => self.context.counters.returned.add(),
         }
         self.context.gauges.reports_pending.increment();
-        self.context.request_ids.acquire(&request_id);
+        self.context.request_ids.acquire(&report.request_id);
         // The sender of reports ends only with the process; then the next one finds the report in the journal.
-        let _ = self.reports.send(DeliveryReport { id, request_id, end }).await;
+        let _ = self.reports.send(report).await;
     }
 }
--- a/src/net/delivery/restore.rs
+++ b/src/net/delivery/restore.rs
@@ -3,6 +3,7 @@
 use super::actor::DeliveryActor;
 use crate::journal::{JournaledMessage, Progress, ReportedEnd};
 use crate::net::in_flight::{InFlightMessage, Request};
+use crate::net::messages::DeliveryReport;
 use crate::{ClassId, DestinationId, MessageId, TenantId, ZoneId};
 
 impl DeliveryActor {
@@ -11,19 +12,24 @@
         for (id, journaled) in journaled {
             self.context.counters.restored.add();
             let id = MessageId(id);
-            match self.end_without_attempt(&journaled) {
-                Some(end) => self.report_end(id, journaled.request_id, end).await,
-                None => self.restore_message(id, journaled),
+            let end = self.end_without_attempt(&journaled);
+            let report = |end: ReportedEnd, journaled: JournaledMessage| DeliveryReport {
+                id,
+                request_id: journaled.request_id,
+                end,
+                deadline: journaled.deadline,
+            };
+            match (journaled.progress.report, end) {
+                // The platform may have had the report: the message must not be sent after it.
+                (Some(journaled_end), _) => self.queue_report(report(journaled_end, journaled)).await,
+                (None, Some(end)) => self.report_end(report(end, journaled)).await,
+                (None, None) => self.restore_message(id, journaled),
             }
         }
     }
 
-    /// The end of a message that is not sent again. The platform may have had the report of an end: the message must not be sent
-    /// after it. One that may not run twice fails, as does one of a class that was removed.
+    /// The end of a message that is not sent again: one that may not run twice fails, as does one of a class that was removed.
     fn end_without_attempt(&self, journaled: &JournaledMessage) -> Option<ReportedEnd> {
-        if journaled.progress.report.is_some() {
-            return journaled.progress.report;
-        }
         let may_have_run = journaled.progress.may_have_run();
         match self.class_of(journaled) {
             Some(class) if may_have_run && self.context.config().non_idempotent[class.0] => {
--- a/src/net/journal_handle.rs
+++ b/src/net/journal_handle.rs
@@ -83,6 +83,16 @@
         self.with(|journal| journal.record_completed(id.0));
     }
 
+    /// See [`Journal::try_record_completed`].
+    pub fn try_record_completed(&self, id: MessageId) -> Result<(), JournalError> {
+        self.with(|journal| journal.try_record_completed(id.0))
+    }
+
+    /// See [`Journal::has_unwritten_end`].
+    pub fn has_unwritten_end(&self, id: MessageId) -> bool {
+        self.journal.borrow().has_unwritten_end(id.0)
+    }
+
     /// See [`Journal::set_limit`].
     pub fn set_limit(&self, limit: u64) {
         self.with(|journal| journal.set_limit(limit));
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -160,6 +160,8 @@
     pub request_id: String,
     /// How it ended.
     pub end: ReportedEnd,
+    /// Up to when a restart that finds it open would still call for it.
+    pub deadline: Micros,
 }
 
 /// What an operator commands.
--- a/src/net/platform/delivery_reports.rs
+++ b/src/net/platform/delivery_reports.rs
@@ -7,6 +7,7 @@
 use crate::net::{within_or_error, Context};
 use async_channel::Receiver;
 use async_io::Timer;
+use futures_lite::future;
 use serde_json::json;
 use slog::{info, warn};
 use std::collections::VecDeque;
@@ -18,6 +19,8 @@
 /// time for another try; a report that comes twice does no harm.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two looks at whether a held report may be sent.
+const HELD_POLL: Duration = Duration::from_millis(10);
 /// At most so many reports are sent in one request.
 const MAX_BATCH: usize = 100;
 /// The largest body of a response that is read.
@@ -38,8 +41,8 @@
 
 /// Sends reports until each is confirmed, in batches of those that are pending.
 pub async fn run(context: Rc<Context>, mailbox: Receiver<DeliveryReport>) {
-    let mut reporter =
-        Reporter { context, pending: VecDeque::new(), connection: None, batch_limit: MAX_BATCH };
+    let (held, pending) = (Vec::new(), VecDeque::new());
+    let mut reporter = Reporter { context, held, pending, connection: None, batch_limit: MAX_BATCH };
     while reporter.receive(&mailbox).await.is_ok() {
         if reporter.context.lifecycle.is_handed_over() {
             // They are in the journal, and the successor sends them.
@@ -51,6 +54,8 @@
 
 struct Reporter {
     context: Rc<Context>,
+    /// Reports that may not be sent yet: a restart could still call for their messages.
+    held: Vec<DeliveryReport>,
     pending: VecDeque<DeliveryReport>,
     connection: Option<PlatformConnection>,
     batch_limit: usize,
@@ -63,15 +68,35 @@
 }
 
 impl Reporter {
-    /// Takes all reports from the mailbox; waits for one if none is pending.
+    /// Takes all reports from the mailbox; waits until one may be sent if none is pending.
     async fn receive(&mut self, mailbox: &Receiver<DeliveryReport>) -> Result<(), async_channel::RecvError> {
-        if self.pending.is_empty() {
-            self.pending.push_back(mailbox.recv().await?);
-        }
-        while let Ok(report) = mailbox.try_recv() {
-            self.pending.push_back(report);
+        loop {
+            while let Ok(report) = mailbox.try_recv() {
+                self.held.push(report);
+            }
+            self.release_held();
+            if !self.pending.is_empty() {
+                return Ok(());
+            }
+            let look = async {
+                match self.held.is_empty() {
+                    true => future::pending().await,
+                    false => drop(Timer::after(HELD_POLL).await),
+                }
+                Ok(None)
+            };
+            let received = async { mailbox.recv().await.map(Some) };
+            self.held.extend(future::or(received, look).await?);
         }
-        Ok(())
+    }
+
+    /// A report may be sent once a restart cannot call for its message any more: its end is on disk, or its time is over.
+    fn release_held(&mut self) {
+        let now = self.context.clock.now();
+        let journal = &self.context.journal;
+        let is_safe =
+            |report: &mut DeliveryReport| now >= report.deadline || !journal.has_unwritten_end(report.id);
+        self.pending.extend(self.held.extract_if(.., is_safe));
     }
 
     /// Sends a batch once; after a failure, returns when it is time to retry.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -390,3 +390,79 @@
          within 4000",
     );
 }
+
+/// Guards against an end that is reported before it is on disk: after a kill the message was called again.
+#[test]
+fn an_end_that_the_journal_does_not_take_is_not_reported_while_a_restart_could_call_for_its_message() {
+    play(
+        "with e1=1 faults=on
+         start
+
+         u1 send m1 deadline=2900m
+         u1 expect 202
+         e1 expect m1
+         faults write ENOSPC
+         e1 send m1 429 X-RateLimit-Wait-Ms:3000
+         wait returned=1
+         sleep 300
+         platform expect-no-report
+         kill
+         faults
+         start
+
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         platform expect-no-report",
+    );
+}
+
+/// Guards against an end that is held back until the journal takes it: it is owed when the message's time is over.
+#[test]
+fn an_end_that_the_journal_does_not_take_is_reported_once_the_time_of_its_message_is_over() {
+    play(
+        "with e1=1 faults=on
+         start
+
+         mark
+         u1 send m1 deadline=1200m
+         u1 expect 202
+         e1 expect m1
+         faults write ENOSPC
+         e1 send m1 429 X-RateLimit-Wait-Ms:3000
+         wait returned=1
+         sleep 600
+         platform expect-no-report
+
+         platform expect m1 returned
+         within 1500
+         kill
+         faults
+         start
+         wait restored=1 open=0 calls=0",
+    );
+}
+
+/// Guards against a 503 for a message that the journal still has as open: after a kill it was called.
+#[test]
+fn a_message_whose_rejection_the_journal_does_not_take_is_accepted() {
+    play(
+        "with e1=1 faults=on
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 429 X-RateLimit-Wait-Ms:3000
+         wait full=1
+         faults write ENOSPC nth=2
+         u2 send m2 deadline=2500m
+         u2 expect 202
+         kill
+         faults
+         start
+
+         e1 serves m1 m2
+         wait delivered=2",
+    );
+}
--- a/tests/scenario/platform.rs
+++ b/tests/scenario/platform.rs
@@ -111,6 +111,10 @@
                 assert!(more.iter().all(|m| report[*m] == true), "{more:?} of {report}");
                 assert_eq!((report["id"].as_str(), report["state"].as_str()), (Some(*id), Some(*state)));
             }
+            ["expect-no-report"] => {
+                let report = self.reports.try_recv();
+                assert!(report.is_err(), "{report:?}");
+            }
             ["expect-all", ids, state] => self.expect_reports(numbered(&[ids]), state),
             ["expect-watch", after] => {
                 assert_eq!(self.watched.recv_timeout(PATIENCE).expect("a watch"), *after);
