--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -175,6 +175,8 @@
             DeliveryMessage::PredecessorGone => {
                 self.take_lost_calls().into_iter().for_each(|completion| self.call_completed(completion))
             }
+            // The successor did not take over after all, and the complete list is asked for.
+            DeliveryMessage::ListLine(_) => {}
             // The next step sees it.
             DeliveryMessage::JournalWritable => {}
             DeliveryMessage::DescribeStatus { reply } => {
--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -13,6 +13,12 @@
 /// times of the clock that all processes of a machine share; version 3 sent the wall clock beside an own one.
 pub const FORMAT: u32 = 4;
 
+/// The header by which a successor names frames beyond those of [`FORMAT`] that it accepts; a release that does not know the
+/// header sends none of them.
+pub const ACCEPTED_FRAMES_HEADER: &str = "X-Accept-Frames";
+/// The name of [`PredecessorFrame::ListLine`] in that header.
+pub const LIST_LINE_FRAME: &str = "list-line";
+
 /// An attempt that is in flight at the predecessor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u32, EndpointId)", into = "(u32, EndpointId)")]
@@ -117,6 +123,12 @@
     /// A call that was in flight at the predecessor is complete.
     #[serde(rename = "Passed")]
     CallCompleted(CallCompletion),
+    /// A watch of the endpoint list has sent a line to the predecessor; it follows the frame's head. Only for a successor that
+    /// accepts [`LIST_LINE_FRAME`].
+    ListLine {
+        /// The earliest time at which it may have come.
+        received_at: Micros,
+    },
     /// An operator sent a command.
     #[serde(rename = "Operate")]
     Admin {
--- a/src/net/handover/predecessor.rs
+++ b/src/net/handover/predecessor.rs
@@ -28,6 +28,7 @@
 pub async fn hand_over(actor: &mut DeliveryActor, successor: Successor, mail: &Receiver<DeliveryMessage>) {
     let context = actor.context().clone();
     let begun = Instant::now();
+    let accepts_list_lines = successor.accepts_list_lines;
     let handing_over = within(OWNED_WITHIN, send_state(actor, &context, successor)).await;
     let link = match handing_over.unwrap_or(Err(HttpError::TimedOut.into())) {
         Ok(link) => link,
@@ -48,7 +49,7 @@
     info!(context.log, "handed over"; "ms" => begun.elapsed().as_millis() as u64,
         "open" => context.gauges.open_messages.get(), "in_flight" => context.gauges.calls_in_flight.get());
     actor.step_down();
-    Relay::new(actor, link).run(mail).await;
+    Relay::new(actor, link, accepts_list_lines).run(mail).await;
     warn!(context.log, "the successor is gone");
     context.lifecycle.enter_hand_over(HandOverPhase::SuccessorLost);
     reject_all(mail).await;
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -3,7 +3,7 @@
 use super::frames::{PredecessorFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use crate::net::delivery::DeliveryActor;
-use crate::net::messages::{AdminError, DeliveryMessage, SubmitReply, DEFAULT_RETRY_AFTER};
+use crate::net::messages::{AdminError, DeliveryMessage, ListLine, SubmitReply, DEFAULT_RETRY_AFTER};
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use std::collections::BTreeMap;
@@ -12,6 +12,7 @@
 pub(super) struct Relay<'a> {
     actor: &'a mut DeliveryActor,
     link: Link,
+    accepts_list_lines: bool,
     /// Counts what was received, and so numbers the requests.
     last_number: u64,
     replies: BTreeMap<u64, Sender<SubmitReply>>,
@@ -25,8 +26,15 @@
 
 impl<'a> Relay<'a> {
     /// A relay to the successor at the other end of the link.
-    pub fn new(actor: &'a mut DeliveryActor, link: Link) -> Self {
-        Relay { actor, link, last_number: 0, replies: BTreeMap::new(), admin_replies: BTreeMap::new() }
+    pub fn new(actor: &'a mut DeliveryActor, link: Link, accepts_list_lines: bool) -> Self {
+        Relay {
+            actor,
+            link,
+            accepts_list_lines,
+            last_number: 0,
+            replies: BTreeMap::new(),
+            admin_replies: BTreeMap::new(),
+        }
     }
 
     /// Forwards up to the end of the connection.
@@ -70,6 +78,9 @@
                 self.admin_replies.insert(number, reply);
                 frames.send(&PredecessorFrame::Admin { number, command }).await
             }
+            DeliveryMessage::ListLine(ListLine { line, received_at }) if self.accepts_list_lines => {
+                frames.send_with_body(&PredecessorFrame::ListLine { received_at }, &line).await
+            }
             // A process before this one is gone.
             DeliveryMessage::PredecessorGone => {
                 let mut sent = Ok(());
@@ -79,7 +90,8 @@
                 sent
             }
             // The successor has its own list and settings, and is asked for its status itself.
-            DeliveryMessage::EndpointList(_)
+            DeliveryMessage::ListLine(_)
+            | DeliveryMessage::EndpointList(_)
             | DeliveryMessage::Settings(_)
             | DeliveryMessage::HandOver(_)
             | DeliveryMessage::JournalWritable
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -4,7 +4,7 @@
 use super::link::{HandOverError, Link};
 use crate::net::in_flight::Request;
 use crate::net::messages::{
-    AdminCommand, DeliveryMessage, EndpointListMessage, SubmitReply, DEFAULT_RETRY_AFTER,
+    AdminCommand, DeliveryMessage, EndpointListMessage, ListLine, SubmitReply, DEFAULT_RETRY_AFTER,
 };
 use crate::net::{operator, Context};
 use async_channel::{SendError, Sender};
@@ -81,6 +81,12 @@
                 }
                 delivery.send(DeliveryMessage::CallCompleted(completion)).await
             }
+            PredecessorFrame::ListLine { received_at } => {
+                let line = EndpointListMessage::PredecessorLine(ListLine { line: body, received_at });
+                // The endpoint list actor ends only with the process.
+                let _ = self.endpoint_list.send(line).await;
+                Ok(())
+            }
             PredecessorFrame::Admin { number, command } => {
                 self.perform(number, command);
                 Ok(())
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -39,6 +39,8 @@
         /// Where to send whether it took effect.
         reply: Sender<Result<(), AdminError>>,
     },
+    /// A watch has a line for the successor, which keeps the endpoint list.
+    ListLine(ListLine),
     /// The journal can be written again.
     JournalWritable,
     /// The predecessor is gone.
@@ -109,6 +111,8 @@
     },
     /// The successor did not take over: the list is kept here again.
     HandOverAborted,
+    /// A watch of the predecessor has a line.
+    PredecessorLine(ListLine),
     /// An operator cordons an endpoint, or ends its cordon.
     Cordon {
         /// Its id in the list.
@@ -129,6 +133,14 @@
     },
 }
 
+/// A line that a watch has sent to a process which has handed over.
+pub struct ListLine {
+    /// The line.
+    pub line: Vec<u8>,
+    /// The earliest time at which it may have come.
+    pub received_at: Micros,
+}
+
 /// How a watch ended.
 pub enum WatchEnd {
     /// The platform's agent refused it.
@@ -200,4 +212,6 @@
     pub connection: HttpConnection,
     /// The list as the membership's actor holds it, which changes nothing from here on.
     pub list: MembershipSnapshot,
+    /// It takes the lines that the watches of this process still get.
+    pub accepts_list_lines: bool,
 }
--- a/src/net/operator/handover.rs
+++ b/src/net/operator/handover.rs
@@ -3,7 +3,7 @@
 use super::call::{Call, CallSummary, CALL_TIMEOUT, HAND_OVER_TARGET};
 use crate::membership::MembershipSnapshot;
 use crate::net::client::Response;
-use crate::net::handover::frames::FORMAT;
+use crate::net::handover::frames::{ACCEPTED_FRAMES_HEADER, FORMAT, LIST_LINE_FRAME};
 use crate::net::http::RequestHead;
 use crate::net::messages::{DeliveryMessage, EndpointListMessage, Successor};
 use crate::net::runtime::lifecycle::HandOverPhase;
@@ -13,7 +13,11 @@
     /// Hands all over on the call's connection, or says why not.
     pub(super) async fn serve_hand_over(mut self, head: &RequestHead) -> CallSummary {
         let reason = match self.begin_hand_over(head).await {
-            Ok(list) => self.hand_over(list).await,
+            Ok(list) => {
+                let accepted = head.headers.get(ACCEPTED_FRAMES_HEADER).unwrap_or_default();
+                let accepts_list_lines = accepted.split(',').any(|frame| frame.trim() == LIST_LINE_FRAME);
+                self.hand_over(list, accepts_list_lines).await
+            }
             Err(response) => {
                 let bytes = response.bytes(false);
                 // A successor that has gone asks again.
@@ -58,13 +62,13 @@
     }
 
     /// Gives the connection to the delivery actor, which hands all over on it.
-    async fn hand_over(self, list: MembershipSnapshot) -> &'static str {
+    async fn hand_over(self, list: MembershipSnapshot, accepts_list_lines: bool) -> &'static str {
         let Call { context, endpoint_list, mut connection, .. } = self;
         let accepted = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         let is_written = within(CALL_TIMEOUT, connection.write(accepted)).await.is_some_and(|w| w.is_ok());
         if is_written {
-            let message = DeliveryMessage::HandOver(Successor { connection, list });
-            if context.delivery.send(message).await.is_ok() {
+            let successor = Successor { connection, list, accepts_list_lines };
+            if context.delivery.send(DeliveryMessage::HandOver(successor)).await.is_ok() {
                 return "handed-over";
             }
         }
--- a/src/net/platform/endpoint_list/mod.rs
+++ b/src/net/platform/endpoint_list/mod.rs
@@ -9,7 +9,7 @@
 mod watching;
 
 use crate::membership::{Membership, MembershipSnapshot, SourceId, SourcePolicy, WatchBackoff};
-use crate::net::messages::EndpointListMessage;
+use crate::net::messages::{DeliveryMessage, EndpointListMessage, ListLine};
 use crate::net::Context;
 use crate::settings_json::Names;
 use crate::Micros;
@@ -125,7 +125,7 @@
                 None
             };
             match future::or(async { Some(mailbox.recv().await) }, due).await {
-                Some(Ok(message)) if self.ignores(&message) => continue,
+                Some(Ok(message)) if self.handed_over => self.handle_handed_over(message).await,
                 Some(Ok(message)) => self.handle(message).await,
                 Some(Err(_)) => return,
                 None => {}
@@ -166,10 +166,20 @@
         self.registry_due(now).await;
     }
 
-    /// What the successor deals with is ignored here.
-    fn ignores(&self, message: &EndpointListMessage) -> bool {
-        self.handed_over
-            && !matches!(message, EndpointListMessage::HandOverAborted | EndpointListMessage::HandOver { .. })
+    /// A successor keeps the list: it is sent what the watches still send, and deals with all else itself.
+    async fn handle_handed_over(&mut self, message: EndpointListMessage) {
+        let line = match message {
+            EndpointListMessage::HandOverAborted | EndpointListMessage::HandOver { .. } => {
+                return self.handle(message).await
+            }
+            EndpointListMessage::WatchLine { watch, line } if !is_heartbeat(&line) => {
+                ListLine { received_at: self.earliest_arrival(watch), line }
+            }
+            EndpointListMessage::PredecessorLine(line) => line,
+            _ => return,
+        };
+        // The delivery actor ends only with the process.
+        let _ = self.context.delivery.send(DeliveryMessage::ListLine(line)).await;
     }
 
     async fn handle(&mut self, message: EndpointListMessage) {
@@ -179,6 +189,7 @@
             EndpointListMessage::Resubscribe if self.watches.is_empty() => self.open_watch(0),
             EndpointListMessage::Resubscribe => {}
             EndpointListMessage::WatchLine { watch, line } => self.take_line(watch, &line).await,
+            EndpointListMessage::PredecessorLine(line) => self.take_predecessor_line(line).await,
             EndpointListMessage::WatchSilent { watch } => self.watch_silent(watch),
             EndpointListMessage::ReplacedWatchExpired { watch } => self.replaced_watch_expired(watch),
             EndpointListMessage::WatchEnded { watch, end } => self.watch_ended(watch, end),
@@ -220,6 +231,11 @@
     }
 }
 
+/// Whether a line of a watch is empty, so that it only keeps the connection alive.
+fn is_heartbeat(line: &[u8]) -> bool {
+    line.iter().all(u8::is_ascii_whitespace)
+}
+
 /// What is believed of a source whose endpoints are identified by their address.
 fn identified_by_address() -> SourcePolicy {
     SourcePolicy { by_address: true, ..SourcePolicy::default() }
--- a/src/net/platform/endpoint_list/watching.rs
+++ b/src/net/platform/endpoint_list/watching.rs
@@ -3,10 +3,10 @@
 use super::decode::{DecodeError, ListVersion, RawList};
 use super::publish::UpdateKind;
 use super::watch::{Watch, WatchRequest};
-use super::{EndpointListActor, PUSHED};
-use crate::membership::SourceUpdate;
+use super::{is_heartbeat, EndpointListActor, PUSHED};
+use crate::membership::{Listing, SourceUpdate};
 use crate::net::http::HttpError;
-use crate::net::messages::{EndpointListMessage, WatchEnd};
+use crate::net::messages::{EndpointListMessage, ListLine, WatchEnd};
 use crate::Micros;
 use async_io::Timer;
 use slog::{info, warn};
@@ -51,6 +51,10 @@
         newest.is_some_and(|watch| watch.number == number)
     }
 
+    fn connecting_index(&self, number: u64) -> Option<usize> {
+        self.connecting.iter().position(|watch| watch.number == number)
+    }
+
     fn watches(&self, address: SocketAddr) -> bool {
         self.current.as_ref().is_some_and(|watch| watch.address == address)
     }
@@ -125,20 +129,28 @@
         self.watches.replaced.take_if(|watch| watch.number == number);
     }
 
+    /// The earliest time at which a line may have come that a watch has just sent.
+    pub(super) fn earliest_arrival(&self, number: u64) -> Micros {
+        if self.watches.connecting_index(number).is_some() {
+            // What a new watch sends first may have been there since the current one last received anything.
+            return self.last_line_at;
+        }
+        self.context.stall_detector.arrived_since(self.context.clock.now())
+    }
+
     /// Takes a line of a watch, which is empty where only the connection is kept alive.
     pub(super) async fn take_line(&mut self, number: u64, line: &[u8]) {
+        let received_at = self.earliest_arrival(number);
         if self.watches.is_replaced(number) {
-            return self.take_line_of_replaced(line).await;
+            return self.take_line_of_replaced(line, received_at).await;
         }
         let is_current = self.watches.is_current(number);
-        let connecting = self.watches.connecting.iter().position(|watch| watch.number == number);
+        let connecting = self.watches.connecting_index(number);
         let now = self.context.stall_detector.arrived_since(self.context.clock.now());
-        // What a new watch sends first may have been there since the current one last received anything.
-        let received_at = if connecting.is_some() { self.last_line_at } else { now };
         if is_current {
             self.last_line_at = now;
         }
-        if line.iter().all(u8::is_ascii_whitespace) || !(is_current || connecting.is_some()) {
+        if is_heartbeat(line) || !(is_current || connecting.is_some()) {
             return;
         }
         let version = match RawList::parse(line).and_then(|list| self.decode(list)) {
@@ -165,30 +177,45 @@
         info!(self.context.log, "endpoint list received"; "generation" => generation, "complete" => complete,
             "entries" => listings.len());
         self.context.counters.lists.add();
-        let (update, kind) = match complete {
-            true => (SourceUpdate::Complete { version: None, listings }, UpdateKind::Complete),
-            false => (SourceUpdate::Patch { listings, removed: Vec::new() }, UpdateKind::Patch),
-        };
-        let changes = self.membership.apply(received_at, PUSHED, update);
-        self.publish(kind, changes).await;
+        self.apply_version(received_at, complete, listings).await;
         // Only now: the endpoint table has it.
         self.context.endpoint_list.set_received();
     }
 
-    /// What a replaced watch still sends counts if it is newer than what the current one has sent.
-    async fn take_line_of_replaced(&mut self, line: &[u8]) {
-        let Ok(list) = RawList::parse(line) else { return };
-        let newer = list.generation() > self.generation;
-        if !newer || list.is_complete() {
-            return;
+    async fn take_line_of_replaced(&mut self, line: &[u8], received_at: Micros) {
+        if let Some(generation) = self.take_line_from_elsewhere(line, received_at).await {
+            info!(self.context.log, "endpoint list received"; "generation" => generation, "replaced" => true);
+        }
+    }
+
+    /// Takes a line that a watch of the predecessor has sent: what the platform's agent has is binding from then on, although the
+    /// watch of this process may not be open yet.
+    pub(super) async fn take_predecessor_line(&mut self, line: ListLine) {
+        if let Some(generation) = self.take_line_from_elsewhere(&line.line, line.received_at).await {
+            info!(self.context.log, "endpoint list received"; "generation" => generation, "predecessor" => true);
+        }
+    }
+
+    /// What another watch than the current one sends counts if it is newer than what that one has sent; its generation then.
+    async fn take_line_from_elsewhere(&mut self, line: &[u8], received_at: Micros) -> Option<u64> {
+        let list = RawList::parse(line).ok()?;
+        // A complete list would replace what the current watch has sent.
+        if list.generation() <= self.generation || list.is_complete() && self.generation.is_some() {
+            return None;
         }
         // The generation stays: the current watch goes on from what it has sent itself.
-        let Ok(ListVersion { generation, listings, .. }) = self.decode(list) else { return };
-        let update = SourceUpdate::Patch { listings, removed: Vec::new() };
-        let received_at = self.context.stall_detector.arrived_since(self.context.clock.now());
+        let ListVersion { generation, complete, listings, .. } = self.decode(list).ok()?;
+        self.apply_version(received_at, complete, listings).await;
+        Some(generation)
+    }
+
+    async fn apply_version(&mut self, received_at: Micros, complete: bool, listings: Vec<Listing>) {
+        let (update, kind) = match complete {
+            true => (SourceUpdate::Complete { version: None, listings }, UpdateKind::Complete),
+            false => (SourceUpdate::Patch { listings, removed: Vec::new() }, UpdateKind::Patch),
+        };
         let changes = self.membership.apply(received_at, PUSHED, update);
-        info!(self.context.log, "endpoint list received"; "generation" => generation, "replaced" => true);
-        self.publish(UpdateKind::Patch, changes).await;
+        self.publish(kind, changes).await;
     }
 
     /// Decodes a version of the list and logs the entries that cannot be used.
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -415,3 +415,46 @@
     }
     play(&script);
 }
+
+/// Guards against a drain that reaches the predecessor's watch alone: the successor, whose own watch was slow, went on calling.
+#[test]
+fn a_drain_observed_by_the_predecessor_after_the_hand_over_binds_the_successor() {
+    play(
+        "with e1=1 e2=1:one:hidden operator=on
+         start
+
+         platform delays-list
+         begin-upgrade
+         old log handed over
+         platform send e1=leaving
+         sleep 400
+         u1 send m1
+         u1 expect 202
+         sleep 100
+         platform releases-list
+         platform send e2=active
+         e2 expect m1
+         e2 send m1 200
+
+         wait delivered=1 calls=1",
+    );
+}
+
+/// Guards against a frame that the release before does not know: its successor would take the connection for broken.
+#[test]
+fn a_successor_that_does_not_accept_lines_of_the_endpoint_list_is_sent_none() {
+    play(
+        "with e1=1 operator=on
+         start
+
+         u1 connect
+         wait user_agents=2
+         successor asks 200
+         successor reads-state
+         successor owns
+         platform send e1=leaving
+         sleep 100
+         u1 send m1
+         successor expects Take",
+    );
+}
--- a/tests/scenario/handover.rs
+++ b/tests/scenario/handover.rs
@@ -28,6 +28,7 @@
                 self.stream().get_mut().write_all(&frame).expect("written");
                 assert_eq!(self.next_frame(), "Granted");
             }
+            ["expects", kind] => assert!(self.next_frame()[*kind].is_object()),
             ["disconnects"] => self.stream = None,
             _ => panic!("no such step of a successor"),
         }
--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -6,7 +6,9 @@
     UnreadableSegmentPolicy,
 };
 use cedarbridge::membership::{Key, Listing, MembershipSnapshot, State};
-use cedarbridge::net::handover::frames::{HandOverState, PredecessorFrame, SuccessorFrame, FORMAT};
+use cedarbridge::net::handover::frames::{
+    HandOverState, PredecessorFrame, SuccessorFrame, ACCEPTED_FRAMES_HEADER, FORMAT, LIST_LINE_FRAME,
+};
 use cedarbridge::net::handover::lock;
 use cedarbridge::net::operator::cordons::Cordons;
 use cedarbridge::net::platform::eureka::snapshot::RegistrySnapshot;
@@ -267,6 +269,13 @@
     ]);
 }
 
+/// A later frame, which is sent only to a successor that names it.
+#[test]
+fn a_line_of_the_endpoint_list_is_framed_alike() {
+    round_trip::<PredecessorFrame>(&[json!({"ListLine": {"received_at": 7}})]);
+    assert_eq!((ACCEPTED_FRAMES_HEADER, LIST_LINE_FRAME), ("X-Accept-Frames", "list-line"));
+}
+
 /// The list with every form of an entry's name, as 5c6b612 writes it.
 #[test]
 fn the_list_that_is_handed_over_is_read_and_written_alike() {
