--- a/tests/scenario/endpoint.rs
+++ b/tests/scenario/endpoint.rs
@@ -3,7 +3,7 @@
 use super::script::{numbered, text_behind, unescape};
 use super::sockets::{accept, bound, listening, local_address, read_message, write, PATIENCE};
 use socket2::Socket;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -25,7 +25,7 @@
     pub address: SocketAddr,
     sender: Sender<Call>,
     calls: Receiver<Call>,
-    /// The connections of calls that were expected, by their first message.
+    /// The connections of calls that were expected, by the message that the script names first.
     expected: BTreeMap<String, TcpStream>,
     refusing: Option<Refusing>,
 }
@@ -88,6 +88,17 @@
                 assert_eq!(call.ids, ids, "the messages of the call");
                 self.expected.insert(call.ids[0].clone(), call.stream);
             }
+            ["expect-unordered", ids @ ..] => {
+                let call = self.next_call();
+                let (found, wanted) = (call.ids.iter().map(String::as_str), ids.iter().copied());
+                assert_eq!(call.ids.len(), ids.len(), "{:?}", call.ids);
+                assert_eq!(
+                    BTreeSet::from_iter(found),
+                    BTreeSet::from_iter(wanted),
+                    "the messages of the call"
+                );
+                self.expected.insert(ids[0].to_owned(), call.stream);
+            }
             ["serves", ids @ ..] => self.deliver_all(numbered(ids)),
             ["send", id, status, more @ ..] => self.answer(id, status, more),
             ["send-raw", id, ..] => {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -26,6 +26,7 @@
 //! | `health 503` | waits until the clients' address answers so about its health |
 //! | `write-byte-by-byte` | from here on clients, endpoints, operators and the platform's watch write byte by byte |
 //! | `e1 expect m1 m2` | the next call at an endpoint holds just these messages |
+//! | `e1 expect-unordered m1 m2` | the same, with the messages in any order |
 //! | `e1 serves m1 m2`, `e1 serves m*20` | the next calls at an endpoint hold these messages in any order, all are delivered; m1 to m20 |
 //! | `e1 send m1 200 Header:value m1=delivered …` | the answer to the call that m1 came in |
 //! | `e1 send-raw m1 TEXT` | whatever else is written to the connection that m1 came on |
