--- a/src/net/client/submit.rs
+++ b/src/net/client/submit.rs
@@ -14,8 +14,6 @@
 enum WaitEnd {
     /// It was made, or nobody is there to make it.
     Decided(Option<SubmitReply>),
-    /// The client has ended its sending; it may still read.
-    EndedSending,
     /// The connection broke.
     Disconnected,
 }
@@ -25,22 +23,26 @@
     end: WaitEnd,
     /// More was received before the response.
     is_pipelined: bool,
+    /// The client has ended its sending; it may still read.
+    has_ended_sending: bool,
 }
 
 impl ClientConnection {
     /// Submits a message. A client that goes meanwhile withdraws its message.
     pub(super) async fn submit(&mut self, request: Request) -> Result<Response, ConnectionEnd> {
         let (reply, decision) = async_channel::bounded(1);
+        let request_id = request.request_id.clone();
         if self.context.delivery.send(DeliveryMessage::Submit { request, reply }).await.is_err() {
             return Ok(Response::service_unavailable(DEFAULT_RETRY_AFTER));
         }
-        let Wait { end, is_pipelined } = self.wait_for(&decision).await;
+        let Wait { end, is_pipelined, has_ended_sending } = self.wait_for(&decision, request_id).await;
         // From here on no reply can be sent that nobody reads: it is here, or the delivery actor finds the channel closed.
         decision.close();
         let reply = match end {
             WaitEnd::Decided(reply) => reply,
-            WaitEnd::EndedSending | WaitEnd::Disconnected => decision.try_recv().ok(),
+            WaitEnd::Disconnected => decision.try_recv().ok(),
         };
+        let is_accepted = matches!(reply, Some(SubmitReply::Accepted(_)));
         let is_lost = matches!(end, WaitEnd::Disconnected) || is_pipelined;
         if let Some(SubmitReply::Accepted(id)) = reply.filter(|_| is_lost) {
             self.withdraw(id).await;
@@ -48,23 +50,27 @@
         match end {
             WaitEnd::Disconnected => Err(ConnectionEnd::Disconnected(CloseReason::ClientGone)),
             _ if is_pipelined => Err(self.reject_pipelined().await),
-            // It may still read: undecided, its message is withdrawn, and the response says that it was not accepted.
-            WaitEnd::EndedSending if reply.is_none() => {
-                self.context.counters.unavailable.add();
-                let response = Response::service_unavailable(DEFAULT_RETRY_AFTER);
+            WaitEnd::Decided(_) if has_ended_sending && !is_accepted => {
+                let response = self.response_to(reply);
                 Err(self.close_with(&response, CloseReason::ClientGone).await)
             }
-            WaitEnd::EndedSending | WaitEnd::Decided(_) => Ok(self.response_to(reply)),
+            WaitEnd::Decided(_) => Ok(self.response_to(reply)),
         }
     }
 
-    /// Waits for the decision, or the client's end.
-    async fn wait_for(&mut self, decision: &Receiver<SubmitReply>) -> Wait {
-        let is_pipelined = Cell::new(false);
+    /// Waits for the decision, or the client's end. A client that has ended its sending may still read: its message is withdrawn
+    /// where it is undecided, and the delivery actor replies at once.
+    async fn wait_for(&mut self, decision: &Receiver<SubmitReply>, request_id: String) -> Wait {
+        let (is_pipelined, has_ended_sending) = (Cell::new(false), Cell::new(false));
         let decided = async { WaitEnd::Decided(decision.recv().await.ok()) };
         let interrupted = async {
             match self.connection.fill().await {
-                Ok(0) => WaitEnd::EndedSending,
+                Ok(0) => {
+                    has_ended_sending.set(true);
+                    // The delivery actor ends only with the process.
+                    let _ = self.context.delivery.send(DeliveryMessage::ClientEnded { request_id }).await;
+                    future::pending().await
+                }
                 Ok(_) => {
                     is_pipelined.set(true);
                     future::pending().await
@@ -74,7 +80,7 @@
         };
         // Polled first, so that a client that went as the decision was made is not counted as notified.
         let end = future::or(interrupted, decided).await;
-        Wait { end, is_pipelined: is_pipelined.get() }
+        Wait { end, is_pipelined: is_pipelined.get(), has_ended_sending: has_ended_sending.get() }
     }
 
     fn response_to(&self, reply: Option<SubmitReply>) -> Response {
--- a/src/net/delivery/message_end.rs
+++ b/src/net/delivery/message_end.rs
@@ -1,6 +1,6 @@
 //! The end of a message: counted, logged, journaled, and reported to its client by the reply or by a delivery report.
 
-use super::actor::DeliveryActor;
+use super::actor::{DeliveryActor, OpenMessage};
 use crate::journal::ReportedEnd;
 use crate::net::message_end::MessageEnd;
 use crate::net::messages::{DeliveryReport, SubmitReply, DEFAULT_RETRY_AFTER};
@@ -55,6 +55,23 @@
         }
     }
 
+    /// Withdraws an undecided message whose client has ended its sending, and replies that it was not accepted. If the journal does
+    /// not take that, a restart would find the message open, so it is decided as any other.
+    pub(super) fn client_ended(&mut self, request_id: &str) {
+        let undecided =
+            |open: &&mut OpenMessage| open.reply.is_some() && open.message.request.request_id == request_id;
+        let Some(open) = self.messages.values_mut().find(undecided) else { return };
+        let id = open.message.id;
+        if self.context.journal.try_record_completed(id).is_err() {
+            return;
+        }
+        let reply = open.reply.take();
+        self.withdraw(id);
+        self.context.counters.unavailable.add();
+        // Where the client is gone, nobody waits for the reply.
+        let _ = reply.map(|reply| reply.try_send(SubmitReply::Unavailable(DEFAULT_RETRY_AFTER)));
+    }
+
     /// Ends a message as the policy decided: by the reply if that is still to be written, or else by a delivery report.
     pub(super) async fn abandon(&mut self, id: MessageId, abandoned: Abandoned, reason: AbandonReason) {
         if !self.end_message(id, abandoned.message_end()) {
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -89,8 +89,9 @@
                 }
                 sent
             }
-            // The successor has its own list and settings, and is asked for its status itself.
+            // The successor has its own list and settings, is asked for its status itself, and replies soon in any case.
             DeliveryMessage::ListLine(_)
+            | DeliveryMessage::ClientEnded { .. }
             | DeliveryMessage::EndpointList(_)
             | DeliveryMessage::Settings(_)
             | DeliveryMessage::HandOver(_)
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -24,6 +24,11 @@
         /// The message.
         id: MessageId,
     },
+    /// A client has ended its sending while it waits for the reply, which it may still read.
+    ClientEnded {
+        /// The client's id of the message.
+        request_id: String,
+    },
     /// An update of the endpoint list.
     EndpointList(EndpointListUpdate),
     /// Other settings are in force from now on.
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -458,3 +458,25 @@
          successor expects Take",
     );
 }
+
+/// Guards against a 503 for a message that the successor has accepted, as its client ends its sending and reads on.
+#[test]
+fn a_client_of_the_predecessor_that_half_closes_gets_the_reply_of_the_successor() {
+    play(
+        "with e1=1 operator=on
+         start
+
+         u1 connect
+         wait user_agents=2
+         successor asks 200
+         successor reads-state
+         successor owns
+         u1 send m1
+         successor expects Take
+         u1 end-sending
+         sleep 100
+         successor accepts
+
+         u1 expect 202",
+    );
+}
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -120,3 +120,23 @@
          state-under 50000",
     );
 }
+
+/// Guards against a 503 that is written before the withdrawal is on disk: after a kill the message was delivered.
+#[test]
+fn a_message_whose_client_half_closed_and_got_503_is_not_restored_after_a_kill() {
+    play(
+        "with e1=1:one:leaving tick=400
+         start
+
+         u1 send m1
+         u1 expect 202
+         u2 send m2
+         sleep 50
+         u2 end-sending
+         u2 expect 503
+         kill
+         start
+
+         wait restored=1",
+    );
+}
--- a/tests/scenario/endpoint.rs
+++ b/tests/scenario/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint: it accepts calls and responds as the script says.
 
+use super::notes::note;
 use super::script::{numbered, text_behind, unescape};
 use super::sockets::{accept, bound, listening, local_address, read_message, write, PATIENCE};
 use socket2::Socket;
@@ -65,7 +66,7 @@
     }
 
     fn serve(&self, listener: TcpListener) {
-        let sender = Mutex::new(self.sender.clone());
+        let (sender, address) = (Mutex::new(self.sender.clone()), self.address);
         accept(listener, move |stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = read_message(&mut reader) {
@@ -73,6 +74,7 @@
                     Some(id) => vec![id.split("\r\n").next().expect("a line").to_owned()],
                     None => batch_ids(&request.body),
                 };
+                note(format_args!("call at {address} with {ids:?}"));
                 let stream = stream.try_clone().expect("a handle");
                 // The scenario may have ended.
                 let _ = sender.lock().expect("unpoisoned").send(Call { ids, stream });
--- a/tests/scenario/handover.rs
+++ b/tests/scenario/handover.rs
@@ -13,6 +13,8 @@
 #[derive(Default)]
 pub struct Successor {
     stream: Option<BufReader<TcpStream>>,
+    /// The frame that was expected last.
+    last_frame: Value,
 }
 
 impl Successor {
@@ -22,13 +24,17 @@
             ["asks", status, more @ ..] => self.ask(status, more, owner),
             ["reads-state"] => assert!(self.next_frame()["State"]["module"].is_object()),
             ["owns"] => {
-                let text = b"\"Owns\"";
-                let mut frame = vec![text.len() as u8, 0, 0, 0, 0, 0, 0, 0];
-                frame.extend_from_slice(text);
-                self.stream().get_mut().write_all(&frame).expect("written");
+                self.send(&json!("Owns"));
                 assert_eq!(self.next_frame(), "Granted");
             }
-            ["expects", kind] => assert!(self.next_frame()[*kind].is_object()),
+            ["expects", kind] => {
+                self.last_frame = self.next_frame();
+                assert!(self.last_frame[*kind].is_object(), "{}", self.last_frame);
+            }
+            ["accepts"] => {
+                let number = self.last_frame["Take"]["number"].clone();
+                self.send(&json!({"Reply": {"number": number, "reply": {"Taken": 7}}}));
+            }
             ["disconnects"] => self.stream = None,
             _ => panic!("no such step of a successor"),
         }
@@ -53,6 +59,14 @@
         self.stream = Some(stream);
     }
 
+    /// Sends a frame without a body.
+    fn send(&mut self, head: &Value) {
+        let text = head.to_string();
+        let mut frame = vec![text.len() as u8, 0, 0, 0, 0, 0, 0, 0];
+        frame.extend_from_slice(text.as_bytes());
+        self.stream().get_mut().write_all(&frame).expect("written");
+    }
+
     /// The head of the next frame that the process that runs sends.
     fn next_frame(&mut self) -> Value {
         let stream = self.stream();
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -21,7 +21,7 @@
 //! | `keep-first`, `first kill` | the old process is kept as the first of three |
 //! | `forget-upgrade` | the new process is forgotten, the old one is the one that runs |
 //! | `old term`, `old kill`, `old stop`, `old exit`, `old log TEXT`, `old admin …` | the process that is replaced; clients stay where they connected |
-//! | `successor asks 200 [token=X] [format=9]`, `… reads-state`, `… owns`, `… expects Take`, `… disconnects` | plays a process that wants to replace the one that runs |
+//! | `successor asks 200 [token=X] [format=9]`, `… reads-state`, `… owns`, `… expects Take`, `… accepts`, `… disconnects` | plays a process that wants to replace the one that runs |
 //! | `predecessor owns`, `… answers TEXT`, `… exits` | plays a process that owns the folder, ahead of `begin-upgrade` |
 //! | `health 503` | waits until the clients' address answers so about its health |
 //! | `write-byte-by-byte` | from here on clients, endpoints, operators and the platform's watch write byte by byte |
@@ -53,6 +53,7 @@
 mod client;
 mod endpoint;
 mod handover;
+mod notes;
 mod platform;
 pub mod process;
 mod registry;
@@ -67,7 +68,7 @@
 pub fn play(script: &str) {
     let mut world = World::new();
     for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
-        eprintln!("> {line}");
+        notes::note(format_args!("> {line}"));
         world.step(line);
     }
 }
