Give clients no answer where a lost successor may have accepted their messages

Cause: the relay answered all that was under way with 503 as the connection to the successor ended.

Evidence: a_client_whose_message_a_lost_successor_may_have_accepted_gets_no_response is red on (503), and passes now.

Why this holds: nobody there knows which of the two is true, and no answer is what a client gets of a forwarder that dies. The process ends within its shutdown, and the connections with it; what was never forwarded is still rejected by 503.

--- a/src/net/handover/predecessor.rs
+++ b/src/net/handover/predecessor.rs
@@ -49,7 +49,7 @@
     info!(context.log, "handed over"; "ms" => begun.elapsed().as_millis() as u64,
         "open" => context.gauges.open_messages.get(), "in_flight" => context.gauges.calls_in_flight.get());
     actor.step_down();
-    Relay::new(actor, link, accepts_list_lines).run(mail).await;
+    let _unanswered = Relay::new(actor, link, accepts_list_lines).run(mail).await;
     warn!(context.log, "the successor is gone");
     context.lifecycle.enter_hand_over(HandOverPhase::SuccessorLost);
     reject_all(mail).await;
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -3,7 +3,7 @@
 use super::frames::{PredecessorFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use crate::net::delivery::DeliveryActor;
-use crate::net::messages::{AdminError, DeliveryMessage, ListLine, SubmitReply, DEFAULT_RETRY_AFTER};
+use crate::net::messages::{AdminError, DeliveryMessage, ListLine, SubmitReply};
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use std::collections::BTreeMap;
@@ -19,6 +19,12 @@
     admin_replies: BTreeMap<u64, Sender<Result<(), AdminError>>>,
 }
 
+/// Clients whose messages a successor may have accepted that is gone. While this is kept they get no response, as from a process that
+/// died: a rejection would be wrong where the next process finds their messages in the journal.
+pub(super) struct UnansweredClients {
+    _replies: Vec<Sender<SubmitReply>>,
+}
+
 enum Received {
     Message(DeliveryMessage),
     Frame(SuccessorFrame),
@@ -37,8 +43,8 @@
         }
     }
 
-    /// Forwards up to the end of the connection.
-    pub async fn run(mut self, mail: &Receiver<DeliveryMessage>) {
+    /// Forwards up to the end of the connection. Returns where the clients wait whose messages were forwarded without a reply.
+    pub async fn run(mut self, mail: &Receiver<DeliveryMessage>) -> UnansweredClients {
         while let Some(received) = self.receive(mail).await {
             self.last_number += 1;
             let forwarded = match received {
@@ -49,10 +55,7 @@
                 break;
             }
         }
-        for reply in self.replies.into_values() {
-            // Where the client is gone, nobody waits for the reply.
-            let _ = reply.try_send(SubmitReply::Unavailable(DEFAULT_RETRY_AFTER));
-        }
+        UnansweredClients { _replies: self.replies.into_values().collect() }
     }
 
     async fn receive(&mut self, mail: &Receiver<DeliveryMessage>) -> Option<Received> {
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -459,6 +459,28 @@
     );
 }
 
+/// Guards against a 503 for a message that the successor may have accepted before it died: the next process delivers it.
+#[test]
+fn a_client_whose_message_a_lost_successor_may_have_accepted_gets_no_response() {
+    play(
+        "with e1=1 operator=on
+         start
+
+         u1 connect
+         wait user_agents=2
+         successor asks 200
+         successor reads-state
+         successor owns
+         u1 send m1
+         successor expects Take
+         successor disconnects
+
+         log the successor is gone
+         u1 expect end
+         exit-with-failure",
+    );
+}
+
 /// Guards against a 503 for a message that the successor has accepted, as its client ends its sending and reads on.
 #[test]
 fn a_client_of_the_predecessor_that_half_closes_gets_the_reply_of_the_successor() {
