Detect stalls and date what lay unread by one detector

StallDetector and ArrivalBound found the same from late heartbeats, with two thresholds and two ends: laps, and a heartbeat in time. The one that was mended for a hold-up in a row was not the one that dates requests. Now one detector: a heartbeat 50 ms late dates what is read, requests and list alike, until six laps are made; one 100 ms late also holds calls back. A lap counts as a heartbeat.

--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -109,7 +109,7 @@
     /// The earliest time since which the next connection may wait. It holds for those behind it too, until the backlog is empty.
     fn waiting_since(&mut self) -> Micros {
         let now = self.context.clock.now();
-        *self.waiting_since.get_or_insert_with(|| self.context.arrival_bound.earliest_arrival(now))
+        *self.waiting_since.get_or_insert_with(|| self.context.stall_detector.arrived_since(now))
     }
 
     /// Accepts all that waits in the backlog, which would be reset with the listener; how many those were. Nothing comes
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -188,7 +188,7 @@
         let now = self.context.clock.now();
         let earliest_arrival = match self.connection.last_empty() {
             Some(empty) => {
-                self.context.clock.time_of(empty).max(self.context.arrival_bound.earliest_arrival(now))
+                self.context.clock.time_of(empty).max(self.context.stall_detector.arrived_since(now))
             }
             None => self.waiting_since,
         };
--- a/src/net/context.rs
+++ b/src/net/context.rs
@@ -11,7 +11,6 @@
 use super::platform::list_status::EndpointListStatus;
 use super::request_ids::RequestIds;
 use super::route_stats::Routes;
-use super::runtime::arrival::ArrivalBound;
 use super::runtime::clock::Clock;
 use super::runtime::lifecycle::Lifecycle;
 use super::runtime::stall_detector::StallDetector;
@@ -41,10 +40,8 @@
     pub endpoint_table: EndpointTable,
     /// What the endpoint list actor shows of the list.
     pub endpoint_list: EndpointListStatus,
-    /// Whether this process was stopped or starved of late.
+    /// Whether this process was stopped or starved of late, and since when what is read now may have lain unread.
     pub stall_detector: StallDetector,
-    /// Since when what is read now may have lain unread.
-    pub arrival_bound: ArrivalBound,
     /// The journal; written by the delivery actor and by calls.
     pub journal: JournalHandle,
     /// The lock of the state folder; owned by the hand-over.
@@ -90,7 +87,6 @@
         Context {
             endpoint_table: EndpointTable::new(clock, config.drain_grace),
             stall_detector: StallDetector::new(clock.now()),
-            arrival_bound: ArrivalBound::new(clock.now()),
             log,
             clock,
             executor,
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -76,7 +76,7 @@
     };
     connection.stall_timeout = Some(RESPONSE_STALL);
     context.endpoint_list.until_received().await;
-    context.stall_detector.until_caught_up(&context.clock).await;
+    context.stall_detector.until_calls_allowed(&context.clock).await;
     check_sendable(context, call, progress)?;
     let zone = context.endpoint_table.get(call.endpoint).map(|known| known.zone);
     journal_attempts(context, call, zone, progress)?;
--- a/src/net/runtime/background.rs
+++ b/src/net/runtime/background.rs
@@ -15,13 +15,11 @@
 /// The pause doubles up to this: a disk that stays full is not kept busy.
 const JOURNAL_RETRY_LONGEST: Duration = Duration::from_millis(100);
 
-/// Beats for all that detects a late process, and logs each stall.
+/// Beats for the detection of stalls, and logs each of them.
 pub async fn watch_for_stalls(context: Rc<Context>) {
     loop {
         Timer::after(HEARTBEAT).await;
-        let now = context.clock.now();
-        context.stall_detector.heartbeat(now);
-        context.arrival_bound.heartbeat(now);
+        context.stall_detector.heartbeat(context.clock.now());
         if let Some(stalled) = context.stall_detector.take_unlogged() {
             warn!(context.log, "process was stalled"; "reason" => "stalled", "ms" => stalled / 1000);
         }
@@ -29,7 +27,7 @@
     }
 }
 
-/// Makes laps until what arrived during a stall has been read.
+/// Makes laps until what arrived while the process was late has been read.
 async fn catch_up(context: &Context) {
     while !context.stall_detector.is_caught_up(context.clock.now()) {
         Timer::after(LAP).await;
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -1,6 +1,5 @@
 //! The process: its start, reload and shutdown, its clock and signals, and whether it was stalled.
 
-pub mod arrival;
 pub mod background;
 pub mod clock;
 pub mod deadline;
