Untie the soak's modules, and show what became of each message that a violation names

faults, forwarder, platform, checker, slow_start, world, endpoint and client imported each other in a circle, as the constants of the simulated deployment stood in faults.rs. They have a module of their own, deployment.rs, and the imports go one way.

A violation is followed by its message's history (sent, accepted, calls, report, outages of its forwarder, each with its time), and the faults that were injected are kept as events beside the forwarders' logs; before, they went to standard error alone.

--- a/crates/soak-test/src/checker.rs
+++ b/crates/soak-test/src/checker.rs
@@ -1,6 +1,7 @@
 //! Checks the invariants against what clients, endpoints and the platform observed. It knows nothing of the forwarders' own
 //! records.
 
+use crate::deployment::{DRAIN_GRACE, MAX_ATTEMPTS};
 use crate::observation::{AttemptOutcome, Idempotency, Report, Violation};
 use crate::slow_start::SlowStart;
 use std::collections::{BTreeMap, HashMap};
@@ -16,13 +17,10 @@
 const RECOVERY: Duration = Duration::from_millis(1_500);
 /// A process may be held up for so long between its reading of the clock and its write: windows allow for that.
 const WRITE_DELAY: Duration = Duration::from_millis(150);
-/// Attempts for one message.
-pub const MAX_ATTEMPTS: usize = 12;
-/// Calls may go to an endpoint for so long after its forwarder was notified that it drains.
-pub const DRAIN_GRACE: Duration = Duration::from_millis(250);
 
 struct Call {
     begun: Instant,
+    endpoint: usize,
     zone: usize,
     ended: Option<(Instant, AttemptOutcome)>,
 }
@@ -34,7 +32,7 @@
     /// Its time, from its sending.
     time: Duration,
     deadline: Instant,
-    accepted: bool,
+    accepted: Option<Instant>,
     /// Its connection was closed with no answer, by a process that was not killed.
     closed_unanswered: bool,
     calls: Vec<Call>,
@@ -120,7 +118,7 @@
             idempotency,
             time,
             deadline,
-            accepted: false,
+            accepted: None,
             closed_unanswered: false,
             calls: Vec::new(),
             delivered: None,
@@ -143,7 +141,7 @@
     pub fn accepted(&mut self, id: &str) {
         self.count("accepted");
         if let Some(message) = self.messages.get_mut(id) {
-            message.accepted = true;
+            message.accepted = Some(Instant::now());
         }
     }
 
@@ -190,7 +188,7 @@
             }
         }
         let forwarder = message.forwarder;
-        message.calls.push(Call { begun: now, zone, ended: None });
+        message.calls.push(Call { begun: now, endpoint, zone, ended: None });
         let number = message.calls.len() - 1;
         if let Some(since) = self.draining_since.get(&(forwarder, endpoint)) {
             if first_byte > *since + DRAIN_GRACE + SOCKET_SLACK {
@@ -262,6 +260,30 @@
         }
     }
 
+    /// What was observed of the message that a violation names first, and of its forwarder meanwhile.
+    pub fn history(&self, violation: &Violation) -> Option<String> {
+        let id = violation.what.split(':').next()?;
+        let message = self.messages.get(id)?;
+        let sent = message.deadline - message.time;
+        let mut events = vec![(sent, format!("sent, {:?}, time {:?}", message.idempotency, message.time))];
+        events.extend(message.accepted.map(|at| (at, "accepted".to_owned())));
+        for call in &message.calls {
+            events.push((call.begun, format!("called at endpoint {}", call.endpoint)));
+            events.extend(call.ended.map(|(at, outcome)| (at, format!("call ended, {outcome:?}"))));
+        }
+        events.extend(message.report.map(|(at, report)| (at, format!("reported, {report:?}"))));
+        let outages = self.unavailable[message.forwarder].iter();
+        for outage in outages.filter(|outage| outage.until.is_none_or(|until| until > sent)) {
+            events.push((outage.since, format!("forwarder {} is down or stalled", message.forwarder)));
+            events.extend(outage.until.map(|at| (at, "it owes again".to_owned())));
+        }
+        events.sort();
+        let line = |(at, what): (Instant, String)| {
+            format!("    {:8.3} {what}", at.saturating_duration_since(self.begun).as_secs_f64())
+        };
+        Some(events.into_iter().map(line).collect::<Vec<_>>().join("\n"))
+    }
+
     /// A forwarder was notified of an endpoint's lifecycle.
     pub fn lifecycle_notified(&mut self, forwarder: usize, endpoint: usize, draining: bool) {
         if draining {
@@ -327,7 +349,7 @@
 
     /// Accepted messages that have no end yet and may still get one in time.
     pub fn open_messages(&self) -> usize {
-        let open = |m: &&Message| m.accepted && m.delivered.is_none() && m.report.is_none();
+        let open = |m: &&Message| m.accepted.is_some() && m.delivered.is_none() && m.report.is_none();
         let now = Instant::now();
         self.messages.values().filter(open).filter(|m| self.due(m) > now).count()
     }
@@ -342,7 +364,7 @@
                     found.push(("one-out", format!("{id}: a second attempt while one was in flight")));
                 }
             }
-            if !message.accepted {
+            if message.accepted.is_none() {
                 if message.closed_unanswered && !message.calls.is_empty() {
                     found.push((
                         "unanswered",
--- /dev/null
+++ b/crates/soak-test/src/deployment.rs
@@ -0,0 +1,57 @@
+//! The deployment that a run simulates: destinations, classes, capacities and rules, as the forwarders' settings have them.
+
+use crate::observation::Idempotency;
+use serde_json::{json, Value};
+use std::time::Duration;
+
+/// Destinations.
+pub const DESTINATIONS: usize = 5;
+/// Endpoints of each destination.
+pub const ENDPOINTS: usize = 3;
+/// The zones.
+pub const ZONES: [&str; 2] = ["east", "west"];
+/// Calls a second that a destination takes from all forwarders together, as the list says.
+pub const CAPACITY_PER_S: f64 = 100.0;
+/// A destination in slow start may get this multiple of its present capacity.
+pub const OVERLOAD_MULTIPLE: f64 = 2.0;
+/// The time in which calls to a destination in slow start are counted.
+pub const OVERLOAD_WINDOW: Duration = Duration::from_millis(2_000);
+/// How long a destination's slow start takes.
+pub const SLOW_START: Duration = Duration::from_millis(8_000);
+/// The share of its capacity that a destination has as it returns.
+pub const SLOW_START_FLOOR: f64 = 0.3;
+/// Attempts for one message.
+pub const MAX_ATTEMPTS: usize = 12;
+/// Calls may go to an endpoint for so long after its forwarder was notified that it drains.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(250);
+
+/// A class of messages.
+pub struct Class {
+    pub name: &'static str,
+    pub idempotency: Idempotency,
+}
+
+/// The classes: one of each idempotency, one deduplicated by zone, and one with a short deduplication window.
+pub fn classes() -> Vec<Class> {
+    let keyed = |window, by_zone| Idempotency::WithKey { window: Duration::from_millis(window), by_zone };
+    vec![
+        Class { name: "free", idempotency: Idempotency::Idempotent },
+        Class { name: "notice", idempotency: keyed(30_000, false) },
+        Class { name: "zoned", idempotency: keyed(30_000, true) },
+        Class { name: "brief", idempotency: keyed(1_500, false) },
+        Class { name: "once", idempotency: Idempotency::NonIdempotent },
+    ]
+}
+
+/// A class as the settings have it.
+pub fn class(class: &Class) -> Value {
+    let (semantics, span, scope) = match class.idempotency {
+        Idempotency::Idempotent => ("pure", 0, "all"),
+        Idempotency::NonIdempotent => ("side_effect", 0, "all"),
+        Idempotency::WithKey { window, by_zone } => {
+            ("token", window.as_millis() as u64, if by_zone { "zone" } else { "all" })
+        }
+    };
+    json!({"name": class.name, "semantics": semantics, "promise": 2000.0, "deadline": 8000.0, "gain": 1.0,
+        "late-worth": 0.3, "memory-span": span, "dedup-scope": scope})
+}
--- a/crates/soak-test/src/faults.rs
+++ b/crates/soak-test/src/faults.rs
@@ -1,19 +1,13 @@
 //! What goes wrong: at each moment two or three faults overlap, drawn by the seed.
 
+use crate::deployment::DESTINATIONS;
 use crate::endpoint;
 use crate::forwarder::Forwarder;
-use crate::observation::Idempotency;
-use crate::world::{sleep, Behaviour, Class, Discovery, Endpoint, World};
+use crate::world::{sleep, Behaviour, Discovery, Endpoint, World};
 use async_io::Async;
-use serde_json::{json, Value};
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
 
-/// Destinations.
-pub const DESTINATIONS: usize = 5;
-/// Endpoints of each destination.
-pub const ENDPOINTS: usize = 3;
 /// Forwarders that share their faults.
 const GROUP: usize = 5;
 /// Faults that overlap in a group; those of endpoints and discovery come beside these.
@@ -22,46 +16,11 @@
 const CROWD: usize = 160;
 /// The most forwarders that a crowd comes to.
 const MOST_CROWDED: usize = 6;
-/// Calls a second that a destination takes from all forwarders together, as the list says.
-pub const CAPACITY_PER_S: f64 = 100.0;
-/// A destination in slow start may get this multiple of its present capacity.
-pub const OVERLOAD_MULTIPLE: f64 = 2.0;
-/// The time in which calls to a destination in slow start are counted.
-pub const OVERLOAD_WINDOW: Duration = Duration::from_millis(2_000);
-/// How long a destination's slow start takes.
-pub const SLOW_START: Duration = Duration::from_millis(8_000);
-/// The share of its capacity that a destination has as it returns.
-pub const SLOW_START_FLOOR: f64 = 0.3;
 /// Share of the drained endpoints to which connections come up late.
 const LATE_CONNECTIONS_SHARE: f64 = 0.5;
 /// An hour, in microseconds.
 const HOUR_MICROS: i64 = 3_600_000_000;
 
-/// The classes: one of each idempotency, one deduplicated by zone, and one with a short deduplication window.
-pub fn classes() -> Vec<Class> {
-    let keyed = |window, by_zone| Idempotency::WithKey { window: Duration::from_millis(window), by_zone };
-    vec![
-        Class { name: "free", idempotency: Idempotency::Idempotent },
-        Class { name: "notice", idempotency: keyed(30_000, false) },
-        Class { name: "zoned", idempotency: keyed(30_000, true) },
-        Class { name: "brief", idempotency: keyed(1_500, false) },
-        Class { name: "once", idempotency: Idempotency::NonIdempotent },
-    ]
-}
-
-/// A class as the settings have it.
-pub fn class(class: &Class) -> Value {
-    let (semantics, span, scope) = match class.idempotency {
-        Idempotency::Idempotent => ("pure", 0, "all"),
-        Idempotency::NonIdempotent => ("side_effect", 0, "all"),
-        Idempotency::WithKey { window, by_zone } => {
-            ("token", window.as_millis() as u64, if by_zone { "zone" } else { "all" })
-        }
-    };
-    json!({"name": class.name, "semantics": semantics, "promise": 2000.0, "deadline": 8000.0, "gain": 1.0,
-        "late-worth": 0.3, "memory-span": span, "dedup-scope": scope})
-}
-
 /// Injects faults until the run is over.
 pub async fn run(world: Rc<World>, forwarders: Rc<Vec<Rc<Forwarder>>>) {
     for group in forwarders.chunks(GROUP) {
--- a/crates/soak-test/src/forwarder.rs
+++ b/crates/soak-test/src/forwarder.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{fault_library, free_address, get_from, program, send_signal};
 use crate::world::{sleep, World};
-use crate::{faults, platform};
+use crate::{deployment, platform};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
@@ -85,16 +85,17 @@
     }
 
     fn configure(&self, world: &World) -> std::io::Result<()> {
-        let classes: Vec<Value> = world.classes.iter().map(faults::class).collect();
+        let classes: Vec<Value> = world.classes.iter().map(deployment::class).collect();
         let settings = json!({
-            "azs": platform::ZONES, "zone": platform::ZONES[self.number % 2], "balancers": world.options.forwarders,
+            "azs": deployment::ZONES, "zone": deployment::ZONES[self.number % 2], "balancers": world.options.forwarders,
             "me": self.number, "kinds": ["one"], "discovery": "pushed", "categories": classes,
             "realms": [{"name": "acme", "portion": 1.0, "quota-per-s": 10000.0}],
             "granularity": 5.0, "weight-source": "rough", "fees": {}, "callers": {"marks-retry": true},
-            "permissions": {"max-open": self.max_open.get(), "max-attempts": crate::checker::MAX_ATTEMPTS, "cancel": true,
+            "permissions": {"max-open": self.max_open.get(), "max-attempts": deployment::MAX_ATTEMPTS, "cancel": true,
                 "retry-after": true, "max-retry-after": 3000.0, "conn-idle": 3000.0, "dial-timeout": 1500.0},
-            "rules": {"fall-multiple": faults::OVERLOAD_MULTIPLE, "fall": faults::OVERLOAD_WINDOW.as_millis() as f64, "cold": faults::SLOW_START.as_millis() as f64,
-                "cold-from": faults::SLOW_START_FLOOR, "drain-grace": 250.0},
+            "rules": {"fall-multiple": deployment::OVERLOAD_MULTIPLE,
+                "fall": deployment::OVERLOAD_WINDOW.as_millis() as f64, "cold": deployment::SLOW_START.as_millis() as f64,
+                "cold-from": deployment::SLOW_START_FLOOR, "drain-grace": deployment::DRAIN_GRACE.as_millis() as f64},
             "specifics": {"call-slots": 12, "late": "linear", "own-limits": [false], "per-call": [4]},
         });
         let mut config = json!({
--- a/crates/soak-test/src/main.rs
+++ b/crates/soak-test/src/main.rs
@@ -3,6 +3,7 @@
 
 mod checker;
 mod client;
+mod deployment;
 mod endpoint;
 mod faults;
 mod forwarder;
@@ -18,6 +19,7 @@
 use forwarder::Forwarder;
 use rustix::process::{set_parent_process_death_signal, Signal};
 use std::ffi::OsString;
+use std::fs::File;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -28,6 +30,8 @@
 const DRAIN_TIME: Duration = Duration::from_secs(9);
 /// So long after the last fault everything must have recovered.
 const RECOVERY_TIME: Duration = Duration::from_millis(3_000);
+/// So many violations of a seed are shown.
+const MAX_SHOWN: usize = 40;
 /// Faults begin so long after the start.
 const WARM_UP: Duration = Duration::from_millis(500);
 
@@ -110,20 +114,24 @@
         options,
         seed,
         random: fastrand::Rng::with_seed(seed).into(),
-        checker: InvariantChecker::new(options.forwarders, faults::DESTINATIONS).into(),
+        checker: InvariantChecker::new(options.forwarders, deployment::DESTINATIONS).into(),
         endpoints: Vec::new().into(),
         generation: 1.into(),
         discovery: Default::default(),
-        classes: faults::classes(),
-        down: vec![false; faults::DESTINATIONS].into(),
+        classes: deployment::classes(),
+        down: vec![false; deployment::DESTINATIONS].into(),
         faults_over: false.into(),
         submissions_over: false.into(),
         begun: Instant::now(),
+        events: File::create(folder.join("events")).expect("a file").into(),
     });
     async_io::block_on(executor.run(run(&world, &folder)));
     let checker = world.checker.borrow();
-    for violation in checker.violations.iter().take(40) {
+    for violation in checker.violations.iter().take(MAX_SHOWN) {
         println!("seed {seed}: {violation}");
+        if let Some(history) = checker.history(violation) {
+            println!("{history}");
+        }
     }
     let counts: Vec<String> = checker.counts.iter().map(|(what, count)| format!("{what} {count}")).collect();
     println!("seed {seed}: {} violations; {}", checker.violations.len(), counts.join(", "));
@@ -136,8 +144,9 @@
 }
 
 async fn run(world: &Rc<World>, folder: &std::path::Path) {
-    for number in 0..faults::DESTINATIONS * faults::ENDPOINTS {
-        let started = endpoint::start(world, format!("e{number}"), number % faults::DESTINATIONS, number % 2);
+    for number in 0..deployment::DESTINATIONS * deployment::ENDPOINTS {
+        let started =
+            endpoint::start(world, format!("e{number}"), number % deployment::DESTINATIONS, number % 2);
         started.expect("an endpoint");
     }
     let forwarders: Vec<Rc<Forwarder>> = (0..world.options.forwarders)
--- a/crates/soak-test/src/platform.rs
+++ b/crates/soak-test/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's agent beside each forwarder: the pushed endpoint list, and delivery reports.
 
-use crate::faults::CAPACITY_PER_S;
+use crate::deployment::{CAPACITY_PER_S, ZONES};
 use crate::observation::Report;
 use crate::world::{sleep, World};
 use async_io::Async;
@@ -107,6 +107,3 @@
     }
     json!({"generation": world.generation.get(), "reset": first, "instances": entries}).to_string() + "\n"
 }
-
-/// The zones.
-pub const ZONES: [&str; 2] = ["east", "west"];
--- a/crates/soak-test/src/slow_start.rs
+++ b/crates/soak-test/src/slow_start.rs
@@ -1,6 +1,6 @@
 //! The slow start of destinations: how many calls come to one that has just returned from an outage, and from whom.
 
-use crate::faults::{CAPACITY_PER_S, OVERLOAD_MULTIPLE, OVERLOAD_WINDOW, SLOW_START, SLOW_START_FLOOR};
+use crate::deployment::{CAPACITY_PER_S, OVERLOAD_MULTIPLE, OVERLOAD_WINDOW, SLOW_START, SLOW_START_FLOOR};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Instant;
 
--- a/crates/soak-test/src/world.rs
+++ b/crates/soak-test/src/world.rs
@@ -1,11 +1,13 @@
 //! What all tasks of a run share: the present state of the forwarders' surroundings.
 
 use crate::checker::InvariantChecker;
-use crate::observation::Idempotency;
+use crate::deployment::Class;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
+use std::fs::File;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -51,12 +53,6 @@
     pub slow: Duration,
 }
 
-/// A class of messages.
-pub struct Class {
-    pub name: &'static str,
-    pub idempotency: Idempotency,
-}
-
 /// What a run is like.
 #[derive(Clone, Copy, Debug)]
 pub struct RunOptions {
@@ -90,6 +86,8 @@
     /// Clients send nothing more.
     pub submissions_over: Cell<bool>,
     pub begun: Instant,
+    /// The faults are noted here, beside the forwarders' logs.
+    pub events: RefCell<File>,
 }
 
 impl World {
@@ -111,7 +109,10 @@
     }
 
     pub fn log(&self, what: &str) {
-        eprintln!("{:8.3} {what}", self.begun.elapsed().as_secs_f64());
+        let line = format!("{:8.3} {what}", self.begun.elapsed().as_secs_f64());
+        eprintln!("{line}");
+        // The line stands on standard error too.
+        let _ = writeln!(self.events.borrow_mut(), "{line}");
     }
 }
 
