--- a/tests/scenario/client.rs
+++ b/tests/scenario/client.rs
@@ -1,10 +1,33 @@
 //! A client of the forwarder.
 
 use super::script::unescape;
-use super::sockets::{connect, read_message, write};
+use super::sockets::{connect, read_message, write, PATIENCE};
 use std::collections::BTreeMap;
-use std::io::{BufReader, Read, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The pause before a message is sent once more.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Sends a message until it is accepted, each time on a new connection and under an id of its own; that id.
+pub fn submit(address: SocketAddr, name: &str, words: &[&str]) -> String {
+    let begun = Instant::now();
+    for number in 1.. {
+        let id = format!("{name}-{number}");
+        let mut client = Client::connect(address);
+        // A connection that has just been reset gives no status either.
+        let _ = client.send(&id, words);
+        match client.status() {
+            Some(202) => return id,
+            None | Some(503) => thread::sleep(RETRY_PAUSE),
+            Some(status) => panic!("{id} was answered with {status}"),
+        }
+        assert!(begun.elapsed() < PATIENCE, "{id} is not accepted");
+    }
+    unreachable!("it returns or fails");
+}
 
 pub struct Client {
     stream: BufReader<TcpStream>,
@@ -19,10 +42,10 @@
     pub fn step(&mut self, words: &[&str], rest: &str) {
         match words {
             ["connect"] => {}
-            ["send", id, more @ ..] => self.send(id, more),
+            ["send", id, more @ ..] => self.send(id, more).expect("written"),
             ["sends", count, name, more @ ..] => {
                 for number in 1..=count.parse().expect("a number") {
-                    self.send(&format!("{name}{number}"), more);
+                    self.send(&format!("{name}{number}"), more).expect("written");
                     self.expect("202", &[]);
                 }
             }
@@ -41,7 +64,13 @@
         }
     }
 
-    fn send(&mut self, id: &str, words: &[&str]) {
+    /// The status of the next response; none if the connection ends without one.
+    fn status(&mut self) -> Option<u16> {
+        let head = read_message(&mut self.stream)?.head;
+        head.split(' ').nth(1)?.parse().ok()
+    }
+
+    fn send(&mut self, id: &str, words: &[&str]) -> io::Result<()> {
         let options: BTreeMap<&str, &str> = words.iter().filter_map(|w| w.split_once('=')).collect();
         let option = |name: &str, default: &'static str| options.get(name).copied().unwrap_or(default);
         let body = "x".repeat(option("size", "3").parse().expect("a size"));
@@ -52,7 +81,7 @@
              X-Deadline: {deadline}\r\nIdempotency-Key: key-{id}\r\nX-Addressing: dest={destination}\r\n\
              Content-Length: {length}\r\n\r\n{body}",
         );
-        write(self.stream.get_mut(), request.as_bytes()).expect("written");
+        write(self.stream.get_mut(), request.as_bytes())
     }
 
     fn expect(&mut self, status: &str, headers: &[&str]) {
--- a/tests/scenario/endpoint.rs
+++ b/tests/scenario/endpoint.rs
@@ -7,12 +7,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 /// Connections that wait to be accepted by an endpoint that serves.
 const BACKLOG: i32 = 64;
 
+/// The response to a call whose message is delivered.
+const DELIVERED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 /// A received call, with the ids of its messages.
 struct Call {
     ids: Vec<String>,
@@ -29,6 +33,14 @@
     /// The connections of calls that were expected, by the message that the script names first.
     expected: BTreeMap<String, TcpStream>,
     refusing: Option<Refusing>,
+    answers_all: Arc<AnswersAll>,
+}
+
+/// Whether an endpoint answers each call by itself, and the messages that it has answered so.
+#[derive(Default)]
+struct AnswersAll {
+    enabled: AtomicBool,
+    ids: Mutex<BTreeSet<String>>,
 }
 
 /// An endpoint that accepts no connections yet: its port is bound and refuses, or its queue is full, so that the system leaves
@@ -44,8 +56,17 @@
         let address = local_address(&socket);
         let (sender, calls) = channel();
         let (kind, zone, expected) = (kind.to_owned(), zone.to_owned(), BTreeMap::new());
-        let mut endpoint =
-            Endpoint { destination, kind, zone, address, sender, calls, expected, refusing: None };
+        let mut endpoint = Endpoint {
+            destination,
+            kind,
+            zone,
+            address,
+            sender,
+            calls,
+            expected,
+            refusing: None,
+            answers_all: Arc::default(),
+        };
         match state {
             "closed" => endpoint.refusing = Some(Refusing::Closed(socket)),
             "stalled" => {
@@ -67,6 +88,7 @@
 
     fn serve(&self, listener: TcpListener) {
         let (sender, address) = (Mutex::new(self.sender.clone()), self.address);
+        let answers_all = self.answers_all.clone();
         accept(listener, move |stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = read_message(&mut reader) {
@@ -75,7 +97,13 @@
                     None => batch_ids(&request.body),
                 };
                 note(format_args!("call at {address} with {ids:?}"));
-                let stream = stream.try_clone().expect("a handle");
+                let mut stream = stream.try_clone().expect("a handle");
+                if answers_all.enabled.load(Ordering::SeqCst) {
+                    answers_all.ids.lock().expect("unpoisoned").extend(ids);
+                    // The forwarder may have left: then the call is repeated.
+                    let _ = write(&mut stream, DELIVERED);
+                    continue;
+                }
                 // The scenario may have ended.
                 let _ = sender.lock().expect("unpoisoned").send(Call { ids, stream });
             }
@@ -107,6 +135,7 @@
                 let text = unescape(text_behind(rest, id));
                 self.connection_of(id).write_all(text.as_bytes()).expect("written");
             }
+            ["answers-all"] => self.answers_all.enabled.store(true, Ordering::SeqCst),
             ["close", id] => {
                 let stream = self.expected.remove(*id).expect("expected before");
                 stream.shutdown(Shutdown::Both).expect("open");
@@ -119,6 +148,11 @@
         }
     }
 
+    /// Whether it has answered the call of a message by itself.
+    pub fn has_answered(&self, id: &str) -> bool {
+        self.answers_all.ids.lock().expect("unpoisoned").contains(id)
+    }
+
     fn next_call(&self) -> Call {
         self.calls.recv_timeout(PATIENCE).expect("a call")
     }
@@ -135,7 +169,7 @@
             let before = ids.len();
             ids.retain(|id| !call.ids.contains(id));
             assert_eq!(ids.len() + call.ids.len(), before, "{:?} is among {all:?}", call.ids);
-            write(&mut call.stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+            write(&mut call.stream, DELIVERED).expect("written");
         }
     }
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -13,6 +13,7 @@
 //! | `mark`, `within 1300` | so many milliseconds may have gone by since the mark |
 //! | `u1 send m1 dest=1 class=notice size=3 deadline=9000m` | a client sends a message; any name that is no other party's is a client |
 //! | `u1 sends 20 m class=notice` | a client sends m1 to m20, each answered with 202 |
+//! | `u1 submits 5 m`, `e1 answers-all`, `all-delivered` | messages under ids that begin so, each sent until one is accepted; calls are answered with 200 from now on; waits until what was accepted has come to such an endpoint |
 //! | `u1 send-raw TEXT`, `u1 expect 202 WORD…`, `u1 expect end`, `u1 connect`, `u1 end-sending`, `u1 close` | the rest of a client's life |
 //! | `crowd 300` | so many clients connect, send nothing and stay |
 //! | `with operator=on`, `admin health 200`, `admin cordon e1 200`, `admin quiesce 200` | operators may call; a call, and its status |
--- a/tests/scenario/world.rs
+++ b/tests/scenario/world.rs
@@ -1,19 +1,19 @@
 //! All parties of a scenario, and what the lines that concern none of them alone do.
 
 use super::admin;
-use super::client::Client;
+use super::client::{submit, Client};
 use super::endpoint::Endpoint;
 use super::handover::{Predecessor, Successor};
 use super::platform::Platform;
 use super::process::{fault_library, program, Process};
 use super::registry::Registry;
-use super::script::{text_behind, unescape};
+use super::script::{numbered, text_behind, unescape};
 use super::settings::{Options, Place};
 use super::sockets::{soon, write_byte_by_byte};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -44,6 +44,8 @@
     faults: bool,
     /// When the scenario last said `mark`.
     marked_at: Instant,
+    /// The messages of `submits` that were accepted.
+    accepted: BTreeSet<String>,
 }
 
 fn milliseconds(text: &str) -> Duration {
@@ -73,6 +75,7 @@
             listen: None,
             faults: false,
             marked_at: Instant::now(),
+            accepted: BTreeSet::new(),
         }
     }
 
@@ -210,6 +213,10 @@
                 let line = format!("{} ", words[0]);
                 soon(rest, || self.injected_faults().lines().any(|l| l.starts_with(&line)).then_some(()));
             }
+            "all-delivered" => {
+                let is_delivered = |id: &String| self.endpoints.values().any(|e| e.has_answered(id));
+                soon(rest, || self.accepted.iter().all(is_delivered).then_some(()));
+            }
             "mark" => self.marked_at = Instant::now(),
             "within" => {
                 let (passed, allowed) = (self.marked_at.elapsed(), milliseconds(rest));
@@ -298,6 +305,10 @@
             return drop(self.clients.remove(name).expect("connected"));
         }
         let listen = self.listen.expect("started");
+        if let ["submits", count, name, more @ ..] = words {
+            let ids = numbered(&[&format!("{name}*{count}")]);
+            return self.accepted.extend(ids.iter().map(|id| submit(listen, id, more)));
+        }
         let client = self.clients.entry(name.to_owned()).or_insert_with(|| Client::connect(listen));
         client.step(words, rest);
     }
@@ -362,12 +373,17 @@
     }
 
     fn get(&self, path: &str) -> String {
-        let mut stream = TcpStream::connect(self.listen.expect("started")).expect("it listens");
+        // Without an answer, as where a system call of the forwarder fails, whoever waits asks again.
+        self.try_get(path).unwrap_or_default()
+    }
+
+    fn try_get(&self, path: &str) -> io::Result<String> {
+        let mut stream = TcpStream::connect(self.listen.expect("started"))?;
         let request = format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).expect("written");
+        stream.write_all(request.as_bytes())?;
         let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
     }
 
     /// Waits until a counter has a value (`name=value`), or more than that (`name>=value`).
