--- a/tests/each_call.rs
+++ b/tests/each_call.rs
@@ -101,6 +101,7 @@
          admin cordon e1 507
          admin cordon e1 200
          kill
+         faults
          start
          u1 send m1
          u1 expect 202
