--- a/crates/soak-test/src/checker.rs
+++ b/crates/soak-test/src/checker.rs
@@ -385,6 +385,8 @@
         }
         let delivered = self.messages.values().filter(|m| m.delivered.is_some()).count() as u64;
         self.counts.insert("delivered", delivered);
+        let peak = self.slow_starts.iter().map(SlowStart::peak_percent).max().unwrap_or_default();
+        self.counts.insert("percent of a slow start's calls", peak);
         found.sort();
         found.into_iter().for_each(|(rule, what)| self.violate(rule, what));
     }
--- a/crates/soak-test/src/client.rs
+++ b/crates/soak-test/src/client.rs
@@ -1,6 +1,6 @@
 //! Clients: each forwarder gets messages at its rate, on new and on kept-alive connections, from good clients and bad ones.
 
-use crate::deployment::DESTINATIONS;
+use crate::deployment::BUSY_SHARE;
 use crate::forwarder::Forwarder;
 use crate::world::{sleep, World};
 use async_io::{Async, Timer};
@@ -172,7 +172,7 @@
 /// Draws a message and tells the checker of it; the text of its request.
 fn draw_request(world: &World, forwarder: usize, id: &str) -> String {
     let class = &world.classes[world.below(world.classes.len())];
-    let destination = world.below(DESTINATIONS);
+    let destination = world.destination(BUSY_SHARE);
     let time = match world.below(10) {
         0 => world.span(40, 120),
         1..=3 => world.span(500, 2_500),
--- a/crates/soak-test/src/deployment.rs
+++ b/crates/soak-test/src/deployment.rs
@@ -6,6 +6,10 @@
 
 /// Destinations.
 pub const DESTINATIONS: usize = 5;
+/// The destination that gets more messages than others, about as many as it takes, and half of the outages.
+pub const BUSY_DESTINATION: usize = 0;
+/// Share of the messages that go to the busy destination, whatever the others get.
+pub const BUSY_SHARE: f64 = 0.15;
 /// Endpoints of each destination.
 pub const ENDPOINTS: usize = 3;
 /// The zones.
@@ -19,12 +23,27 @@
 /// How long a destination's slow start takes.
 pub const SLOW_START: Duration = Duration::from_millis(8_000);
 /// The share of its capacity that a destination has as it returns.
-pub const SLOW_START_FLOOR: f64 = 0.3;
+pub const SLOW_START_FLOOR: f64 = 0.1;
 /// Attempts for one message.
 pub const MAX_ATTEMPTS: usize = 12;
 /// Calls may go to an endpoint for so long after its forwarder was notified that it drains.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(250);
 
+/// A kind of endpoints.
+pub struct Kind {
+    pub name: &'static str,
+    pub messages_per_call: usize,
+}
+
+/// The kinds of endpoints: each call of the one carries a message, of the other several.
+pub const KINDS: [Kind; 2] =
+    [Kind { name: "one", messages_per_call: 1 }, Kind { name: "many", messages_per_call: 4 }];
+
+/// The kind of a destination's endpoints.
+pub fn kind(destination: usize) -> &'static Kind {
+    &KINDS[destination % KINDS.len()]
+}
+
 /// A class of messages.
 pub struct Class {
     pub name: &'static str,
--- a/crates/soak-test/src/faults.rs
+++ b/crates/soak-test/src/faults.rs
@@ -1,6 +1,5 @@
 //! What goes wrong: at each moment two or three faults overlap, drawn by the seed.
 
-use crate::deployment::DESTINATIONS;
 use crate::endpoint;
 use crate::forwarder::Forwarder;
 use crate::world::{sleep, Behaviour, Discovery, Endpoint, World};
@@ -16,6 +15,8 @@
 const CROWD: usize = 160;
 /// The most forwarders that a crowd comes to.
 const MOST_CROWDED: usize = 6;
+/// Share of the outages that the busy destination has, whatever the others get.
+const BUSY_OUTAGE_SHARE: f64 = 0.4;
 /// Share of the drained endpoints to which connections come up late.
 const LATE_CONNECTIONS_SHARE: f64 = 0.5;
 /// An hour, in microseconds.
@@ -130,7 +131,7 @@
 
 /// All endpoints of a destination are down for a while, and return cold.
 async fn outage(world: &Rc<World>) {
-    let destination = world.below(DESTINATIONS);
+    let destination = world.destination(BUSY_OUTAGE_SHARE);
     world.log(&format!("destination {destination} is down"));
     world.down.borrow_mut()[destination] = true;
     world.checker.borrow_mut().outage_begins(destination);
--- a/crates/soak-test/src/forwarder.rs
+++ b/crates/soak-test/src/forwarder.rs
@@ -21,6 +21,8 @@
 const POLL: Duration = Duration::from_millis(10);
 /// A successor takes over within this, unless a fault keeps it from it.
 const TAKES_OVER_WITHIN: Duration = Duration::from_secs(3);
+/// Share of the successors that are killed a moment after they took over.
+const LOST_SUCCESSOR_SHARE: f64 = 0.2;
 /// The most signals that follow SIGTERM in a series.
 const SIGNALS_IN_SERIES: usize = 3;
 /// Resident memory that a forwarder may have at the end, in kB.
@@ -85,10 +87,14 @@
     }
 
     fn configure(&self, world: &World) -> std::io::Result<()> {
+        let kinds: Vec<&str> = deployment::KINDS.iter().map(|kind| kind.name).collect();
+        let messages_per_call: Vec<usize> =
+            deployment::KINDS.iter().map(|kind| kind.messages_per_call).collect();
+        let own_limits = [false; deployment::KINDS.len()];
         let classes: Vec<Value> = world.classes.iter().map(deployment::class).collect();
         let settings = json!({
             "azs": deployment::ZONES, "zone": deployment::ZONES[self.number % 2], "balancers": world.options.forwarders,
-            "me": self.number, "kinds": ["one"], "discovery": "pushed", "categories": classes,
+            "me": self.number, "kinds": kinds, "discovery": "pushed", "categories": classes,
             "realms": [{"name": "acme", "portion": 1.0, "quota-per-s": 10000.0}],
             "granularity": 5.0, "weight-source": "rough", "fees": {}, "callers": {"marks-retry": true},
             "permissions": {"max-open": self.max_open.get(), "max-attempts": deployment::MAX_ATTEMPTS, "cancel": true,
@@ -96,7 +102,7 @@
             "rules": {"fall-multiple": deployment::OVERLOAD_MULTIPLE,
                 "fall": deployment::OVERLOAD_WINDOW.as_millis() as f64, "cold": deployment::SLOW_START.as_millis() as f64,
                 "cold-from": deployment::SLOW_START_FLOOR, "drain-grace": deployment::DRAIN_GRACE.as_millis() as f64},
-            "specifics": {"call-slots": 12, "late": "linear", "own-limits": [false], "per-call": [4]},
+            "specifics": {"call-slots": 12, "late": "linear", "own-limits": own_limits, "per-call": messages_per_call},
         });
         let mut config = json!({
             "name": format!("n{}", self.number), "listen": self.listen.to_string(),
@@ -177,6 +183,9 @@
             sleep(POLL).await;
         }
         world.checker.borrow_mut().count(if taken_over { "hand-overs" } else { "hand-overs not possible" });
+        if taken_over && world.chance(LOST_SUCCESSOR_SHARE) {
+            return self.lose_successor(world).await;
+        }
         if !taken_over {
             world.checker.borrow_mut().becomes_unavailable(self.number);
             self.starts.set(self.starts.get() + 1);
@@ -188,13 +197,35 @@
         }
     }
 
+    /// Kills the successor a moment after it has taken over. Its predecessor ends by itself, and the forwarder starts again.
+    async fn lose_successor(&self, world: &World) {
+        sleep(world.span(0, 300)).await;
+        world.checker.borrow_mut().count("successors lost");
+        world.checker.borrow_mut().becomes_unavailable(self.number);
+        self.killed.set(true);
+        self.signal(Signal::KILL);
+        while self.exit_status().is_none() {
+            sleep(POLL).await;
+        }
+        self.until_predecessor_ended(world).await;
+        self.restart(world, world.span(0, 600)).await;
+    }
+
+    /// Tells the predecessor to end, and waits for that.
     async fn end_predecessor(&self, world: &World) {
+        if let Some(predecessor) = self.predecessor.borrow().as_ref() {
+            send_signal(predecessor, Signal::TERM);
+        }
+        self.until_predecessor_ended(world).await;
+    }
+
+    async fn until_predecessor_ended(&self, world: &World) {
         let Some(mut predecessor) = self.predecessor.borrow_mut().take() else { return };
         let begun = Instant::now();
-        send_signal(&predecessor, Signal::TERM);
         while let Ok(None) = predecessor.try_wait() {
             if begun.elapsed() > EXIT_WITHIN {
-                let what = self.describe("was there 3.7 s after SIGTERM, replaced by a successor");
+                let what =
+                    self.describe("was there 3.7 s after its successor took over for good, or was lost");
                 world.checker.borrow_mut().violate("leaves", what);
                 // It may just have ended.
                 let _ = predecessor.kill();
--- a/crates/soak-test/src/platform.rs
+++ b/crates/soak-test/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's agent beside each forwarder: the pushed endpoint list, and delivery reports.
 
-use crate::deployment::{CAPACITY_PER_S, ZONES};
+use crate::deployment::{kind, CAPACITY_PER_S, ZONES};
 use crate::observation::Report;
 use crate::world::{sleep, World};
 use async_io::Async;
@@ -102,7 +102,7 @@
             continue;
         }
         entries.push(json!({"instanceId": e.name, "hostPort": e.address.to_string(), "zone": ZONES[e.zone],
-            "machineType": "one", "cell": e.destination, "lifecycle": lifecycle, "weight": CAPACITY_PER_S, "startedAtMs": 0}));
+            "machineType": kind(e.destination).name, "cell": e.destination, "lifecycle": lifecycle, "weight": CAPACITY_PER_S, "startedAtMs": 0}));
         world.checker.borrow_mut().lifecycle_notified(forwarder, number, lifecycle != "active");
     }
     json!({"generation": world.generation.get(), "reset": first, "instances": entries}).to_string() + "\n"
--- a/crates/soak-test/src/slow_start.rs
+++ b/crates/soak-test/src/slow_start.rs
@@ -30,11 +30,13 @@
     observers: BTreeSet<usize>,
     /// The calls of the last window.
     calls: VecDeque<Call>,
+    /// The highest share of what was allowed that calls in a window came to.
+    peak_share: f64,
 }
 
 impl SlowStart {
     pub fn new() -> Self {
-        SlowStart { phase: Phase::Warm, observers: BTreeSet::new(), calls: VecDeque::new() }
+        SlowStart { phase: Phase::Warm, observers: BTreeSet::new(), calls: VecDeque::new(), peak_share: 0.0 }
     }
 
     pub fn outage_begins(&mut self) {
@@ -59,6 +61,11 @@
         self.observers.remove(&forwarder);
     }
 
+    /// The highest share of what was allowed that calls in a window of a slow start came to, in percent.
+    pub fn peak_percent(&self) -> u64 {
+        (self.peak_share * 100.0).round() as u64
+    }
+
     /// A call has come; what is wrong with that, once for each outage.
     pub fn call(&mut self, now: Instant, forwarder: usize) -> Option<String> {
         let Phase::SlowStart { since } = self.phase else { return None };
@@ -76,6 +83,7 @@
         let most = most_calls(allowed);
         let observed = self.calls.iter().filter(|call| self.observers.contains(&call.forwarder)).count();
         let calls = self.calls.len();
+        self.peak_share = self.peak_share.max(calls as f64 / most);
         if calls as f64 <= most || observed as f64 <= SHARE_OF_OBSERVERS * calls as f64 {
             return None;
         }
--- a/crates/soak-test/src/world.rs
+++ b/crates/soak-test/src/world.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a run share: the present state of the forwarders' surroundings.
 
 use crate::checker::InvariantChecker;
-use crate::deployment::Class;
+use crate::deployment::{Class, BUSY_DESTINATION, DESTINATIONS};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
@@ -99,6 +99,14 @@
         self.random.borrow_mut().usize(0..most.max(1))
     }
 
+    /// Draws a destination: the busy one with a probability, or else any.
+    pub fn destination(&self, busy: f64) -> usize {
+        match self.chance(busy) {
+            true => BUSY_DESTINATION,
+            false => self.below(DESTINATIONS),
+        }
+    }
+
     /// A span between two numbers of milliseconds.
     pub fn span(&self, from: u64, to: u64) -> Duration {
         Duration::from_millis(self.random.borrow_mut().u64(from..=to))
