--- a/src/net/context.rs
+++ b/src/net/context.rs
@@ -37,15 +37,15 @@
     /// How far start, hand-over and shutdown have come; written by [`runtime`](super::runtime), the hand-over and operators.
     pub lifecycle: Lifecycle,
     /// What binds the first byte of every call; written by the endpoint list actor and by calls whose response asks to wait.
-    pub endpoint_table: EndpointTable,
+    pub endpoint_table: Rc<EndpointTable>,
     /// What the endpoint list actor shows of the list.
     pub endpoint_list: EndpointListStatus,
     /// Whether this process was stopped or starved of late, and since when what is read now may have lain unread.
-    pub stall_detector: StallDetector,
+    pub stall_detector: Rc<StallDetector>,
     /// The journal; written by the delivery actor and by calls.
     pub journal: JournalHandle,
     /// The lock of the state folder; owned by the hand-over.
-    pub folder: FolderOwnership,
+    pub folder: Rc<FolderOwnership>,
     /// Counts since the start of the process.
     pub counters: Counters,
     /// What is open, connected and in flight now.
@@ -85,8 +85,8 @@
     pub fn new(parts: ContextParts) -> Self {
         let ContextParts { log, clock, executor, delivery, journal, config, listen } = parts;
         Context {
-            endpoint_table: EndpointTable::new(clock, config.drain_grace),
-            stall_detector: StallDetector::new(clock.now()),
+            endpoint_table: EndpointTable::new(clock, config.drain_grace).into(),
+            stall_detector: StallDetector::new(clock.now()).into(),
             log,
             clock,
             executor,
@@ -96,7 +96,7 @@
             config: RefCell::new(Rc::new(config)),
             lifecycle: Lifecycle::default(),
             endpoint_list: EndpointListStatus::default(),
-            folder: FolderOwnership::default(),
+            folder: Rc::default(),
             counters: Counters::default(),
             gauges: Gauges::default(),
             request_ids: RequestIds::default(),
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -85,7 +85,7 @@
         let mut message = InFlightMessage::new(handed_over.id, request, handed_over.attempts);
         message.received_at = handed_over.received_at;
         let attempt = handed_over.in_flight.map(|HandOverAttempt { number, endpoint }| {
-            let cancel = predecessor.cancel_on_close(&self.context, handed_over.id, number);
+            let cancel = predecessor.cancel_on_close(&self.context.executor, handed_over.id, number);
             AttemptInFlight { number, endpoint, cancel }
         });
         self.open(message, attempt, None);
--- a/src/net/endpoint/call.rs
+++ b/src/net/endpoint/call.rs
@@ -124,7 +124,7 @@
         pool: Option<Sender<EndpointMessage>>,
     ) -> CallResult {
         let retry_after = self.progress.retry_after.get();
-        let result = response::read_result(self.context, self.call, response, retry_after, self.reused);
+        let result = response::read_result(&self.context.log, self.call, response, retry_after, self.reused);
         let refused = result.attempts.iter().any(|attempt| attempt.outcome == Outcome::ConnectFailed);
         match (connection, pool) {
             (Some(connection), Some(pool))
--- a/src/net/endpoint/response.rs
+++ b/src/net/endpoint/response.rs
@@ -2,9 +2,8 @@
 
 use crate::net::call::{AttemptResult, Call, CallResult};
 use crate::net::http::{HttpConnection, ResponseHead};
-use crate::net::Context;
 use crate::{LoadReport, Micros, Outcome};
-use slog::warn;
+use slog::{warn, Logger};
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
@@ -40,7 +39,7 @@
 
 /// The results that a response gives.
 pub(super) fn read_result(
-    context: &Context,
+    log: &Logger,
     call: &Call,
     response: &Response,
     retry_after: Option<Micros>,
@@ -49,7 +48,7 @@
     let report = response.head.headers.get("X-Load").and_then(read_load);
     let of_status = match response.head.status {
         200 if call.attempts.len() > 1 => None,
-        _ => Some(result_of_status(context, call, &response.head, retry_after, reused)),
+        _ => Some(result_of_status(log, call, &response.head, retry_after, reused)),
     };
     let body = String::from_utf8_lossy(&response.body);
     let results = call.attempts.iter().map(|attempt| {
@@ -61,7 +60,7 @@
 
 /// The result of all attempts of a call, but for a batch with status 200.
 fn result_of_status(
-    context: &Context,
+    log: &Logger,
     call: &Call,
     head: &ResponseHead,
     retry_after: Option<Micros>,
@@ -78,7 +77,7 @@
         504 => not_run(false),
         410 => not_run(true),
         400 | 413 => {
-            warn!(context.log, "call not understood"; "endpoint" => call.endpoint.0, "status" => head.status);
+            warn!(log, "call not understood"; "endpoint" => call.endpoint.0, "status" => head.status);
             not_run(false)
         }
         _ => AttemptResult::of(Outcome::Error),
--- a/src/net/handover/link.rs
+++ b/src/net/handover/link.rs
@@ -2,7 +2,6 @@
 
 use super::frames::SuccessorFrame;
 use crate::net::http::{frame, write_all, Frame, HttpConnection, HttpError};
-use crate::net::Context;
 use crate::MessageId;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -93,7 +92,12 @@
     }
 
     /// A channel that, when closed or dropped, has the predecessor cancel an attempt which is in flight there.
-    pub fn cancel_on_close(&self, context: &Context, id: MessageId, attempt: u32) -> Sender<()> {
+    pub fn cancel_on_close(
+        &self,
+        executor: &LocalExecutor<'static>,
+        id: MessageId,
+        attempt: u32,
+    ) -> Sender<()> {
         let (cancel, cancelled) = async_channel::bounded::<()>(1);
         let frames = self.clone();
         let waiting = async move {
@@ -102,7 +106,7 @@
             // An attempt that is complete is unknown to the predecessor; one that is gone has none.
             let _ = frames.send(&SuccessorFrame::Cancel { id, attempt }).await;
         };
-        context.executor.spawn(waiting).detach();
+        executor.spawn(waiting).detach();
         cancel
     }
 }
--- a/src/net/handover/successor.rs
+++ b/src/net/handover/successor.rs
@@ -4,6 +4,7 @@
 use super::frames::{ACCEPTED_FRAMES_HEADER, FORMAT, LIST_LINE_FRAME};
 use super::link::{FrameSender, HandOverError, Link, ReceivedFrame};
 use super::lock::{self, Lock, Owner};
+use super::ownership::FolderOwnership;
 use super::served_frames;
 use crate::net::config::Config;
 use crate::net::dial::connect;
@@ -170,7 +171,10 @@
     ) -> io::Result<()> {
         let owner = self.owner.ok_or_else(|| io::Error::other("the folder is not owned"))?;
         context.folder.acquire(owner, &this_process.token);
-        context.executor.spawn(write_owner(context.clone(), this_process)).detach();
+        context
+            .executor
+            .spawn(write_owner(context.folder.clone(), context.log.clone(), this_process))
+            .detach();
         if let Some(link) = self.link {
             let serving = served_frames::serve(context.clone(), link, endpoint_list.clone());
             context.executor.spawn(serving).detach();
@@ -180,9 +184,9 @@
 }
 
 /// Writes this process's address into the folder. Until that is done nobody can ask it to hand over, and it serves all the same.
-async fn write_owner(context: Rc<Context>, owner: Owner) {
-    while let Err(error) = context.folder.write_owner(&owner) {
-        warn!(context.log, "the owner's address is not written yet"; "reason" => "folder", "error" => %error);
+async fn write_owner(folder: Rc<FolderOwnership>, log: Logger, owner: Owner) {
+    while let Err(error) = folder.write_owner(&owner) {
+        warn!(log, "the owner's address is not written yet"; "reason" => "folder", "error" => %error);
         Timer::after(WRITE_OWNER_RETRY).await;
     }
 }
--- a/src/net/platform/delivery_reports.rs
+++ b/src/net/platform/delivery_reports.rs
@@ -176,7 +176,7 @@
             }
             None => {
                 self.log_failed(&HttpError::TimedOut);
-                self.late.wait_for(&self.context, ids, posting);
+                self.late.wait_for(&self.context.executor, ids, posting);
                 Some(self.next_silent_pause())
             }
         }
--- a/src/net/platform/endpoint_list/drain_log.rs
+++ b/src/net/platform/endpoint_list/drain_log.rs
@@ -2,9 +2,9 @@
 //! the change was received.
 
 use crate::membership::MembershipChange;
-use crate::net::Context;
+use crate::net::endpoint::table::EndpointTable;
 use crate::Micros;
-use slog::info;
+use slog::{info, Logger};
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 
@@ -15,14 +15,15 @@
 
 /// Endpoints that left and are still to be looked up, the earliest first.
 pub struct DrainLog {
-    context: Rc<Context>,
+    endpoint_table: Rc<EndpointTable>,
+    log: Logger,
     pending: VecDeque<MembershipChange>,
 }
 
 impl DrainLog {
     /// An empty one.
-    pub fn new(context: Rc<Context>) -> Self {
-        DrainLog { context, pending: VecDeque::new() }
+    pub fn new(endpoint_table: Rc<EndpointTable>, log: Logger) -> Self {
+        DrainLog { endpoint_table, log, pending: VecDeque::new() }
     }
 
     /// Remembers an endpoint that left.
@@ -60,12 +61,12 @@
 
     fn log(&self, change: &MembershipChange) {
         let received_at = change.observed_at;
-        let state = self.context.endpoint_table.get(change.endpoint);
+        let state = self.endpoint_table.get(change.endpoint);
         // One that drained before it was removed is logged once.
         let Some(state) = state.filter(|state| state.draining_since == Some(received_at)) else { return };
-        self.context.endpoint_table.record_drain(&state);
+        self.endpoint_table.record_drain(&state);
         let ms_after = |at: Option<Micros>| at.map(|at| (at as f64 - received_at as f64) / 1e3);
-        info!(self.context.log, "endpoint left"; "endpoint" => change.endpoint.0,
+        info!(self.log, "endpoint left"; "endpoint" => change.endpoint.0,
             "id" => &change.listing.key.id, "lifecycle" => ?change.lifecycle, "received_at" => received_at,
             "observed_ms" => ms_after(state.drain_observed_at),
             "last_byte_ms" => ms_after(state.last_first_byte_at));
--- a/src/net/platform/endpoint_list/mod.rs
+++ b/src/net/platform/endpoint_list/mod.rs
@@ -30,7 +30,7 @@
 
 /// A new process keeps its first calls waiting until it has received a list, but no longer than this: the agent answers at
 /// once unless it is down, and what it has sent counts as observed from the first moment on. Where a slow platform has a whole
-/// fleet wait, all of it calls at the same moment afterwards (herd+vast, seed 566030076732: G 0.68 with 1 s, 0.70 with this).
+/// fleet wait, all of it calls at the same moment afterwards.
 const INITIAL_LIST_TIMEOUT: Duration = Duration::from_millis(300);
 /// What was removed before this process began counts as received so long before its start.
 const RECEIVED_BEFORE_START_US: Micros = 60_000_000;
@@ -77,7 +77,7 @@
             generation: None,
             generation_source: None,
             registry: None,
-            drain_log: DrainLog::new(context.clone()),
+            drain_log: DrainLog::new(context.endpoint_table.clone(), context.log.clone()),
             pruned_at: 0,
             handed_over: false,
             context,
--- a/src/net/platform/endpoint_list/watch.rs
+++ b/src/net/platform/endpoint_list/watch.rs
@@ -3,15 +3,14 @@
 use crate::net::dial::connect_within;
 use crate::net::http::{HttpConnection, HttpError};
 use crate::net::messages::{EndpointListMessage, WatchEnd};
-use crate::net::{within, within_or_error, Context};
+use crate::net::{within, within_or_error};
 use crate::Micros;
 use async_channel::Sender;
-use async_executor::Task;
+use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
-use slog::info;
+use slog::{info, Logger};
 use std::future::Future;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// A watch on which nothing comes for so long has fallen silent: an empty line comes every 2 s. Another is opened beside it,
@@ -50,10 +49,15 @@
 
 impl Watch {
     /// Opens a watch that sends its lines, its silence and its end to the endpoint list actor.
-    pub fn start(context: &Rc<Context>, actor: &Sender<EndpointListMessage>, request: WatchRequest) -> Self {
+    pub fn start(
+        executor: &LocalExecutor<'static>,
+        log: &Logger,
+        actor: &Sender<EndpointListMessage>,
+        request: WatchRequest,
+    ) -> Self {
         let WatchRequest { number, address, after_generation, delay } = request;
-        let (log, actor) = (context.log.clone(), actor.clone());
-        let task = context.executor.spawn(async move {
+        let (log, actor) = (log.clone(), actor.clone());
+        let task = executor.spawn(async move {
             Timer::after(delay).await;
             let reader = WatchReader { number, address, actor };
             let end = reader.run(after_generation).await;
--- a/src/net/platform/endpoint_list/watching.rs
+++ b/src/net/platform/endpoint_list/watching.rs
@@ -91,7 +91,7 @@
             after_generation: self.generation.filter(|_| from_here),
             delay: Duration::from_micros(delay_us),
         };
-        let watch = Watch::start(&self.context, &self.own, request);
+        let watch = Watch::start(&self.context.executor, &self.context.log, &self.own, request);
         self.watches.connecting.push_back(watch);
         if self.watches.connecting.len() > MAX_CONNECTING {
             self.watches.connecting.pop_front();
--- a/src/net/platform/report_post.rs
+++ b/src/net/platform/report_post.rs
@@ -2,13 +2,13 @@
 
 use crate::net::dial::connect_within;
 use crate::net::http::{HttpConnection, HttpError};
-use crate::net::{within_or_error, Context};
+use crate::net::within_or_error;
 use crate::MessageId;
 use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// A connection to the platform comes up within this, or another is tried.
@@ -78,7 +78,7 @@
     }
 
     /// Waits for an answer in the background. Beyond the limit the request is dropped: those before it are closer to theirs.
-    pub fn wait_for(&mut self, context: &Rc<Context>, ids: Vec<MessageId>, posting: Posting) {
+    pub fn wait_for(&mut self, executor: &LocalExecutor<'static>, ids: Vec<MessageId>, posting: Posting) {
         if self.waiting >= MAX_LATE {
             return;
         }
@@ -89,7 +89,7 @@
             // Where the process has handed over, the successor sends the reports.
             let _ = ended.send(LateAnswer { ids, answer }).await;
         };
-        context.executor.spawn(waiting).detach();
+        executor.spawn(waiting).detach();
     }
 
     /// The next late request that ends.
--- a/src/net/runtime/background.rs
+++ b/src/net/runtime/background.rs
@@ -1,12 +1,13 @@
 //! Tasks that run for as long as the process does.
 
-use super::stall_detector::{HEARTBEAT, LAP};
+use super::clock::Clock;
+use super::stall_detector::{StallDetector, HEARTBEAT, LAP};
 use crate::journal::JournalError;
 use crate::net::journal_handle::JournalHandle;
 use crate::net::messages::DeliveryMessage;
 use crate::net::Context;
 use async_io::Timer;
-use slog::{info, warn};
+use slog::{info, warn, Logger};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,22 +17,18 @@
 const JOURNAL_RETRY_LONGEST: Duration = Duration::from_millis(100);
 
 /// Beats for the detection of stalls, and logs each of them.
-pub async fn watch_for_stalls(context: Rc<Context>) {
+pub async fn watch_for_stalls(stall_detector: Rc<StallDetector>, clock: Clock, log: Logger) {
     loop {
         Timer::after(HEARTBEAT).await;
-        context.stall_detector.heartbeat(context.clock.now());
-        if let Some(stalled) = context.stall_detector.take_unlogged() {
-            warn!(context.log, "process was stalled"; "reason" => "stalled", "ms" => stalled / 1000);
+        stall_detector.heartbeat(clock.now());
+        if let Some(stalled) = stall_detector.take_unlogged() {
+            warn!(log, "process was stalled"; "reason" => "stalled", "ms" => stalled / 1000);
+        }
+        // What arrived while the process was late is read in laps.
+        while !stall_detector.is_caught_up(clock.now()) {
+            Timer::after(LAP).await;
+            stall_detector.lap(clock.now());
         }
-        catch_up(&context).await;
-    }
-}
-
-/// Makes laps until what arrived while the process was late has been read.
-async fn catch_up(context: &Context) {
-    while !context.stall_detector.is_caught_up(context.clock.now()) {
-        Timer::after(LAP).await;
-        context.stall_detector.lap(context.clock.now());
     }
 }
 
--- a/src/net/runtime/start.rs
+++ b/src/net/runtime/start.rs
@@ -196,7 +196,9 @@
 fn start_background(context: &Rc<Context>) -> Sender<DeliveryReport> {
     let (reports, reports_mail) = async_channel::bounded(REPORTS_MAILBOX);
     context.executor.spawn(delivery_reports::run(context.clone(), reports_mail)).detach();
-    context.executor.spawn(background::watch_for_stalls(context.clone())).detach();
+    let stall_detector = context.stall_detector.clone();
+    let watching = background::watch_for_stalls(stall_detector, context.clock, context.log.clone());
+    context.executor.spawn(watching).detach();
     context.executor.spawn(background::retry_journal(context.clone())).detach();
     reports
 }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -124,7 +124,7 @@
         let closed = self.circuit.state == BreakerState::Closed;
         let trips = closed && self.circuit.has_reached_threshold(call.outcome == Outcome::Reset);
         // In a large fleet second calls are as many as first ones, and a returning destination gets them all
-        // at once (i105e10, h5b9e5b, h27bdc7): a forwarder that seldom calls waits for a slot first. This
+        // at once: a forwarder that seldom calls waits for a slot first. This
         // also helps against short congestion; a single lost call costs such a forwarder that wait.
         let calls_seldom = || self.own_rate(now, settings) * (OPEN_TIMEOUT as f64) < SECOND as f64;
         if closed && !trips && calls_seldom() {
--- a/src/policy/constants.rs
+++ b/src/policy/constants.rs
@@ -1,5 +1,4 @@
-//! The figures of the policy, each with its unit and purpose. `docs/design.md` and `docs/fleet.md` say which
-//! trials and measurements they come from.
+//! The figures of the policy, each with its unit and purpose.
 
 use crate::api::Micros;
 
@@ -101,5 +100,5 @@
 pub(super) const MAX_RANKING_HORIZON: Micros = 30 * SECOND;
 /// Values are compared as whole multiples of one part in this, so that nothing depends on the last bit.
 pub(super) const VALUE_SCALE: f64 = 1e9;
-/// Weight of a message's present value where waiting costs the same; higher, it cost lending 0.04.
+/// Weight of a message's present value where waiting costs the same.
 pub(super) const PRESENT_VALUE_WEIGHT: f64 = 0.01;
