Name the agent with each line that a predecessor passes on

Found by reading the new frame: a successor may watch another agent by then (its configuration moved discovery), which numbers its versions in another way, so an old agent's line could count as newer than the new one's list.

--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -8,6 +8,7 @@
 use crate::{EndpointId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::net::SocketAddr;
 
 /// The version of the frames; a process that speaks another one waits until its predecessor has ended. Version 4 has the
 /// times of the clock that all processes of a machine share; version 3 sent the wall clock beside an own one.
@@ -128,6 +129,8 @@
     ListLine {
         /// The earliest time at which it may have come.
         received_at: Micros,
+        /// Where the agent listens that has sent it.
+        address: SocketAddr,
     },
     /// An operator sent a command.
     #[serde(rename = "Operate")]
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -81,8 +81,9 @@
                 self.admin_replies.insert(number, reply);
                 frames.send(&PredecessorFrame::Admin { number, command }).await
             }
-            DeliveryMessage::ListLine(ListLine { line, received_at }) if self.accepts_list_lines => {
-                frames.send_with_body(&PredecessorFrame::ListLine { received_at }, &line).await
+            DeliveryMessage::ListLine(line) if self.accepts_list_lines => {
+                let ListLine { line, received_at, address } = line;
+                frames.send_with_body(&PredecessorFrame::ListLine { received_at, address }, &line).await
             }
             // A process before this one is gone.
             DeliveryMessage::PredecessorGone => {
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -81,8 +81,9 @@
                 }
                 delivery.send(DeliveryMessage::CallCompleted(completion)).await
             }
-            PredecessorFrame::ListLine { received_at } => {
-                let line = EndpointListMessage::PredecessorLine(ListLine { line: body, received_at });
+            PredecessorFrame::ListLine { received_at, address } => {
+                let line = ListLine { line: body, received_at, address };
+                let line = EndpointListMessage::PredecessorLine(line);
                 // The endpoint list actor ends only with the process.
                 let _ = self.endpoint_list.send(line).await;
                 Ok(())
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::net::SocketAddr;
 
 /// What the delivery actor can be sent.
 pub enum DeliveryMessage {
@@ -144,6 +145,8 @@
     pub line: Vec<u8>,
     /// The earliest time at which it may have come.
     pub received_at: Micros,
+    /// Where the agent listens that has sent it.
+    pub address: SocketAddr,
 }
 
 /// How a watch ended.
--- a/src/net/platform/endpoint_list/mod.rs
+++ b/src/net/platform/endpoint_list/mod.rs
@@ -173,7 +173,8 @@
                 return self.handle(message).await
             }
             EndpointListMessage::WatchLine { watch, line } if !is_heartbeat(&line) => {
-                ListLine { received_at: self.earliest_arrival(watch), line }
+                let Some(address) = self.watches.address_of(watch) else { return };
+                ListLine { received_at: self.earliest_arrival(watch), line, address }
             }
             EndpointListMessage::PredecessorLine(line) => line,
             _ => return,
--- a/src/net/platform/endpoint_list/watching.rs
+++ b/src/net/platform/endpoint_list/watching.rs
@@ -55,6 +55,12 @@
         self.connecting.iter().position(|watch| watch.number == number)
     }
 
+    /// Where the agent of a watch listens.
+    pub fn address_of(&self, number: u64) -> Option<SocketAddr> {
+        let all = self.current.iter().chain(&self.replaced).chain(&self.connecting);
+        all.into_iter().find(|watch| watch.number == number).map(|watch| watch.address)
+    }
+
     fn watches(&self, address: SocketAddr) -> bool {
         self.current.as_ref().is_some_and(|watch| watch.address == address)
     }
@@ -191,6 +197,10 @@
     /// Takes a line that a watch of the predecessor has sent: what the platform's agent has is binding from then on, although the
     /// watch of this process may not be open yet.
     pub(super) async fn take_predecessor_line(&mut self, line: ListLine) {
+        // Another agent numbers its versions in another way, and the one that this process watches has told its list.
+        if self.generation_source.is_some_and(|source| source != line.address) {
+            return;
+        }
         if let Some(generation) = self.take_line_from_elsewhere(&line.line, line.received_at).await {
             info!(self.context.log, "endpoint list received"; "generation" => generation, "predecessor" => true);
         }
--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -272,7 +272,7 @@
 /// A later frame, which is sent only to a successor that names it.
 #[test]
 fn a_line_of_the_endpoint_list_is_framed_alike() {
-    round_trip::<PredecessorFrame>(&[json!({"ListLine": {"received_at": 7}})]);
+    round_trip::<PredecessorFrame>(&[json!({"ListLine": {"received_at": 7, "address": "127.0.0.1:4001"}})]);
     assert_eq!((ACCEPTED_FRAMES_HEADER, LIST_LINE_FRAME), ("X-Accept-Frames", "list-line"));
 }
 
