Read the watches on while a hand-over may fail, and close none when it does

Cause: lines that came while a successor had the list were ignored, so a failed hand-over closed the watches to ask for all anew.

Why this holds: up to the hand-over itself the lines are taken as ever and also passed on, so a failure has missed nothing.

--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -139,7 +139,8 @@
     },
 }
 
-/// A line that a watch has sent to a process which has handed over.
+/// A line that a watch has sent to a process whose successor has the list.
+#[derive(Clone)]
 pub struct ListLine {
     /// The line.
     pub line: Vec<u8>,
--- a/src/net/platform/endpoint_list/mod.rs
+++ b/src/net/platform/endpoint_list/mod.rs
@@ -59,7 +59,7 @@
     drain_log: DrainLog,
     /// When the endpoint table was last pruned.
     pruned_at: Micros,
-    /// A successor keeps the list from now on.
+    /// A successor was sent the list, and keeps it from then on if it takes over.
     handed_over: bool,
 }
 
@@ -125,8 +125,7 @@
                 None
             };
             match future::or(async { Some(mailbox.recv().await) }, due).await {
-                Some(Ok(message)) if self.handed_over => self.handle_handed_over(message).await,
-                Some(Ok(message)) => self.handle(message).await,
+                Some(Ok(message)) => self.receive(message).await,
                 Some(Err(_)) => return,
                 None => {}
             }
@@ -166,17 +165,34 @@
         self.registry_due(now).await;
     }
 
-    /// A successor keeps the list: it is sent what the watches still send, and deals with all else itself.
-    async fn handle_handed_over(&mut self, message: EndpointListMessage) {
+    async fn receive(&mut self, message: EndpointListMessage) {
+        if self.handed_over {
+            self.pass_on(&message).await;
+        }
+        if !self.handed_over || self.is_still_handled(&message) {
+            self.handle(message).await;
+        }
+    }
+
+    /// Whether a message is handled here although a successor was sent the list. It may not take over after all: up to then the
+    /// watches are read on, or what they send would be missed.
+    fn is_still_handled(&self, message: &EndpointListMessage) -> bool {
+        match message {
+            EndpointListMessage::HandOver { .. } | EndpointListMessage::HandOverAborted => true,
+            // They change the state folder.
+            EndpointListMessage::RegistryUpdate { .. } | EndpointListMessage::Cordon { .. } => false,
+            _ => !self.context.lifecycle.is_handed_over(),
+        }
+    }
+
+    /// Passes on to the successor what the watches send that it has not been sent with the list.
+    async fn pass_on(&self, message: &EndpointListMessage) {
         let line = match message {
-            EndpointListMessage::HandOverAborted | EndpointListMessage::HandOver { .. } => {
-                return self.handle(message).await
+            EndpointListMessage::WatchLine { watch, line } if !is_heartbeat(line) => {
+                let Some(address) = self.watches.address_of(*watch) else { return };
+                ListLine { line: line.clone(), received_at: self.earliest_arrival(*watch), address }
             }
-            EndpointListMessage::WatchLine { watch, line } if !is_heartbeat(&line) => {
-                let Some(address) = self.watches.address_of(watch) else { return };
-                ListLine { received_at: self.earliest_arrival(watch), line, address }
-            }
-            EndpointListMessage::PredecessorLine(line) => line,
+            EndpointListMessage::PredecessorLine(line) => line.clone(),
             _ => return,
         };
         // The delivery actor ends only with the process.
@@ -200,7 +216,7 @@
                 // If nobody waits any more, the hand-over is aborted.
                 let _ = reply.try_send(self.membership.snapshot());
             }
-            EndpointListMessage::HandOverAborted => self.hand_over_aborted(),
+            EndpointListMessage::HandOverAborted => self.handed_over = false,
             EndpointListMessage::Cordon { id, cordoned, reply } => self.cordon(&id, cordoned, &reply).await,
             EndpointListMessage::RegistryUpdate { update, received_at, doubted } => {
                 self.take_registry_update(update, received_at, &doubted).await;
@@ -221,15 +237,6 @@
         warn!(self.context.log, "no endpoint list yet, using the cached one"; "reason" => "initial-list-timeout");
         self.context.endpoint_list.set_received();
     }
-
-    /// The list is kept here again. What was sent meanwhile was missed, so the complete list is asked for.
-    fn hand_over_aborted(&mut self) {
-        self.handed_over = false;
-        self.watches.current = None;
-        self.generation = None;
-        self.watches.connecting.clear();
-        self.open_watch(0);
-    }
 }
 
 /// Whether a line of a watch is empty, so that it only keeps the connection alive.
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -502,3 +502,31 @@
          u1 expect 202",
     );
 }
+
+/// Guards against a drain that is missed as it comes while a hand-over is under way that fails: the watch was closed with the line
+/// unread, and the next one was slow.
+#[test]
+fn a_drain_observed_during_a_hand_over_that_fails_binds_calls() {
+    play(
+        "with e1=1 e2=1:one:hidden operator=on
+         start
+
+         platform delays-list
+         successor asks 200
+         successor reads-state
+         platform send e1=leaving
+         sleep 100
+         successor disconnects
+         log hand-over failed, serving on
+         sleep 300
+         u1 send m1
+         u1 expect 202
+         sleep 100
+         platform releases-list
+         platform send e2=active
+         e2 expect m1
+         e2 send m1 200
+
+         wait delivered=1 calls=1",
+    );
+}
