--- a/crates/soak-test/src/checker.rs
+++ b/crates/soak-test/src/checker.rs
@@ -340,11 +340,11 @@
     }
 
     fn due(&self, message: &Message) -> Instant {
-        let due = message.deadline + END_SLACK;
+        let due = message.deadline + END_SLACK + SOCKET_SLACK;
         let outages = self.unavailable[message.forwarder].iter();
         // An outage that reaches beyond the deadline moves the end that is owed.
         let late = outages.filter(|o| o.since <= due && o.until.is_none_or(|end| end > message.deadline));
-        late.filter_map(|o| o.until).map(|end| end + END_SLACK).max().unwrap_or(due).max(due)
+        late.filter_map(|o| o.until).map(|end| end + END_SLACK + SOCKET_SLACK).max().unwrap_or(due).max(due)
     }
 
     /// Accepted messages that have no end yet and may still get one in time.
