--- a/crates/soak-test/src/forwarder.rs
+++ b/crates/soak-test/src/forwarder.rs
@@ -23,6 +23,10 @@
 const TAKES_OVER_WITHIN: Duration = Duration::from_secs(3);
 /// Share of the successors that are killed a moment after they took over.
 const LOST_SUCCESSOR_SHARE: f64 = 0.2;
+/// How the rules begin that hold up writes.
+const WRITE_STALL: &str = "send stall";
+/// An injected hold-up of a write is over after this.
+const WRITE_STALL_ENDED: Duration = Duration::from_millis(160);
 /// The most signals that follow SIGTERM in a series.
 const SIGNALS_IN_SERIES: usize = 3;
 /// Resident memory that a forwarder may have at the end, in kB.
@@ -50,6 +54,8 @@
     pub killed: Cell<bool>,
     /// Something is being done to the process that only one may do at a time.
     pub busy: Cell<bool>,
+    /// Writes are held up now and then.
+    stalls_writes: Cell<bool>,
     /// Faults in force, by who set them.
     faults: RefCell<Vec<(u64, String)>>,
     fault_number: Cell<u64>,
@@ -78,6 +84,7 @@
             terminated_at: None.into(),
             killed: false.into(),
             busy: false.into(),
+            stalls_writes: true.into(),
             faults: RefCell::default(),
             fault_number: 0.into(),
         };
@@ -304,8 +311,18 @@
         }
     }
 
-    /// Stops it for a while.
+    /// Stops it for a while, but not within an injected hold-up of a write: the two would add up to more than the platform's terms
+    /// let a process be held up between its clock and its write.
     pub async fn stall(&self, world: &World, lasts: Duration) {
+        self.stalls_writes.set(false);
+        self.write_faults();
+        sleep(WRITE_STALL_ENDED).await;
+        self.stop_for(world, lasts).await;
+        self.stalls_writes.set(true);
+        self.write_faults();
+    }
+
+    async fn stop_for(&self, world: &World, lasts: Duration) {
         world.checker.borrow_mut().becomes_unavailable(self.number);
         self.signal(Signal::STOP);
         sleep(lasts).await;
@@ -340,7 +357,10 @@
     }
 
     fn write_faults(&self) {
-        let rules: String = self.faults.borrow().iter().map(|f| f.1.clone() + "\n").collect();
+        let faults = self.faults.borrow();
+        let is_in_force =
+            |fault: &&(u64, String)| self.stalls_writes.get() || !fault.1.starts_with(WRITE_STALL);
+        let rules: String = faults.iter().filter(is_in_force).map(|fault| fault.1.clone() + "\n").collect();
         let beside = self.folder.join("faults.new");
         let text = format!("seed {}\n{rules}", self.number * 2 + 1);
         fs::write(&beside, text)
--- a/crates/soak-test/src/platform.rs
+++ b/crates/soak-test/src/platform.rs
@@ -5,6 +5,7 @@
 use crate::world::{sleep, World};
 use async_io::Async;
 use cedarbridge::net::http::HttpConnection;
+use futures_lite::future;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io;
@@ -76,6 +77,9 @@
         if now != generation {
             // Slow discovery learns of the change late.
             sleep(world.discovery.get().slow).await;
+            if is_closed(connection).await {
+                return Ok(());
+            }
             let first = generation == 0;
             generation = now;
             let line = list(world, forwarder, &mut known, first);
@@ -89,6 +93,12 @@
     }
 }
 
+/// Whether the forwarder has left a watch, which sends nothing after its request. What would be written on it counts as notified
+/// where the forwarder may still read it.
+async fn is_closed(connection: &mut HttpConnection) -> bool {
+    future::poll_once(connection.fill()).await.is_some()
+}
+
 fn chunk(text: &str) -> Vec<u8> {
     format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
 }
