--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -89,6 +89,7 @@
 //! | `platform expect-no-report` | expects that no further delivery report has arrived |
 //! | `platform expect-watch 1` | expects that the next watch asks for changes since generation 1; `-`: for all |
 //! | `platform rejects-reports`, `… accepts-reports` | answers delivery reports with a 500; with a 204 again |
+//! | `platform copies-responses` | answers further requests of a connection behind a copy of the response before |
 //! | `platform drops-next-report` | leaves the next delivery report unanswered |
 //! | `platform answers-reports-after 200` | answers delivery reports after 200 ms |
 //! | `platform stops-heartbeats` | sends no heartbeats on the watches |
--- a/tests/scenario/platform.rs
+++ b/tests/scenario/platform.rs
@@ -17,6 +17,8 @@
 
 /// If no delivery report arrives in this time, the forwarder is taken to have stopped repeating reports.
 const REPORTS_SETTLE_TIME: Duration = Duration::from_millis(500);
+/// The time from a copy of the response before to the response itself.
+const OWN_RESPONSE_DELAY: Duration = Duration::from_millis(20);
 /// The time between two heartbeats on the watches.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -40,6 +42,8 @@
     report_answer_delay_ms: AtomicU32,
     /// Whether the next delivery report gets no answer.
     drops_next_report: AtomicBool,
+    /// Whether the response to a further request on a connection follows a copy of the response before.
+    copies_responses: AtomicBool,
     /// The connections of delivery reports that get no answer; they stay open.
     unanswered: Mutex<Vec<TcpStream>>,
     sends_no_heartbeats: AtomicBool,
@@ -143,6 +147,7 @@
                 let delay = delay.parse().expect("`answers-reports-after` takes milliseconds");
                 self.shared.report_answer_delay_ms.store(delay, Ordering::SeqCst);
             }
+            ["copies-responses"] => set(&self.shared.copies_responses, true),
             ["drops-next-report"] => set(&self.shared.drops_next_report, true),
             ["moves"] => self.address = self.shared.listen(&self.request_sender),
             ["delays-list"] => set(&self.shared.delays_list, true),
@@ -217,6 +222,7 @@
     /// Serves a connection at the address of the given number.
     fn serve(&self, number: u32, mut stream: TcpStream, request_sender: &RequestSender) {
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        let mut previous_response: Option<String> = None;
         while let Some(request) = read_message(&mut reader) {
             if number != self.address_number.load(Ordering::SeqCst) {
                 return;
@@ -230,8 +236,14 @@
             let status = self.receive_reports(&request.body, request_sender);
             let delay = self.report_answer_delay_ms.load(Ordering::SeqCst);
             thread::sleep(Duration::from_millis(delay.into()));
-            // The write fails if the forwarder has ended. A script in which it must not end checks this with a later line.
-            let _ = stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
+            // A write fails if the forwarder has ended. A script in which it must not end checks this with a later line.
+            if let Some(copy) = previous_response.filter(|_| self.copies_responses.load(Ordering::SeqCst)) {
+                let _ = stream.write_all(copy.as_bytes());
+                thread::sleep(OWN_RESPONSE_DELAY);
+            }
+            let response = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            let _ = stream.write_all(response.as_bytes());
+            previous_response = Some(response);
         }
     }
 
--- /dev/null
+++ b/tests/stray_responses.rs
@@ -0,0 +1,270 @@
+//! Tests of stray responses: a copy of an earlier response that arrives on a connection, by itself or after the next request.
+//! A response is told from a copy by what the connection has carried before, never by its place alone. The tests are
+//! scenarios over sockets, in the language of `scenario/mod.rs`; `e1 send-raw m1` writes on the connection of the call of m1,
+//! which also carries the next call while it is reused.
+
+mod scenario;
+
+use scenario::run_scenario;
+
+/// Guards against a message that is held for delivered by a copy of the response before, although its own response says that
+/// it never ran.
+#[test]
+fn a_copy_of_the_response_before_does_not_end_the_next_message() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m1 200
+         e1 send m2 503
+         e1 expect m2
+         wait open=1 full=1 stray_responses/in-call=1 connections_given_up=1
+         e1 send m2 200
+
+         log stray response
+         wait delivered=2 opened=2 reused=1 open=0",
+    );
+}
+
+/// Guards against the second run of a non-idempotent message whose call is still out: a copy of an earlier refusal says that
+/// it never ran.
+#[test]
+fn a_copy_of_a_refusal_does_not_make_a_non_idempotent_message_run_twice() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m1 class=free
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 503
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2 class=once
+         u1 expect 202
+         e1 expect m2
+         e1 send-raw m1 HTTP/1.1 503 X\\r\\nContent-Length: 0\\r\\n\\r\\n
+         e1 send m2 200
+
+         wait delivered=2 open=0 attempts=3
+         platform expect-no-report",
+    );
+}
+
+/// Guards against a second attempt of a message while its call is out: a copy of an earlier refusal ends only the wait.
+#[test]
+fn a_copy_of_a_refusal_does_not_end_a_call_that_is_out() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 503
+         e1 expect m1
+         e1 send-raw m1 HTTP/1.1 503 X\\r\\nContent-Length: 0\\r\\n\\r\\n
+         e1 send m1 200
+
+         wait delivered=1 open=0 attempts=2 reused=1",
+    );
+}
+
+/// Guards against a message that is forgotten when the process is killed between a copy of the response before and the
+/// message's own response.
+#[test]
+fn a_message_whose_only_response_may_be_a_copy_survives_a_kill() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         u2 send m3 class=once
+         u2 expect 202
+         e1 expect m2
+         e1 expect m3
+         e1 send m1 200
+         sleep 10
+         kill
+         start
+         e1 expect m2
+         e1 send m2 200
+         platform expect m3 failed
+
+         wait restored=2 delivered=1 open=0 notices=1",
+    );
+}
+
+/// Guards against a successor that takes a message for delivered by a copy that its predecessor received.
+#[test]
+fn a_copy_received_before_a_hand_over_does_not_end_the_message_at_the_successor() {
+    run_scenario(
+        "with e1=1 operator=on
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         upgrade
+         e1 send m1 200
+         e1 send m2 503
+         e1 expect m2
+         e1 send m2 200
+
+         wait inherited=1 delivered=1 open=0",
+    );
+}
+
+/// Guards against a batch that is ended by a copy of another call's response, which names none of its messages.
+#[test]
+fn a_batch_is_ended_only_by_the_response_that_names_its_messages() {
+    run_scenario(
+        "with e1=2:many e9=9:one:leaving tick=400
+         start
+
+         u1 send m1 dest=2
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2 dest=2
+         u2 send m3 dest=2
+         u1 expect 202
+         u2 expect 202
+         e1 expect m2 m3
+         e1 send m1 200
+         e1 send m2 200 m2=delivered m3=refused
+         e1 expect m3
+         e1 send m3 200
+
+         wait delivered=3 error=0 attempts=4 open=0",
+    );
+}
+
+/// Guards against reading on: the calls behind a stray response would each get the response to the call before.
+#[test]
+fn a_connection_that_carried_a_stray_response_is_not_used_again() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m1 200
+         e1 send m2 200
+         wait delivered=2 connections_given_up=1
+         u1 send m3
+         u1 expect 202
+         e1 expect m3
+         e1 send m3 200
+         wait delivered=3 opened=2
+         u1 send m4
+         u1 expect 202
+         e1 expect m4
+         e1 send m4 200
+
+         wait delivered=4 opened=3 reused=1",
+    );
+}
+
+/// Guards against a copy that arrives after the pool's check and before the first byte of the call, here while the attempt is
+/// written to the journal.
+#[test]
+fn a_copy_that_arrives_while_the_attempt_is_journaled_ends_no_call() {
+    run_scenario(
+        "with e1=1 faults=on
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         faults write stall=400 nth=2 count=1
+         u1 send m2
+         fault-injected write
+         e1 send m1 200
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 503
+         e1 expect m2
+         wait stray_responses/before-request=1 opened=2 reused=0
+         e1 send m2 200
+
+         wait delivered=2 open=0",
+    );
+}
+
+/// Guards against a retry-after that is not obeyed because a copy arrives before the late response that carries it.
+#[test]
+fn a_late_retry_after_behind_a_copy_is_obeyed() {
+    run_scenario(
+        "with e1=1
+         config settings/specifics/call-slots 1
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2 deadline=700m
+         u1 expect 202
+         e1 expect m2
+         wait timed_out=1
+         e1 send m1 200
+         e1 send m2 429 X-RateLimit-Wait-Ms:1500
+
+         log late retry_after received
+         log ms: 1500",
+    );
+}
+
+/// Guards against reports that are held for confirmed by a copy of an earlier confirmation.
+#[test]
+fn a_copy_of_a_confirmation_confirms_no_other_report() {
+    run_scenario(
+        "with e1=1:one:leaving
+         start
+
+         platform copies-responses
+         u1 send m1 deadline=500m
+         u1 expect 202
+         platform expect m1 returned
+         wait notices=1
+         platform rejects-reports
+         u1 send m2 deadline=500m
+         u1 expect 202
+         log delivery reports rejected
+         platform accepts-reports
+         platform expect m2 returned
+
+         wait notices=2 notices_owed=0",
+    );
+}
