--- a/src/api.rs
+++ b/src/api.rs
@@ -157,6 +157,22 @@
         /// The rate limit that the response reports; `None` if it reports none.
         report: Option<LoadReport>,
     },
+    /// A call was answered, but its response may be a copy of an earlier one. The call occupies no slot any more, and its
+    /// outcome says how the endpoint fares; its messages must not be sent again before [`Event::AttemptEnded`].
+    CallAnswered {
+        /// The message to whose attempt the call belongs; of several in one call, the first.
+        id: MessageId,
+        /// The number of the attempt, from 0.
+        attempt: u32,
+        /// The endpoint to which it was sent.
+        endpoint: EndpointId,
+        /// The outcome of the attempt according to this response.
+        outcome: Outcome,
+        /// The time from the policy's decision on the attempt, [`Action::Send`], to the response.
+        elapsed: Micros,
+        /// The rate limit that the response reports; `None` if it reports none.
+        report: Option<LoadReport>,
+    },
     /// A health check ended.
     HealthChecked {
         /// The endpoint that was checked.
--- a/src/invariants/mod.rs
+++ b/src/invariants/mod.rs
@@ -1,5 +1,5 @@
-//! The safety rules of the forwarder: whether a message may be admitted, a call sent or a connection reused now, and a
-//! run-time check that the rules were kept.
+//! The safety rules of the forwarder: whether a message may be admitted, a call sent or a connection reused now, which
+//! response belongs to a call, and a run-time check that the rules were kept.
 //!
 //! Each check is a function without I/O that takes the relevant facts and returns `Ok` or a typed reason. The socket
 //! code cannot write a call without a [`SendPermit`]. The [`Ledger`] is independent of these checks and of the policy:
@@ -10,11 +10,17 @@
 //! same idempotency key.
 
 pub mod admission;
+pub mod attribution;
 pub mod connection;
 pub mod ledger;
+pub mod response_history;
+pub mod response_times;
 pub mod send;
 
 pub use admission::{may_admit, AdmissionFacts, Rejection};
+pub use attribution::{attribute, Attribution, NamedMessages, ResponseFacts};
 pub use connection::{may_reuse, CloseReason, IdleFacts};
 pub use ledger::{Ledger, RepeatPolicy, TrackedAttempt, TrackedMessage, Violation};
+pub use response_history::ResponseHistory;
+pub use response_times::ResponseTimes;
 pub use send::{may_send, EndpointFacts, SendFacts, SendPermit, SendRefusal};
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of events since the start of the process, as `/_counters` reports them.
 
 use crate::invariants::{Rejection, SendRefusal, Violation};
+use crate::net::stray_response::StrayPlace;
 use crate::{AbandonReason, Outcome};
 use serde_json::{Map, Value};
 use std::cell::{Cell, RefCell};
@@ -21,7 +22,7 @@
             pub fn report(&self) -> Value {
                 let mut report = Map::new();
                 $(report.insert($key.into(), self.$name.0.get().into());)*
-                for group in [NOT_SENT, REJECTED, ABANDONED, VIOLATIONS] {
+                for group in [NOT_SENT, REJECTED, ABANDONED, VIOLATIONS, STRAY_RESPONSES] {
                     report.insert(group.into(), self.report_of(group));
                 }
                 Value::Object(report)
@@ -102,6 +103,8 @@
     connections_opened = "opened",
     /// Calls on a reused connection.
     connections_reused = "reused",
+    /// Connections to endpoints that were given up since a stray response arrived on them.
+    connections_given_up = "connections_given_up",
     /// Connections accepted from clients.
     connections_accepted = "accepted",
     /// Failed attempts to accept a connection from the listener's queue.
@@ -122,6 +125,8 @@
 const ABANDONED: &str = "given_up";
 /// The report's key for violations of invariants.
 const VIOLATIONS: &str = "invariant_violations";
+/// The report's key for responses that belong to no call in flight.
+const STRAY_RESPONSES: &str = "stray_responses";
 
 impl Counters {
     fn count(&self, group: &'static str, reason: &'static str) {
@@ -151,6 +156,11 @@
         self.count(ABANDONED, reason.name());
     }
 
+    /// Counts a stray response.
+    pub fn count_stray_response(&self, place: StrayPlace) {
+        self.count(STRAY_RESPONSES, place.name());
+    }
+
     /// Counts a violation of an invariant.
     pub fn count_violation(&self, violation: Violation) {
         self.count(VIOLATIONS, violation.name());
--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -31,6 +31,9 @@
     /// The number of the attempt, counted from 0 for each message.
     pub number: u32,
     pub endpoint: EndpointId,
+    /// When a response was received that is probably the attempt's, in microseconds of the monotonic clock; `None`
+    /// without one.
+    pub answered_at: Option<Micros>,
     /// Closing this channel cancels the call.
     pub cancel: Sender<()>,
 }
@@ -172,6 +175,7 @@
                 self.events.push(Event::EndpointList(update));
             }
             DeliveryMessage::Settings(settings) => self.events.push(Event::Settings(settings)),
+            DeliveryMessage::CallAnswered(completion) => self.call_answered(&completion),
             DeliveryMessage::CallCompleted(completion) => self.call_completed(completion),
             DeliveryMessage::HandOver(successor) => self.successor = Some(successor),
             DeliveryMessage::Admin { command, reply } => {
--- a/src/net/delivery/attempts.rs
+++ b/src/net/delivery/attempts.rs
@@ -21,7 +21,9 @@
 struct CompletedAttempt {
     id: AttemptId,
     endpoint: EndpointId,
-    /// The time from the policy's decision to the completion, in microseconds.
+    /// When the response was received, or the attempt ended without one, in microseconds of the monotonic clock.
+    ended_at: Micros,
+    /// The time from the policy's decision until then, in microseconds.
     elapsed: Micros,
     result: AttemptResult,
     report: Option<LoadReport>,
@@ -74,7 +76,7 @@
         for attempt in &attempts {
             if let Some(open) = self.messages.get_mut(&attempt.message.id) {
                 let (number, cancel) = (attempt.number, cancel.clone());
-                open.attempt = Some(AttemptInFlight { number, endpoint, cancel });
+                open.attempt = Some(AttemptInFlight { number, endpoint, answered_at: None, cancel });
             }
         }
         Call::new(endpoint, attempts, now, cancelled)
@@ -101,15 +103,45 @@
         }
     }
 
+    /// Processes a response that is probably that of a call: the policy may use the call's slot and learns how the
+    /// endpoint fares. The messages stay open, and their attempts in flight, until the call is complete.
+    pub(super) fn call_answered(&mut self, answered: &CallCompletion) {
+        let now = self.context.clock.now();
+        let elapsed = now.saturating_sub(answered.decided_at);
+        for id in &answered.attempts {
+            if let Some(attempt) = self.attempt_in_flight(*id) {
+                attempt.answered_at = Some(now);
+            }
+        }
+        let Some((id, result)) = answered.attempts.iter().zip(&answered.result.attempts).next() else {
+            return;
+        };
+        self.events.push(Event::CallAnswered {
+            id: id.message,
+            attempt: id.number,
+            endpoint: answered.endpoint,
+            outcome: result.outcome,
+            elapsed,
+            report: answered.result.report,
+        });
+    }
+
+    fn attempt_in_flight(&mut self, id: AttemptId) -> Option<&mut AttemptInFlight> {
+        let open = self.messages.get_mut(&id.message)?;
+        open.attempt.as_mut().filter(|in_flight| in_flight.number == id.number)
+    }
+
     /// Processes the completion of a call that this process or its predecessor made.
     pub(super) fn call_completed(&mut self, completion: CallCompletion) {
         let CallCompletion { endpoint, decided_at, attempts, result } = completion;
-        let elapsed = self.context.clock.now().saturating_sub(decided_at);
         let rejection_has_retry_after =
             result.attempts.iter().any(|attempt| matches!(attempt.outcome, Outcome::Rejected(Some(_))));
         let report = result.report;
         for (id, result) in attempts.into_iter().zip(result.attempts) {
-            self.attempt_completed(CompletedAttempt { id, endpoint, elapsed, result, report });
+            let answered_at = self.attempt_in_flight(id).and_then(|attempt| attempt.answered_at);
+            let ended_at = answered_at.unwrap_or(self.context.clock.now());
+            let elapsed = ended_at.saturating_sub(decided_at);
+            self.attempt_completed(CompletedAttempt { id, endpoint, ended_at, elapsed, result, report });
         }
         // The outcome of a rejected attempt already contains the retry-after; without a rejected attempt it needs an
         // event of its own.
@@ -119,7 +151,7 @@
     }
 
     fn attempt_completed(&mut self, attempt: CompletedAttempt) {
-        let CompletedAttempt { id: attempt_id, endpoint, elapsed, result, report } = attempt;
+        let CompletedAttempt { id: attempt_id, endpoint, ended_at, elapsed, result, report } = attempt;
         let AttemptId { message: id, number } = attempt_id;
         let AttemptResult { outcome, completes_message } = result;
         self.context.counters.count_attempt(outcome);
@@ -132,7 +164,7 @@
             message.route_stats.iter().for_each(|stats| stats.attempt_completed(outcome));
         }
         if completes_message {
-            self.end_by_response(id, outcome, message.as_deref());
+            self.end_by_response(id, outcome, message.as_deref(), ended_at);
         } else if never_ran(outcome) {
             self.context.journal.record_never_ran(id, number);
         }
@@ -156,7 +188,13 @@
     }
 
     /// Ends a message that its endpoint has accepted or reported as expired.
-    fn end_by_response(&mut self, id: MessageId, outcome: Outcome, message: Option<&InFlightMessage>) {
+    fn end_by_response(
+        &mut self,
+        id: MessageId,
+        outcome: Outcome,
+        message: Option<&InFlightMessage>,
+        ended_at: Micros,
+    ) {
         let delivered = outcome == Outcome::Ok;
         let end = if delivered { MessageEnd::Delivered } else { MessageEnd::Expired };
         if self.end_message(id, end) && delivered {
@@ -164,7 +202,7 @@
             let received_at = message.and_then(|message| message.received_at);
             let stats = message.and_then(|message| message.route_stats.as_ref());
             if let Some((received_at, stats)) = received_at.zip(stats) {
-                let delivery_time = self.context.clock.now().saturating_sub(received_at);
+                let delivery_time = ended_at.saturating_sub(received_at);
                 self.context.route_stats.record_delivery(stats, delivery_time);
             }
         }
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -88,7 +88,7 @@
         message.received_at = handed_over.received_at;
         let attempt = handed_over.in_flight.map(|HandOverAttempt { number, endpoint }| {
             let cancel = predecessor.cancel_on_close(&self.context.executor, handed_over.id, number);
-            AttemptInFlight { number, endpoint, cancel }
+            AttemptInFlight { number, endpoint, answered_at: None, cancel }
         });
         self.open_message(message, attempt, None);
         self.context.counters.inherited.increment();
--- a/src/net/endpoint/call.rs
+++ b/src/net/endpoint/call.rs
@@ -1,16 +1,18 @@
 //! A call in flight: it ends with a response, a failure, a timeout or a cancellation. Before the delivery actor
 //! receives the completion, the call's connection is returned to the pool, closed, or left to
 //! [`late_response`], which only reads from it. Only attempts that expire while the call goes on for the others are
-//! reported earlier.
+//! reported earlier, and a response that may be a copy of an earlier one is announced earlier.
 
+use super::confirmation;
+use super::connection::EndpointConnection;
 use super::connection_end::{CallFailure, ConnectionEnd};
-use super::exchange::{exchange, CallEnd, Progress, Stage};
+use super::exchange::{self, CallEnd, Progress, Stage};
 use super::late_response;
-use super::response::{self, Response};
-use crate::invariants::SendRefusal;
+use super::response;
+use crate::invariants::{Attribution, ResponseTimes, SendRefusal};
 use crate::net::call::{AttemptResult, Call, CallResult};
-use crate::net::http::{HttpConnection, HttpError};
-use crate::net::messages::{DeliveryMessage, EndpointMessage};
+use crate::net::messages::{DeliveryMessage, EndedCallReport, EndpointMessage};
+use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::Context;
 use crate::{Micros, Outcome};
 use async_channel::Sender;
@@ -20,18 +22,22 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-/// Makes a call and sends its completion to the delivery actor. `idle` is a connection to reuse; `None` if a new one
-/// must be made. `return_to` is the mailbox of the endpoint's actor, to which a reusable connection is returned;
-/// `None` if the endpoint was removed, so that the connection is closed instead.
-pub(super) async fn run(
-    context: Rc<Context>,
-    call: Call,
-    idle: Option<HttpConnection>,
-    return_to: Option<Sender<EndpointMessage>>,
-) {
+/// What the actor of the endpoint gives to a call.
+pub(super) struct CallSetup {
+    /// A connection to reuse; `None` if a new one must be made.
+    pub idle: Option<EndpointConnection>,
+    /// How long the endpoint usually takes for a response.
+    pub times: ResponseTimes,
+    /// The mailbox of the actor, to which the call reports its end; `None` if the endpoint was removed, so that the
+    /// connection is closed instead of returned.
+    pub return_to: Option<Sender<EndpointMessage>>,
+}
+
+/// Makes a call and sends its completion to the delivery actor.
+pub(super) async fn run(context: Rc<Context>, call: Call, setup: CallSetup) {
     let _in_flight = context.gauges.calls_in_flight.increment_scoped();
     let mut unreported_attempts = vec![true; call.attempts.len()];
-    let mut result = perform_call(&context, &call, idle, return_to, &mut unreported_attempts).await;
+    let mut result = perform_call(&context, &call, setup, &mut unreported_attempts).await;
     if let Some(retry_after) = result.retry_after {
         context.endpoint_table.record_retry_after(call.endpoint, retry_after);
     }
@@ -52,34 +58,39 @@
 async fn perform_call(
     context: &Rc<Context>,
     call: &Call,
-    idle: Option<HttpConnection>,
-    return_to: Option<Sender<EndpointMessage>>,
+    setup: CallSetup,
     unreported_attempts: &mut [bool],
 ) -> CallResult {
-    let progress = Progress::default();
-    let reused = idle.is_some();
+    let CallSetup { idle, times, return_to } = setup;
+    let progress = Progress::new(times);
     let mut connection = idle;
-    let exchange = async {
-        match exchange(context, call, &mut connection, &progress).await {
-            Ok(response) => CallEnd::Response(response),
-            Err(end) => end,
-        }
-    };
-    let end = until_end(context, call, exchange, &progress, unreported_attempts).await;
-    if reused && matches!(progress.stage.get(), Stage::Writing | Stage::Written) {
+    let end = until_end(
+        context,
+        call,
+        exchange(context, call, &mut connection, &progress),
+        &progress,
+        unreported_attempts,
+    )
+    .await;
+    if progress.reused.get() {
         context.counters.connections_reused.increment();
     }
-    let ended = EndedCall { context, call, progress, reused };
-    let failure = match end {
-        CallEnd::Response(response) => return ended.response_result(&response, connection, return_to).await,
-        CallEnd::NotSent(refusal) => return ended.refusal_result(refusal, connection, return_to).await,
-        CallEnd::ConnectionFailed(error) => ended.classify_failure(&error, connection.as_ref()),
-        CallEnd::TimedOut if ended.is_written() => CallFailure::TimedOut,
-        CallEnd::TimedOut => CallFailure::TimedOutBeforeSent,
-        CallEnd::Cancelled if ended.is_written() => CallFailure::Cancelled,
-        CallEnd::Cancelled => CallFailure::CancelledBeforeSent,
-    };
-    ended.failure_result(failure, connection)
+    EndedCall { context, call, progress, return_to }.conclude(end, connection).await
+}
+
+/// Sends a call and receives its response.
+async fn exchange(
+    context: &Context,
+    call: &Call,
+    connection_slot: &mut Option<EndpointConnection>,
+    progress: &Progress,
+) -> CallEnd {
+    match exchange::send(context, call, connection_slot, progress).await {
+        Ok(connection) => {
+            confirmation::receive(context, call, connection, progress).await.unwrap_or_else(CallEnd::from)
+        }
+        Err(end) => end,
+    }
 }
 
 /// Waits for the end of a call. Attempts that time out at their message's deadline, before the others of the call,
@@ -105,7 +116,8 @@
             CallEnd::Cancelled
         };
         let end = future::or(exchange.as_mut(), future::or(timeout, cancellation)).await;
-        if !matches!(end, CallEnd::TimedOut) || progress.stage.get() != Stage::Written {
+        let is_answered = matches!(progress.attribution(), Attribution::Probable(_));
+        if !matches!(end, CallEnd::TimedOut) || progress.stage.get() != Stage::Written || is_answered {
             return end;
         }
         let Some(expired) = call.expired_attempts(clock.now(), unreported_attempts) else { return end };
@@ -120,45 +132,74 @@
     context: &'a Rc<Context>,
     call: &'a Call,
     progress: Progress,
-    reused: bool,
+    /// The mailbox of the endpoint's actor; `None` if the endpoint was removed.
+    return_to: Option<Sender<EndpointMessage>>,
 }
 
 impl EndedCall<'_> {
-    /// Reads the results from a response. The connection is returned to the pool if it can be reused, and closed
-    /// otherwise.
-    async fn response_result(
-        &self,
-        response: &Response,
-        connection: Option<HttpConnection>,
-        return_to: Option<Sender<EndpointMessage>>,
-    ) -> CallResult {
-        let retry_after = self.progress.retry_after.get();
-        let result = response::read_result(&self.context.log, self.call, response, retry_after, self.reused);
-        let connection_limit_reached =
-            result.attempts.iter().any(|attempt| attempt.outcome == Outcome::ConnectFailed);
-        match (connection, return_to) {
-            (Some(connection), Some(return_to))
-                if response.head.keep_alive && connection.buffer.bytes().is_empty() =>
-            {
-                return_to_pool(connection, &return_to).await
-            }
-            _ if connection_limit_reached => self.log_connection_end(ConnectionEnd::ConnectionLimit),
-            _ => self.log_connection_end(ConnectionEnd::Response),
+    /// Returns or closes the connection, reports the end to the endpoint's actor, and returns the result of the call.
+    async fn conclude(&self, end: CallEnd, connection: Option<EndpointConnection>) -> CallResult {
+        let found_stray = self.record_strays() || self.progress.found_stray.get();
+        let is_followed = self.record_unread_stray(connection.as_ref());
+        let response_time = self.response_time();
+        let (result, reusable) = match end {
+            CallEnd::NotSent(refusal) => (self.refusal_result(refusal), connection),
+            end => match self.response_result() {
+                Some(result) => {
+                    let reusable = self.reusable(&end, connection, &result, is_followed);
+                    (result, reusable)
+                }
+                None => (self.failure_result(self.classify(&end, connection.as_ref()), connection), None),
+            },
+        };
+        if let Some(return_to) = &self.return_to {
+            let report = EndedCallReport { connection: reusable, response_time, found_stray };
+            // Sending fails if the endpoint's actor has ended; the connection is then closed.
+            let _ = return_to.send(EndpointMessage::CallEnded(report)).await;
         }
         result
     }
 
-    /// The result of a call that failed the check before its first byte. Nothing was written, so the connection can
-    /// still be reused.
-    async fn refusal_result(
+    /// The result of a call whose own response was received completely; `None` if it was not.
+    fn response_result(&self) -> Option<CallResult> {
+        let received = self.progress.received.borrow();
+        let response = received.own()?.response?;
+        let (log, retry_after) = (&self.context.log, received.retry_after());
+        Some(response::read_result(log, self.call, response, retry_after, self.progress.reused.get()))
+    }
+
+    /// The connection after a response, if it can be reused; logs its end otherwise.
+    fn reusable(
         &self,
-        refusal: SendRefusal,
-        connection: Option<HttpConnection>,
-        return_to: Option<Sender<EndpointMessage>>,
-    ) -> CallResult {
-        if let (Some(connection), Some(return_to)) = (connection, return_to) {
-            return_to_pool(connection, &return_to).await;
-        }
+        end: &CallEnd,
+        connection: Option<EndpointConnection>,
+        result: &CallResult,
+        is_followed_by_stray: bool,
+    ) -> Option<EndpointConnection> {
+        let received = self.progress.received.borrow();
+        let own = received.own()?;
+        let has_unread = connection.as_ref().is_some_and(|c| !c.http.buffer.bytes().is_empty());
+        let keep_alive = own.response.is_some_and(|response| response.head.keep_alive);
+        let rejected_connection =
+            result.attempts.iter().any(|attempt| attempt.outcome == Outcome::ConnectFailed);
+        let reason = if received.has_strays() || is_followed_by_stray {
+            ConnectionEnd::StrayResponse
+        } else if rejected_connection {
+            ConnectionEnd::ConnectionLimit
+        } else if !keep_alive || has_unread || self.return_to.is_none() {
+            ConnectionEnd::Response
+        } else if !matches!(end, CallEnd::Responded) || !(own.is_proven || own.status == 200) {
+            // The message is sent again, and must not have two calls out if its own response is still to come here.
+            ConnectionEnd::UnprovenResponse
+        } else {
+            return connection;
+        };
+        self.log_connection_end(reason);
+        None
+    }
+
+    /// The result of a call that failed the check before its first byte.
+    fn refusal_result(&self, refusal: SendRefusal) -> CallResult {
         let outcome = match refusal {
             SendRefusal::JournalFailing => Outcome::NotJournaled,
             _ => Outcome::NotSent,
@@ -166,26 +207,33 @@
         CallResult::same_for_all(self.call.attempts.len(), AttemptResult::from_outcome(outcome))
     }
 
-    fn classify_failure(&self, error: &HttpError, connection: Option<&HttpConnection>) -> CallFailure {
-        if !self.is_written() {
-            return CallFailure::ConnectFailed;
+    fn classify(&self, end: &CallEnd, connection: Option<&EndpointConnection>) -> CallFailure {
+        match end {
+            CallEnd::ConnectionFailed(error) if self.is_written() => {
+                CallFailure::from_connection_error(error, self.unanswered_since_written(connection))
+            }
+            CallEnd::ConnectionFailed(_) => CallFailure::ConnectFailed,
+            CallEnd::TimedOut if !self.is_written() => CallFailure::TimedOutBeforeSent,
+            CallEnd::Cancelled if self.is_written() => CallFailure::Cancelled,
+            CallEnd::Cancelled => CallFailure::CancelledBeforeSent,
+            CallEnd::Contradictory => CallFailure::ContradictoryResponses,
+            CallEnd::TimedOut | CallEnd::Responded | CallEnd::NotSent(_) => CallFailure::TimedOut,
         }
-        CallFailure::from_connection_error(error, self.unanswered_since_written(connection))
     }
 
-    /// The result of a call without a complete response. Its connection is closed, or kept for at most 500 ms to read
-    /// a late response. In both cases its end is logged now.
-    fn failure_result(&self, failure: CallFailure, connection: Option<HttpConnection>) -> CallResult {
+    /// The result of a call without a complete response of its own. Its connection is closed, or kept for at most 500 ms
+    /// to read a late response. In both cases its end is logged now.
+    fn failure_result(&self, failure: CallFailure, connection: Option<EndpointConnection>) -> CallResult {
         let delivered = self.is_delivered(connection.as_ref());
         let abandoned = matches!(failure, CallFailure::TimedOut | CallFailure::Cancelled);
-        let unanswered = self.progress.status.get().is_none();
+        let unanswered = self.progress.received.borrow().own().is_none();
         if let Some(connection) = connection.filter(|_| abandoned && unanswered) {
-            late_response::read_in_background(self.context, self.call.endpoint, connection);
+            late_response::read_in_background(self.context, self.call.endpoint, connection.http);
         }
         self.log_connection_end(ConnectionEnd::CallFailed(failure));
         let outcome = if delivered { Outcome::Ok } else { failure.outcome() };
         CallResult {
-            retry_after: self.progress.retry_after.get(),
+            retry_after: self.progress.received.borrow().retry_after(),
             ..CallResult::same_for_all(self.call.attempts.len(), AttemptResult::from_outcome(outcome))
         }
     }
@@ -195,28 +243,74 @@
     }
 
     /// Whether the message of a call was delivered although its response is not complete: for a single message the
-    /// status line with 200 is enough.
-    fn is_delivered(&self, connection: Option<&HttpConnection>) -> bool {
-        let is_single_message = self.call.attempts.len() == 1;
-        is_single_message
-            && (self.progress.status.get() == Some(200) || connection.is_some_and(response::starts_with_ok))
+    /// status line with 200 is enough, if it is that of the call's own response.
+    fn is_delivered(&self, connection: Option<&EndpointConnection>) -> bool {
+        if self.call.attempts.len() > 1 || !self.is_written() {
+            return false;
+        }
+        if self.progress.received.borrow().is_empty() {
+            if let Some(status) = connection.and_then(EndpointConnection::unread_status) {
+                self.progress.add_head(status, None, self.context.clock.now());
+            }
+        }
+        self.progress.received.borrow().own().is_some_and(|own| own.status == 200)
+    }
+
+    /// The time that the endpoint took for a successful response, in microseconds.
+    fn response_time(&self) -> Option<Micros> {
+        let received = self.progress.received.borrow();
+        received.own().filter(|own| own.status == 200).map(|own| own.elapsed)
     }
 
     /// The time since the request was written, in microseconds; `None` if the connection was new or any byte of a
     /// response was received.
-    fn unanswered_since_written(&self, connection: Option<&HttpConnection>) -> Option<Micros> {
+    fn unanswered_since_written(&self, connection: Option<&EndpointConnection>) -> Option<Micros> {
         let written_at = self.progress.written_at.get()?;
-        let unanswered = self.progress.status.get().is_none()
-            && connection.is_none_or(|connection| connection.buffer.bytes().is_empty());
-        (self.reused && unanswered).then(|| self.context.clock.now() - written_at)
+        let unanswered = self.progress.received.borrow().is_empty()
+            && connection.is_none_or(|connection| connection.http.buffer.bytes().is_empty());
+        (self.progress.reused.get() && unanswered).then(|| self.context.clock.now() - written_at)
+    }
+
+    /// Records the responses after the request that are not the call's own. Returns whether there was any.
+    fn record_strays(&self) -> bool {
+        let strays = self.progress.received.borrow().strays();
+        for stray in &strays {
+            let received_at = self.progress.written_at.get().unwrap_or_default() + stray.elapsed;
+            self.stray_response(Some(stray.status), received_at).record(self.context);
+        }
+        if !strays.is_empty() {
+            self.context.counters.connections_given_up.increment();
+        }
+        !strays.is_empty()
+    }
+
+    /// Records a response that was received together with the call's own, behind it. Returns whether there was one.
+    fn record_unread_stray(&self, connection: Option<&EndpointConnection>) -> bool {
+        let received = self.progress.received.borrow();
+        if received.has_strays() || !self.progress.has_complete_response() {
+            return false;
+        }
+        let status = connection.and_then(EndpointConnection::unread_status);
+        let is_followed =
+            self.stray_response(status, self.context.clock.now()).record_if_response(self.context);
+        if is_followed {
+            self.context.counters.connections_given_up.increment();
+        }
+        is_followed
+    }
+
+    fn stray_response(&self, status: Option<u16>, received_at: Micros) -> StrayResponse {
+        StrayResponse {
+            endpoint: Some(self.call.endpoint),
+            place: StrayPlace::InCall,
+            status,
+            received_at,
+            previous_response_at: self.progress.previous_response_at.get(),
+            request_written_at: self.progress.written_at.get(),
+        }
     }
 
     fn log_connection_end(&self, reason: ConnectionEnd) {
         reason.log(&self.context.log, self.call.endpoint);
     }
 }
-
-async fn return_to_pool(connection: HttpConnection, return_to: &Sender<EndpointMessage>) {
-    // Sending fails if the endpoint's actor has ended; the connection is then closed.
-    let _ = return_to.send(EndpointMessage::ReturnConnection(connection)).await;
-}
--- a/src/net/endpoint/connection_end.rs
+++ b/src/net/endpoint/connection_end.rs
@@ -18,6 +18,8 @@
     StaleConnection,
     /// The connection failed after the request was written, with this error code.
     Reset(&'static str),
+    /// Several responses followed the request, and it cannot be told which belongs to the call.
+    ContradictoryResponses,
     /// The timeout expired after the request was written.
     TimedOut,
     /// The timeout expired before the request was written.
@@ -47,7 +49,8 @@
     pub fn outcome(self) -> Outcome {
         match self {
             CallFailure::ConnectFailed | CallFailure::TimedOutBeforeSent => Outcome::ConnectFailed,
-            CallFailure::StaleConnection => Outcome::StaleConnection,
+            // The connection is to blame, not the endpoint's health.
+            CallFailure::StaleConnection | CallFailure::ContradictoryResponses => Outcome::StaleConnection,
             CallFailure::Reset(_) => Outcome::Reset,
             CallFailure::TimedOut => Outcome::TimedOut,
             CallFailure::Cancelled => Outcome::Cancelled,
@@ -61,6 +64,7 @@
             CallFailure::ConnectFailed => "connect-failed",
             CallFailure::StaleConnection => "stale",
             CallFailure::Reset(code) => code,
+            CallFailure::ContradictoryResponses => "contradictory-responses",
             CallFailure::TimedOut => "cut",
             CallFailure::TimedOutBeforeSent => "cut-before-sent",
             CallFailure::Cancelled => "called-off",
@@ -82,6 +86,12 @@
     NotReusable(CloseReason),
     /// The connection cannot be reused after the response that was received.
     Response,
+    /// A stray response arrived on the connection.
+    StrayResponse,
+    /// The response may be a copy of an earlier one, and the message is sent again.
+    UnprovenResponse,
+    /// No connection to the endpoint is reused for a while after a stray response.
+    ReuseSuspended,
     /// The endpoint rejected the call since it has too many connections.
     ConnectionLimit,
     /// The call on the connection failed.
@@ -97,6 +107,9 @@
             ConnectionEnd::EndpointRemoved => "left",
             ConnectionEnd::NotReusable(reason) => reason.name(),
             ConnectionEnd::Response => "answered",
+            ConnectionEnd::StrayResponse => "stray-response",
+            ConnectionEnd::UnprovenResponse => "unproven-response",
+            ConnectionEnd::ReuseSuspended => "reuse-suspended",
             ConnectionEnd::ConnectionLimit => "crowded-out",
             ConnectionEnd::CallFailed(failure) => failure.name(),
         }
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -1,9 +1,12 @@
-//! The exchange of a call on its connection: connects, checks whether the call may still be sent, journals its
-//! attempts, writes the request and reads the response.
+//! The sending half of a call: takes or opens a connection, checks whether the call may still be sent, journals its
+//! attempts and writes the request.
 
+use super::connection::EndpointConnection;
+use super::received::ReceivedResponses;
 use super::request;
-use super::response::{parse_retry_after, Response, RESPONSE_STALL_TIMEOUT};
-use crate::invariants::{may_send, SendFacts, SendPermit, SendRefusal, Violation};
+use crate::invariants::{
+    may_send, Attribution, ResponseHistory, ResponseTimes, SendFacts, SendPermit, SendRefusal, Violation,
+};
 use crate::journal::AttemptStart;
 use crate::net::call::Call;
 use crate::net::dial::connect_within;
@@ -11,19 +14,16 @@
 use crate::net::Context;
 use crate::{EndpointId, Micros, ZoneId};
 use slog::info;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::time::Duration;
 
-/// The largest body of a response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-/// The longest pause in the body of a response whose status line has already confirmed the delivery.
-const DELIVERED_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(50);
-
-/// How a call to an endpoint ended: with a response, or why there is none.
+/// How a call to an endpoint ended.
 pub(super) enum CallEnd {
-    /// The complete response was received.
-    Response(Response),
+    /// It is known which response is the call's own.
+    Responded,
+    /// Responses arrived that contradict each other, and it cannot be told which is the call's own.
+    Contradictory,
     /// The check before the first byte refused to send the call.
     NotSent(SendRefusal),
     /// The connection could not be opened, or failed.
@@ -56,52 +56,103 @@
 
 /// What an exchange has done so far; it is read when the exchange is interrupted by a timeout, a failure or a
 /// cancellation.
-#[derive(Default)]
 pub(super) struct Progress {
     pub stage: Cell<Stage>,
+    /// Whether the request was written on a connection from the pool.
+    pub reused: Cell<bool>,
+    /// When the response to the call before was received on the connection, in microseconds of the monotonic clock;
+    /// `None` on a new connection.
+    pub previous_response_at: Cell<Option<Micros>>,
     /// When the request was written completely, in microseconds of the monotonic clock.
     pub written_at: Cell<Option<Micros>>,
-    /// The status code of the response; `None` until its head was read.
-    pub status: Cell<Option<u16>>,
-    /// The retry-after in the head of the response, in microseconds.
-    pub retry_after: Cell<Option<Micros>>,
+    /// The responses that arrived after the request.
+    pub received: RefCell<ReceivedResponses>,
+    /// Whether a stray response was found on the connection before the request.
+    pub found_stray: Cell<bool>,
+    /// Whether the delivery actor knows of the response that is probably the call's own.
+    pub is_announced: Cell<bool>,
+    times: ResponseTimes,
 }
 
-/// Makes a call on the connection in `connection_slot`, or on a new one that is put there.
-pub(super) async fn exchange(
+impl Progress {
+    /// A call that has not begun. `times` is how long its endpoint usually takes for a response.
+    pub fn new(times: ResponseTimes) -> Self {
+        Progress {
+            stage: Cell::default(),
+            reused: Cell::default(),
+            previous_response_at: Cell::default(),
+            written_at: Cell::default(),
+            received: ReceivedResponses::new(ResponseHistory::default(), times).into(),
+            found_stray: Cell::default(),
+            is_announced: Cell::default(),
+            times,
+        }
+    }
+
+    /// Adds a response whose head was read `now`, in microseconds of the monotonic clock.
+    pub fn add_head(&self, status: u16, retry_after: Option<Micros>, now: Micros) {
+        let elapsed = now.saturating_sub(self.written_at.get().unwrap_or(now));
+        self.received.borrow_mut().add_head(status, retry_after, elapsed);
+    }
+
+    /// Which of the responses is the call's own.
+    pub fn attribution(&self) -> Attribution {
+        self.received.borrow().attribution()
+    }
+
+    /// Whether the call's own response is known and complete.
+    pub fn has_complete_response(&self) -> bool {
+        self.received.borrow().own().is_some_and(|own| own.response.is_some())
+    }
+
+    /// When the doubt about the last response ends, in microseconds of the monotonic clock.
+    pub fn doubt_ends_at(&self, received_at: Micros) -> Micros {
+        self.times.doubt_ends_at(self.written_at.get().unwrap_or(received_at), received_at)
+    }
+
+    /// Records that the request is about to be written on this connection.
+    fn begin_writing(&self, connection: &EndpointConnection, reused: bool) {
+        self.stage.set(Stage::Writing);
+        self.reused.set(reused);
+        self.previous_response_at.set(connection.last_response_at);
+        self.received.replace(ReceivedResponses::new(connection.history.clone(), self.times));
+    }
+}
+
+/// Writes the request of a call on the connection in `connection_slot`, or on a new one that is put there.
+pub(super) async fn send<'c>(
     context: &Context,
     call: &Call,
-    connection_slot: &mut Option<HttpConnection>,
+    connection_slot: &'c mut Option<EndpointConnection>,
     progress: &Progress,
-) -> Result<Response, CallEnd> {
+) -> Result<&'c mut EndpointConnection, CallEnd> {
+    let reused = connection_slot.is_some();
     let connection = match connection_slot {
         Some(idle) => idle,
         None => connection_slot.insert(connect(context, call.endpoint).await?),
     };
-    connection.stall_timeout = Some(RESPONSE_STALL_TIMEOUT);
     context.endpoint_list.until_calls_allowed().await;
     context.stall_detector.until_calls_allowed(&context.clock).await;
     check_sendable(context, call, progress)?;
-    let zone = context.endpoint_table.get(call.endpoint).map(|state| state.zone);
-    journal_attempts(context, call, zone, progress)?;
+    journal_attempts(context, call, progress)?;
     // Checked again, because the facts may have changed while the attempts were written to the journal.
     let permit = check_sendable(context, call, progress)?;
-    progress.stage.set(Stage::Writing);
-    record_first_byte(context, call, zone.unwrap_or_default());
+    progress.begin_writing(connection, reused);
+    record_first_byte(context, call);
     let bytes = request::format(call, context.clock.now());
-    write_request(connection, permit, &bytes).await.map_err(HttpError::Socket)?;
+    write_request(&mut connection.http, permit, &bytes).await.map_err(HttpError::Socket)?;
     progress.stage.set(Stage::Written);
     progress.written_at.set(Some(context.clock.now()));
-    read_response(connection, call, progress).await
+    Ok(connection)
 }
 
-async fn connect(context: &Context, endpoint: EndpointId) -> Result<HttpConnection, HttpError> {
+async fn connect(context: &Context, endpoint: EndpointId) -> Result<EndpointConnection, HttpError> {
     let Some(state) = context.endpoint_table.get(endpoint) else {
         return Err(HttpError::Malformed("unknown endpoint"));
     };
     context.counters.connections_opened.increment();
     let timeout = Duration::from_micros(context.config().dial_timeout);
-    Ok(HttpConnection::new(connect_within(state.address, timeout).await?))
+    Ok(EndpointConnection::new(HttpConnection::new(connect_within(state.address, timeout).await?)))
 }
 
 /// Checks whether the first byte may be written now. A refusal is counted and logged.
@@ -119,13 +170,9 @@
     may_send(&facts).map_err(|refusal| not_sent(context, call, progress, refusal))
 }
 
-fn journal_attempts(
-    context: &Context,
-    call: &Call,
-    zone: Option<ZoneId>,
-    progress: &Progress,
-) -> Result<(), CallEnd> {
-    let zone_name = zone.map(|zone| context.config().names.zones[zone.0].clone()).unwrap_or_default();
+fn journal_attempts(context: &Context, call: &Call, progress: &Progress) -> Result<(), CallEnd> {
+    let zone_name =
+        zone_of(context, call).map(|zone| context.config().names.zones[zone.0].clone()).unwrap_or_default();
     for attempt in &call.attempts {
         let start = AttemptStart { started_at: call.decided_at, zone: zone_name.clone() };
         if context.journal.record_attempt(attempt.message.id, attempt.number, start).is_err() {
@@ -135,6 +182,11 @@
     Ok(())
 }
 
+/// The zone of the call's endpoint; `None` if the endpoint list no longer contains it.
+fn zone_of(context: &Context, call: &Call) -> Option<ZoneId> {
+    context.endpoint_table.get(call.endpoint).map(|state| state.zone)
+}
+
 /// Counts and logs a call that must not be sent.
 fn not_sent(context: &Context, call: &Call, progress: &Progress, refusal: SendRefusal) -> CallEnd {
     for attempt in &call.attempts {
@@ -147,7 +199,8 @@
 }
 
 /// Counts and logs a call whose first byte is about to be written, and counts and logs each invariant that it violates.
-fn record_first_byte(context: &Context, call: &Call, zone: ZoneId) {
+fn record_first_byte(context: &Context, call: &Call) {
+    let zone = zone_of(context, call).unwrap_or_default();
     let now = context.clock.now();
     let table = &context.endpoint_table;
     let facts = table.endpoint_facts(call.endpoint);
@@ -176,20 +229,3 @@
 async fn write_request(connection: &mut HttpConnection, _permit: SendPermit, bytes: &[u8]) -> io::Result<()> {
     connection.write(bytes).await
 }
-
-async fn read_response(
-    connection: &mut HttpConnection,
-    call: &Call,
-    progress: &Progress,
-) -> Result<Response, CallEnd> {
-    let head = connection.read_response().await?;
-    progress.status.set(Some(head.status));
-    // The retry-after must be honored even if the body cannot be read.
-    progress.retry_after.set(parse_retry_after(&head));
-    if head.status == 200 && call.attempts.len() == 1 {
-        // The message is delivered. The body only decides whether the connection can be reused.
-        connection.stall_timeout = Some(DELIVERED_BODY_STALL_TIMEOUT);
-    }
-    let body = connection.response_body(&head, MAX_RESPONSE_BYTES).await?;
-    Ok(Response { head, body })
-}
--- a/src/net/endpoint/mod.rs
+++ b/src/net/endpoint/mod.rs
@@ -2,10 +2,13 @@
 
 mod actor;
 mod call;
+mod confirmation;
+pub mod connection;
 pub mod connection_end;
 mod exchange;
 mod late_response;
 mod pool;
+mod received;
 mod request;
 pub mod response;
 pub mod table;
--- a/src/net/endpoint/pool.rs
+++ b/src/net/endpoint/pool.rs
@@ -1,22 +1,32 @@
 //! The pool of idle connections to an endpoint.
 
+use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
 use crate::invariants::connection::reusable_until;
 use crate::invariants::{may_reuse, IdleFacts};
-use crate::net::http::HttpConnection;
+use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::Context;
 use crate::{EndpointId, Micros};
 use async_io::Timer;
 use futures_lite::future;
+use slog::warn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::{self, Poll, Waker};
+use std::task::Poll;
+
+/// A connection that has been idle for this long, in microseconds, is preferred: a copy of its last response that is
+/// late by itself has then probably arrived.
+const PREFERRED_IDLE_TIME: Micros = 50_000;
+/// How long no connection to an endpoint is reused after a stray response, in microseconds.
+const REUSE_SUSPENSION: Micros = 60_000_000;
 
 /// An idle connection in the pool.
 struct IdleConnection {
-    connection: HttpConnection,
+    connection: EndpointConnection,
     /// The remote address, to detect that the endpoint has moved.
     address: Option<SocketAddr>,
+    /// Since when it is idle, in microseconds of the monotonic clock.
+    idle_since: Micros,
     /// The connection is not reused after this time, in microseconds of the monotonic clock, since the endpoint may
     /// close it soon after.
     reusable_until: Micros,
@@ -27,62 +37,118 @@
     context: Rc<Context>,
     endpoint: EndpointId,
     idle: Vec<IdleConnection>,
+    /// When the delivery policy last asked to close the idle connections, in microseconds of the monotonic clock.
+    closed_at: Micros,
+    /// Before this time connections are closed instead of reused, in microseconds of the monotonic clock.
+    reuse_suspended_until: Micros,
 }
 
 impl Pool {
     /// Creates an empty pool.
     pub fn new(context: Rc<Context>, endpoint: EndpointId) -> Self {
-        Pool { context, endpoint, idle: Vec::new() }
+        Pool { context, endpoint, idle: Vec::new(), closed_at: 0, reuse_suspended_until: 0 }
     }
 
-    /// Keeps a connection for the next call, or closes it if the process has the maximum number of idle connections.
-    pub fn put(&mut self, connection: HttpConnection) {
+    /// Keeps a connection for the next call. It is closed if the process has the maximum number of idle connections, if
+    /// reuse is suspended, or if the idle connections were closed since its last response.
+    pub fn put(&mut self, connection: EndpointConnection) {
+        let now = self.context.clock.now();
+        let idle_since = connection.last_response_at.unwrap_or(now);
         let idle_connections = &self.context.gauges.idle_endpoint_connections;
+        if now < self.reuse_suspended_until {
+            return self.log_closed(ConnectionEnd::ReuseSuspended);
+        }
+        if idle_since < self.closed_at {
+            return self.log_closed(ConnectionEnd::CloseIdle);
+        }
         if idle_connections.get() >= self.context.config().max_idle_connections() {
             return self.log_closed(ConnectionEnd::PoolFull);
         }
         idle_connections.increment();
         let timeout = self.context.config().endpoint_idle_timeout;
-        let reusable_until = reusable_until(self.context.clock.now(), timeout);
-        let address = connection.peer_address();
-        self.idle.push(IdleConnection { connection, address, reusable_until });
+        let reusable_until = reusable_until(idle_since, timeout);
+        let address = connection.http.peer_address();
+        self.idle.push(IdleConnection { connection, address, idle_since, reusable_until });
     }
 
-    /// Takes the most recently used connection, so that the others can reach their idle timeout.
-    pub fn take_most_recent(&mut self) -> Option<HttpConnection> {
+    /// Takes the most recently used connection, so that the others can reach their idle timeout, but rather one that has
+    /// been idle for [`PREFERRED_IDLE_TIME`]. A call that `may_not_repeat` takes none that has carried a refusal: a copy
+    /// of it would be read as proof that the call never ran.
+    pub fn take(&mut self, may_not_repeat: bool) -> Option<EndpointConnection> {
         self.close_unusable();
-        let last = self.idle.len().checked_sub(1)?;
-        Some(self.remove(last))
+        let preferred_before = self.context.clock.now().saturating_sub(PREFERRED_IDLE_TIME);
+        let is_eligible = |idle: &IdleConnection| !(may_not_repeat && idle.connection.history.has_refusal());
+        let is_preferred = |idle: &IdleConnection| is_eligible(idle) && idle.idle_since <= preferred_before;
+        let index =
+            self.idle.iter().rposition(is_preferred).or_else(|| self.idle.iter().rposition(is_eligible))?;
+        Some(self.remove(index))
     }
 
-    /// Closes all connections, each logged with this reason.
+    /// Closes all connections at the request of the delivery policy or as the endpoint is removed, each logged with this
+    /// reason.
     pub fn close_all(&mut self, reason: ConnectionEnd) {
+        self.closed_at = self.context.clock.now();
         while !self.idle.is_empty() {
             drop(self.remove(0));
             self.log_closed(reason);
         }
     }
 
+    /// Closes all connections and reuses none for a while, after a stray response of the endpoint.
+    pub fn suspend_reuse(&mut self) {
+        let now = self.context.clock.now();
+        if now >= self.reuse_suspended_until {
+            warn!(self.context.log, "reuse of connections suspended"; "endpoint" => self.endpoint.0,
+                "seconds" => REUSE_SUSPENSION / 1_000_000);
+        }
+        self.reuse_suspended_until = now + REUSE_SUSPENSION;
+        while !self.idle.is_empty() {
+            drop(self.remove(0));
+            self.log_closed(ConnectionEnd::ReuseSuspended);
+        }
+    }
+
     /// Closes the connections that reached the idle timeout, that lead to a former address of the endpoint, or that
     /// the endpoint has closed or written to. A call written to a closed connection would count as one that may have
     /// run.
     pub fn close_unusable(&mut self) {
         let now = self.context.clock.now();
         let address = self.context.endpoint_table.get(self.endpoint).map(|state| state.address);
-        let mut task = task::Context::from_waker(Waker::noop());
+        let mut found_stray = false;
         for index in (0..self.idle.len()).rev() {
             let idle = &mut self.idle[index];
             let facts = IdleFacts {
                 now,
                 reusable_until: idle.reusable_until,
                 address_is_current: idle.address == address,
-                peer_activity: idle.connection.poll_idle_end(&mut task),
+                peer_activity: idle.connection.idle_end(),
             };
             if let Err(reason) = may_reuse(&facts) {
-                drop(self.remove(index));
+                let connection = self.remove(index);
+                if self.record_unread_response(&connection) {
+                    found_stray = true;
+                    self.context.counters.connections_given_up.increment();
+                }
+                drop(connection);
                 self.log_closed(ConnectionEnd::NotReusable(reason));
             }
         }
+        if found_stray {
+            self.suspend_reuse();
+        }
+    }
+
+    /// Records a response that was received on an idle connection. Returns whether there was one.
+    fn record_unread_response(&self, connection: &EndpointConnection) -> bool {
+        let stray = StrayResponse {
+            endpoint: Some(self.endpoint),
+            place: StrayPlace::Idle,
+            status: connection.unread_status(),
+            received_at: self.context.clock.now(),
+            previous_response_at: connection.last_response_at,
+            request_written_at: None,
+        };
+        stray.record_if_response(&self.context)
     }
 
     /// Returns once a connection reaches its idle timeout, or the endpoint closes or writes to it.
@@ -96,7 +162,7 @@
         };
         let idle = &mut self.idle;
         let idle_end = future::poll_fn(|task| {
-            match idle.iter_mut().any(|idle| idle.connection.poll_idle_end(task).is_some()) {
+            match idle.iter_mut().any(|idle| idle.connection.http.poll_idle_end(task).is_some()) {
                 true => Poll::Ready(()),
                 false => Poll::Pending,
             }
@@ -104,7 +170,7 @@
         future::or(timed_out, idle_end).await;
     }
 
-    fn remove(&mut self, index: usize) -> HttpConnection {
+    fn remove(&mut self, index: usize) -> EndpointConnection {
         self.context.gauges.idle_endpoint_connections.decrement();
         self.idle.remove(index).connection
     }
--- a/src/net/endpoint/response.rs
+++ b/src/net/endpoint/response.rs
@@ -1,7 +1,7 @@
 //! Reads an endpoint's response: the result of each attempt, the load report and the retry-after.
 
 use crate::net::call::{AttemptResult, Call, CallResult};
-use crate::net::http::{HttpConnection, ResponseHead};
+use crate::net::http::ResponseHead;
 use crate::{LoadReport, Micros, Outcome};
 use slog::{warn, Logger};
 use std::ops::RangeInclusive;
@@ -11,6 +11,9 @@
 /// until its timeout, and its connection cannot be reused.
 pub(super) const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The largest body of a response, in bytes.
+pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// The highest rate limit that a load report may contain, in calls per second. No endpoint accepts more, so a higher
 /// one is an error of the endpoint.
 const MAX_RATE_PER_S: f64 = 1e6;
@@ -30,15 +33,6 @@
     wait_ms.map(|wait_ms| (wait_ms.min(MAX_RETRY_AFTER_MS) * 1000.0) as Micros)
 }
 
-/// Whether the unread bytes of a connection start with a complete status line with code 200, for a response whose
-/// head is malformed or incomplete.
-pub(super) fn starts_with_ok(connection: &HttpConnection) -> bool {
-    let mut lines = connection.buffer.bytes().split_inclusive(|byte| *byte == b'\n');
-    let status_line = lines.next().and_then(|line| line.strip_suffix(b"\n")).unwrap_or_default();
-    let mut words = status_line.trim_ascii_end().split(|byte| *byte == b' ');
-    matches!(words.next(), Some(b"HTTP/1.1" | b"HTTP/1.0")) && words.next() == Some(b"200")
-}
-
 /// Reads the result of each attempt of a call from its response. `reused`: the call was sent on a reused connection.
 pub(super) fn read_result(
     log: &Logger,
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -102,9 +102,11 @@
                 }
                 sent
             }
+            // The result of a call that was answered is forwarded once the call is complete.
             // The successor has its own endpoint list and settings, serves its own status, and replies soon even without
             // a notice that a client has stopped sending.
-            DeliveryMessage::ListLine(_)
+            DeliveryMessage::CallAnswered(_)
+            | DeliveryMessage::ListLine(_)
             | DeliveryMessage::ClientHalfClosed { .. }
             | DeliveryMessage::EndpointList(_)
             | DeliveryMessage::Settings(_)
--- a/src/net/http/connection.rs
+++ b/src/net/http/connection.rs
@@ -152,6 +152,14 @@
         future::or(received, expired).await
     }
 
+    /// Returns once bytes were received that are not consumed, or the connection has ended or failed.
+    pub async fn until_received(&mut self) {
+        if self.buffer.bytes().is_empty() {
+            // An error comes again with the next read.
+            let _ = self.fill().await;
+        }
+    }
+
     /// Receives and discards data until the connection ends.
     pub async fn discard_until_end(&mut self) {
         let mut discarded = vec![0; DISCARD_BUFFER_BYTES];
--- a/src/net/http/head.rs
+++ b/src/net/http/head.rs
@@ -178,6 +178,16 @@
     Ok(Some(Parsed { head, length }))
 }
 
+/// The code in the status line at the beginning of these bytes; `None` if there is no complete and valid one.
+pub fn status_line_code(bytes: &[u8]) -> Option<u16> {
+    let end = bytes.iter().position(|byte| *byte == b'\n')?;
+    let mut words = bytes[..end].trim_ascii_end().split(|byte| *byte == b' ');
+    let version = words.next()?;
+    let code = std::str::from_utf8(words.next()?).ok()?;
+    let is_code = code.len() == 3 && matches!(version, b"HTTP/1.1" | b"HTTP/1.0");
+    is_code.then(|| code.parse().ok()).flatten()
+}
+
 impl HttpConnection {
     /// Reads the head of a request.
     ///
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -12,4 +12,4 @@
 pub use connection::{write_all, HttpConnection};
 pub use error::HttpError;
 pub use frame::{encode_frame, Frame};
-pub use head::{Headers, RequestHead, ResponseHead, MAX_HEAD_BYTES};
+pub use head::{status_line_code, Headers, RequestHead, ResponseHead, MAX_HEAD_BYTES};
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -1,6 +1,7 @@
 //! The messages that the actors send each other. This module does not depend on any actor.
 
 use super::call::{Call, CallCompletion};
+use super::endpoint::connection::EndpointConnection;
 use super::http::{HttpConnection, HttpError};
 use super::in_flight::Request;
 use crate::journal::ReportedEnd;
@@ -34,6 +35,9 @@
     EndpointList(EndpointListUpdate),
     /// The settings that replace the previous ones.
     Settings(Box<Settings>),
+    /// A call that this process made was answered, but it is in doubt whether the response is its own. Its completion
+    /// follows once the doubt has ended, possibly with another result.
+    CallAnswered(CallCompletion),
     /// A call that this process or its predecessor made is complete.
     CallCompleted(CallCompletion),
     /// A successor asks to take over.
@@ -172,8 +176,18 @@
     Call(Call),
     /// Asks to close the idle connections.
     CloseIdle,
-    /// A call is complete and its connection can be reused.
-    ReturnConnection(HttpConnection),
+    /// A call has ended.
+    CallEnded(EndedCallReport),
+}
+
+/// What a call reports to the actor of its endpoint.
+pub struct EndedCallReport {
+    /// The call's connection, if it can be reused.
+    pub connection: Option<EndpointConnection>,
+    /// The time that the endpoint took for a successful response, in microseconds; `None` if there was none.
+    pub response_time: Option<Micros>,
+    /// Whether a stray response arrived on the call's connection.
+    pub found_stray: bool,
 }
 
 /// A delivery report to the platform: how an accepted message ended that was not delivered.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 pub mod route_stats;
 pub mod runtime;
 pub mod storage;
+pub mod stray_response;
 
 pub use context::Context;
 pub use runtime::deadline::{run_blocking, within, within_or_error};
--- a/src/policy/connection_reuse.rs
+++ b/src/policy/connection_reuse.rs
@@ -88,7 +88,7 @@
     /// Returns whether a new call will use a reused connection, or `None` if that is unknown because other
     /// calls to the endpoint are in flight. Closes the idle connections first if they are probably stale.
     pub(super) fn prepare_connection(&mut self, id: EndpointId) -> Option<bool> {
-        if self.calls.values().any(|c| c.endpoint == id) {
+        if self.calls.values().chain(self.answered_calls.values()).any(|c| c.endpoint == id) {
             return None;
         }
         let has_idle = self.endpoints[&id].has_idle_connection;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -58,6 +58,10 @@
     messages: BTreeMap<MessageId, Message>,
     /// The calls in flight, by call number.
     calls: BTreeMap<u64, Call>,
+    /// The calls that were answered by a response that may be a copy of an earlier one, by call number. They
+    /// occupy no slot; the attempts of their messages are in flight.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    answered_calls: BTreeMap<u64, Call>,
     #[serde(rename = "lines")]
     order_keys: BTreeMap<OrderKey, KeyQueue>,
     /// The quota of each tenant, indexed by [`TenantId`].
@@ -206,6 +210,20 @@
                 };
                 self.on_attempt_ended(now, result);
             }
+            Event::CallAnswered { id, attempt, endpoint, outcome, elapsed, report } => {
+                self.observe_load_report(*endpoint, *report);
+                if let Outcome::Rejected(Some(retry_after)) = outcome {
+                    self.observe_retry_after(now, *endpoint, *retry_after);
+                }
+                let result = AttemptResult {
+                    id: *id,
+                    attempt: *attempt,
+                    outcome: *outcome,
+                    elapsed: *elapsed,
+                    completes_message: false,
+                };
+                self.on_call_answered(now, &result);
+            }
             Event::RetryAfter { endpoint, retry_after } => {
                 self.observe_retry_after(now, *endpoint, *retry_after);
             }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -4,7 +4,7 @@
 use super::admission::FinishedCall;
 use super::constants::*;
 use super::may_still_run;
-use super::records::{get_or_create_destination, KeyQueue, Message, PossibleEffect};
+use super::records::{get_or_create_destination, Call, KeyQueue, Message, PossibleEffect};
 use super::DeliveryPolicy;
 use crate::api::*;
 use crate::routes::RouteTiming;
@@ -28,6 +28,22 @@
     endpoint: Option<EndpointId>,
 }
 
+/// The facts about a call that its outcome is applied with.
+struct CallFacts {
+    sent_at: Micros,
+    endpoint: EndpointId,
+    destination: DestinationId,
+    is_trial: bool,
+    connection_reused: Option<bool>,
+}
+
+impl From<&Call> for CallFacts {
+    fn from(call: &Call) -> Self {
+        let Call { sent_at, endpoint, destination, is_trial, connection_reused, .. } = *call;
+        CallFacts { sent_at, endpoint, destination, is_trial, connection_reused }
+    }
+}
+
 impl DeliveryPolicy {
     /// The timing that the route of a message sets for its attempts.
     pub(super) fn timing(&self, message: &Message) -> RouteTiming {
@@ -134,6 +150,22 @@
         }
     }
 
+    /// Handles a response that may be a copy of an earlier one: frees the slot of the call and applies its
+    /// outcome to the endpoint. The attempts of the call stay in flight.
+    pub(super) fn on_call_answered(&mut self, now: Micros, result: &AttemptResult) {
+        let Some(message) = self.messages.get(&result.id) else { return };
+        let Some(in_flight) = message.in_flight.filter(|a| a.attempt == result.attempt) else { return };
+        let class = message.class;
+        let Some(mut call) = self.calls.remove(&in_flight.call) else { return };
+        let is_first = !std::mem::replace(&mut call.outcome_recorded, true);
+        let facts = CallFacts::from(&call);
+        self.answered_calls.insert(in_flight.call, call);
+        self.observe_removed_endpoint(now, &facts, result.outcome);
+        if is_first {
+            self.record_call_outcome(now, &facts, class, result);
+        }
+    }
+
     /// Removes an attempt from its call. The outcome of the first attempt that ends counts as that of the
     /// call.
     fn finish_call_attempt(
@@ -143,33 +175,43 @@
         class: ClassId,
         result: &AttemptResult,
     ) -> SentAttempt {
-        let Some(call) = self.calls.get_mut(&number) else {
+        let calls = if self.calls.contains_key(&number) { &mut self.calls } else { &mut self.answered_calls };
+        let Some(call) = calls.get_mut(&number) else {
             return SentAttempt { sent_at: now, endpoint: None };
         };
         call.attempts.retain(|a| a.id != result.id);
         let is_first = !std::mem::replace(&mut call.outcome_recorded, true);
-        let (endpoint, destination, reused) = (call.endpoint, call.destination, call.connection_reused);
-        let outcome = result.outcome;
-        let finished = FinishedCall {
-            sent_at: call.sent_at,
-            elapsed_us: result.elapsed as f64,
-            is_trial: call.is_trial,
-            outcome,
-        };
+        let facts = CallFacts::from(&*call);
         if call.attempts.is_empty() {
-            self.calls.remove(&number);
+            calls.remove(&number);
+        }
+        self.observe_removed_endpoint(now, &facts, result.outcome);
+        if is_first {
+            self.record_call_outcome(now, &facts, class, result);
         }
+        SentAttempt { sent_at: facts.sent_at, endpoint: Some(facts.endpoint) }
+    }
+
+    /// Obeys a retry-after of an endpoint that has been removed.
+    fn observe_removed_endpoint(&mut self, now: Micros, call: &CallFacts, outcome: Outcome) {
         if let Outcome::Rejected(Some(retry_after)) = outcome {
-            if !self.endpoints.contains_key(&endpoint) {
-                self.observe_retry_after_of_removed_endpoint(now, destination, retry_after);
+            if !self.endpoints.contains_key(&call.endpoint) {
+                self.observe_retry_after_of_removed_endpoint(now, call.destination, retry_after);
             }
         }
-        if is_first {
-            self.record_class_duration(class, endpoint, outcome, result.elapsed);
-            self.record_outcome(now, endpoint, &finished);
-            self.record_connection(endpoint, outcome, reused);
-        }
-        SentAttempt { sent_at: finished.sent_at, endpoint: Some(endpoint) }
+    }
+
+    /// Applies the outcome of a call to its endpoint.
+    fn record_call_outcome(&mut self, now: Micros, call: &CallFacts, class: ClassId, result: &AttemptResult) {
+        let finished = FinishedCall {
+            sent_at: call.sent_at,
+            elapsed_us: result.elapsed as f64,
+            is_trial: call.is_trial,
+            outcome: result.outcome,
+        };
+        self.record_class_duration(class, call.endpoint, result.outcome, result.elapsed);
+        self.record_outcome(now, call.endpoint, &finished);
+        self.record_connection(call.endpoint, result.outcome, call.connection_reused);
     }
 
     /// Records the first attempt that may have taken effect, and pauses the message's order key if the
