Look at a reused connection once more just before the first byte of a call

A copy that arrived meanwhile was read as the response to the call, and a close as its failure. The connection is now checked after the last permit, with nothing awaited before the write; one with bytes or an end on it is given up, and the call goes out on a new one, after all checks again.

--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -2,15 +2,18 @@
 //! attempts and writes the request.
 
 use super::connection::EndpointConnection;
+use super::connection_end::ConnectionEnd;
 use super::received::ReceivedResponses;
 use super::request;
 use crate::invariants::{
-    may_send, Attribution, ResponseHistory, ResponseTimes, SendFacts, SendPermit, SendRefusal, Violation,
+    may_send, Attribution, CloseReason, ResponseHistory, ResponseTimes, SendFacts, SendPermit, SendRefusal,
+    Violation,
 };
 use crate::journal::AttemptStart;
 use crate::net::call::Call;
 use crate::net::dial::connect_within;
 use crate::net::http::{HttpConnection, HttpError};
+use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::Context;
 use crate::{EndpointId, Micros, ZoneId};
 use slog::info;
@@ -126,17 +129,30 @@
     connection_slot: &'c mut Option<EndpointConnection>,
     progress: &Progress,
 ) -> Result<&'c mut EndpointConnection, CallEnd> {
-    let reused = connection_slot.is_some();
-    let connection = match connection_slot {
-        Some(idle) => idle,
-        None => connection_slot.insert(connect(context, call.endpoint).await?),
+    let mut reused = connection_slot.is_some();
+    let mut is_journaled = false;
+    let permit = loop {
+        if connection_slot.is_none() {
+            reused = false;
+            connection_slot.replace(connect(context, call.endpoint).await?);
+        }
+        context.endpoint_list.until_calls_allowed().await;
+        context.stall_detector.until_calls_allowed(&context.clock).await;
+        check_sendable(context, call, progress)?;
+        if !is_journaled {
+            journal_attempts(context, call, progress)?;
+            is_journaled = true;
+        }
+        // Checked again, because the facts may have changed while the attempts were written to the journal.
+        let permit = check_sendable(context, call, progress)?;
+        // Nothing was sent on a new connection, so whatever happens to it is the outcome of this call.
+        match connection_slot.take_if(|connection| reused && !is_usable(context, call, connection, progress))
+        {
+            None => break permit,
+            Some(_) => continue,
+        }
     };
-    context.endpoint_list.until_calls_allowed().await;
-    context.stall_detector.until_calls_allowed(&context.clock).await;
-    check_sendable(context, call, progress)?;
-    journal_attempts(context, call, progress)?;
-    // Checked again, because the facts may have changed while the attempts were written to the journal.
-    let permit = check_sendable(context, call, progress)?;
+    let connection = connection_slot.as_mut().expect("the loop ends with a connection");
     progress.begin_writing(connection, reused);
     record_first_byte(context, call);
     let bytes = request::format(call, context.clock.now());
@@ -146,6 +162,31 @@
     Ok(connection)
 }
 
+/// Whether the request may be written on a connection. One that the endpoint has closed or written to since it was taken
+/// from the pool is given up: what is on it would be read as the response to this call.
+fn is_usable(
+    context: &Context,
+    call: &Call,
+    connection: &mut EndpointConnection,
+    progress: &Progress,
+) -> bool {
+    let Some(idle_end) = connection.idle_end() else { return true };
+    let stray = StrayResponse {
+        endpoint: Some(call.endpoint),
+        place: StrayPlace::BeforeRequest,
+        status: connection.unread_status(),
+        received_at: context.clock.now(),
+        previous_response_at: connection.last_response_at,
+        request_written_at: None,
+    };
+    if stray.record_if_response(context) {
+        progress.found_stray.set(true);
+        context.counters.connections_given_up.increment();
+    }
+    ConnectionEnd::NotReusable(CloseReason::PeerActivity(idle_end)).log(&context.log, call.endpoint);
+    false
+}
+
 async fn connect(context: &Context, endpoint: EndpointId) -> Result<EndpointConnection, HttpError> {
     let Some(state) = context.endpoint_table.get(endpoint) else {
         return Err(HttpError::Malformed("unknown endpoint"));
