Send each request with delivery reports on a connection of its own

A 204 names no report, so on a reused connection nothing proves it; on a new one the first response is the request's own. Requests are few (up to 100 reports each) and the platform's agent is local.

--- a/src/net/platform/delivery_reports.rs
+++ b/src/net/platform/delivery_reports.rs
@@ -1,9 +1,10 @@
 //! Reports to the platform the accepted messages that were not delivered, each as failed or returned.
 
-use super::report_post::{post, LatePosts, LateResponse, PlatformConnection, PostResponse};
+use super::report_post::{post, LatePosts, LateResponse, PostResponse};
 use crate::journal::ReportedEnd;
 use crate::net::http::HttpError;
 use crate::net::messages::DeliveryReport;
+use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::{within, Context};
 use crate::MessageId;
 use async_channel::{Receiver, RecvError};
@@ -64,8 +65,6 @@
     withheld: Vec<DeliveryReport>,
     /// Reports that are to be sent, or have been sent without a confirmation.
     pending: VecDeque<DeliveryReport>,
-    /// A connection that can be reused; `None` if there is none, or while a request is in flight.
-    connection: Option<PlatformConnection>,
     /// The most reports in the next request: [`MAX_BATCH`], or 1 after a rejection until a report is confirmed.
     batch_limit: usize,
     /// The pause after the next attempt without a response.
@@ -91,7 +90,6 @@
             mailbox,
             withheld: Vec::new(),
             pending: VecDeque::new(),
-            connection: None,
             batch_limit: MAX_BATCH,
             silent_pause: RETRY_PAUSE,
             late: LatePosts::new(),
@@ -173,12 +171,7 @@
         let ids: Vec<MessageId> = batch.clone().map(|report| report.id).collect();
         let body: String = batch.map(|report| report.line() + "\n").collect();
         // A reload may have moved the platform, so the address is read for each attempt.
-        let address = self.context.config().agent_address;
-        if self.connection.take_if(|reusable| reusable.address != address).is_some() {
-            info!(self.context.log, "connection ended"; "side" => "delivery-reports", "reason" => "moved");
-        }
-        let reusable = self.connection.take().map(|reusable| reusable.connection);
-        let mut pending_post = post(address, reusable, body);
+        let mut pending_post = post(self.context.config().agent_address, body);
         match within(RESPONSE_TIMEOUT, pending_post.as_mut()).await {
             Some(Ok(response)) => self.handle_response(&ids, response),
             Some(Err(error)) => {
@@ -208,8 +201,8 @@
     /// Handles the response for the first reports in the queue. Returns the pause before the next attempt, or `None` if they
     /// were confirmed.
     fn handle_response(&mut self, ids: &[MessageId], response: PostResponse) -> Option<Duration> {
-        let PostResponse { status, connection } = response;
-        self.connection = connection;
+        let PostResponse { status, .. } = response;
+        self.record_stray(&response);
         if status == 204 {
             self.confirm(ids);
             return None;
@@ -224,11 +217,24 @@
         Some(RETRY_PAUSE)
     }
 
+    /// Records a response that came behind the one to the request, and answers none.
+    fn record_stray(&self, response: &PostResponse) {
+        let stray = StrayResponse {
+            endpoint: None,
+            place: StrayPlace::DeliveryReports,
+            status: response.stray_status,
+            received_at: self.context.clock.now(),
+            previous_response_at: None,
+            request_written_at: None,
+        };
+        stray.record_if_response(&self.context);
+    }
+
     /// Handles the outcome of a request whose response was late. Anything but a confirmation is ignored, as the reports have
     /// been sent again meanwhile.
     fn handle_late(&mut self, late: LateResponse) {
-        let Some(PostResponse { status: 204, connection }) = late.response else { return };
-        self.connection = self.connection.take().or(connection);
+        let Some(response) = late.response.filter(|response| response.status == 204) else { return };
+        self.record_stray(&response);
         self.confirm(&late.ids);
     }
 
--- a/src/net/platform/report_post.rs
+++ b/src/net/platform/report_post.rs
@@ -1,7 +1,8 @@
-//! Sends delivery reports to the platform in one request, and waits in the background for responses that are late.
+//! Sends delivery reports to the platform in one request, and waits in the background for responses that are late. Each
+//! request has a connection of its own: on a reused one, a copy of an earlier confirmation could be taken for its response.
 
 use crate::net::dial::connect_within;
-use crate::net::http::{HttpConnection, HttpError};
+use crate::net::http::{status_line_code, HttpConnection, HttpError};
 use crate::net::within_or_error;
 use crate::MessageId;
 use async_channel::{Receiver, Sender};
@@ -20,37 +21,28 @@
 /// The largest response body that is read.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// A reusable connection to the platform.
-pub(super) struct PlatformConnection {
-    pub address: SocketAddr,
-    pub connection: HttpConnection,
-}
-
 /// The platform's response to a request with delivery reports.
 pub(super) struct PostResponse {
     /// The HTTP status.
     pub status: u16,
-    /// The connection, if it can be reused.
-    pub connection: Option<PlatformConnection>,
+    /// The status of a further response that came with it and answers no request.
+    pub stray_status: Option<u16>,
 }
 
 /// A request in flight.
 pub(super) type PendingPost = Pin<Box<dyn Future<Output = Result<PostResponse, HttpError>>>>;
 
-/// Sends reports to an address and receives the response. Opens a connection if none is given.
-pub(super) fn post(address: SocketAddr, reusable: Option<HttpConnection>, body: String) -> PendingPost {
+/// Sends reports to an address on a new connection and receives the response.
+pub(super) fn post(address: SocketAddr, body: String) -> PendingPost {
     Box::pin(async move {
-        let mut connection = match reusable {
-            Some(reusable) => reusable,
-            None => HttpConnection::new(connect_within(address, CONNECT_TIMEOUT).await?),
-        };
+        let mut connection = HttpConnection::new(connect_within(address, CONNECT_TIMEOUT).await?);
         let head = format!("POST /reports HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
         let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
         connection.write(request.as_bytes()).await?;
         let response = connection.read_response().await?;
         connection.response_body(&response, MAX_RESPONSE_BYTES).await?;
-        let connection = response.keep_alive.then_some(PlatformConnection { address, connection });
-        Ok(PostResponse { status: response.status, connection })
+        let stray_status = status_line_code(connection.buffer.bytes());
+        Ok(PostResponse { status: response.status, stray_status })
     })
 }
 
