Send each request to the registry on a connection of its own

Found by reading the related paths: after a copied response every later poll on the connection would have read the response to the poll before, a delta for the complete registry among them, and a renewal another's status. Polls are seconds apart, so a connection each costs nothing, and the retry for a closed reused connection goes.

--- a/src/net/platform/eureka/client.rs
+++ b/src/net/platform/eureka/client.rs
@@ -34,12 +34,12 @@
     Malformed(#[from] DecodeError),
 }
 
-/// The client of one registry address, which keeps a reusable connection.
+/// The client of one registry address. Each request has a connection of its own: on a reused one, a copy of an earlier
+/// response could be taken for its response, and a delta for the complete registry.
 pub struct RegistryClient {
     address: RegistryAddress,
     timeout: Duration,
     max_body_bytes: usize,
-    connection: Option<HttpConnection>,
 }
 
 /// A response of the registry.
@@ -53,60 +53,37 @@
 impl RegistryClient {
     /// Creates a client for an address, with a time limit for each request and a size limit for each response body.
     pub fn new(address: RegistryAddress, timeout_us: Micros, max_body_bytes: usize) -> Self {
-        RegistryClient {
-            address,
-            timeout: Duration::from_micros(timeout_us),
-            max_body_bytes,
-            connection: None,
-        }
+        RegistryClient { address, timeout: Duration::from_micros(timeout_us), max_body_bytes }
     }
 
-    /// Sends a request for a path below the address's prefix and receives the response. If a reused connection turns out to
-    /// be closed, the request is sent once more on a new one.
+    /// Sends a request for a path below the address's prefix and receives the response.
     ///
     /// # Errors
     ///
     /// If no response was received within the limits.
     pub async fn send(
-        &mut self,
+        &self,
         method: &str,
         path: &str,
         body: Option<&str>,
     ) -> Result<RegistryResponse, RegistryError> {
-        let reusable = self.connection.take();
-        let is_reused = reusable.is_some();
-        let timeout = self.timeout;
-        match within_or_error(self.exchange(reusable, method, path, body), timeout).await {
-            Err(RegistryError::Http(HttpError::Closed | HttpError::Socket(_))) if is_reused => {
-                within_or_error(self.exchange(None, method, path, body), timeout).await
-            }
-            result => result,
-        }
+        within_or_error(self.exchange(method, path, body), self.timeout).await
     }
 
     async fn exchange(
-        &mut self,
-        reusable: Option<HttpConnection>,
+        &self,
         method: &str,
         path: &str,
         body: Option<&str>,
     ) -> Result<RegistryResponse, RegistryError> {
-        let mut connection = match reusable {
-            Some(connection) => connection,
-            None => {
-                let address = resolve(&self.address).await?;
-                HttpConnection::new(connect(address).await.map_err(HttpError::Socket)?)
-            }
-        };
+        let address = resolve(&self.address).await?;
+        let mut connection = HttpConnection::new(connect(address).await.map_err(HttpError::Socket)?);
         let request = self.request(method, path, body);
         connection.write(request.as_bytes()).await.map_err(HttpError::Socket)?;
         let head = connection.read_response().await?;
         let body = connection.response_body(&head, self.max_body_bytes).await?;
         let encoding = head.headers.get("content-encoding");
         let is_compressed = encoding.is_some_and(|encoding| encoding.eq_ignore_ascii_case("gzip"));
-        if head.keep_alive && connection.buffer.bytes().is_empty() {
-            self.connection = Some(connection);
-        }
         let body = if is_compressed { self.decompress(&body)? } else { body };
         Ok(RegistryResponse { status: head.status, body })
     }
@@ -141,7 +118,7 @@
     /// # Errors
     ///
     /// If no response with status 200 was received within the limits, or it cannot be decoded.
-    pub async fn applications(&mut self, path: &str) -> Result<Applications, RegistryError> {
+    pub async fn applications(&self, path: &str) -> Result<Applications, RegistryError> {
         match self.send("GET", path, None).await? {
             RegistryResponse { status: 200, body } => Ok(decode(&body)?),
             RegistryResponse { status, .. } => Err(RegistryError::Status(status)),
--- a/src/net/platform/eureka/mod.rs
+++ b/src/net/platform/eureka/mod.rs
@@ -60,7 +60,7 @@
     }
 
     async fn poll_complete(&mut self, address: usize) -> Result<Applications, RegistryError> {
-        let client = &mut self.clients[address];
+        let client = &self.clients[address];
         let apps = match &self.settings.scope {
             PollScope::All => return client.applications("/apps").await,
             PollScope::VirtualAddress(vip) => {
--- a/src/net/platform/eureka/register.rs
+++ b/src/net/platform/eureka/register.rs
@@ -119,8 +119,6 @@
         address: 0,
     };
     future::or(entry.keep_registered(&context), context.lifecycle.until_shutdown()).await;
-    // The renewal may have been cancelled in the middle of a request, so its connection cannot be reused.
-    entry.clients = clients(&settings);
     let path = entry.path();
     let response = entry.send("PUT", &format!("{path}/status?value=OUT_OF_SERVICE"), None).await;
     info!(context.log, "registry entry set out of service"; "answer" => ?response.ok());
