Keep a doubt short where the response could be expected, and let calls wait for such connections

- A response that comes when one of its kind could be expected (at least half the fastest time of the endpoint, or of all endpoints while fewer than five are known, and 100 ms or more after the response before) is in doubt for 50 ms; any other until twice the slowest recent time, 50 ms to 1 s.
- Implausibly fast is now below a quarter of the fastest and below 25 ms, and never the response to a message that may have run.
- A response that announces the close of the connection is proven: no earlier one on it can have done so.
(Without this an_endpoint_at_capacity_keeps_its_connection failed once the doubt without samples was 1 s: the wait and the retry coincided.)
- A refusal in doubt that could be expected keeps its connection.
- A call that finds no idle connection waits up to 55 ms for one whose doubt ends by then, instead of opening another.

--- a/src/invariants/attribution.rs
+++ b/src/invariants/attribution.rs
@@ -2,8 +2,9 @@
 //!
 //! A response names no call; its place on the connection alone does not prove whose it is, because a second copy of an
 //! earlier response may arrive after the next request. What proves it is that it can be no copy: the connection is new, has
-//! carried no response with this status, or the response names a message that was never sent before. Any other response
-//! is in doubt: the call's own response may still follow.
+//! carried no response with this status, or the response announces the close of the connection, as no earlier one can
+//! have done, or names a message that was never sent before. Any other response is in doubt: the call's own response may
+//! still follow.
 
 use super::response_history::ResponseHistory;
 use super::response_times::ResponseTimes;
@@ -29,6 +30,10 @@
     pub status: u16,
     /// The time from the end of the request to the head of the response, in microseconds.
     pub elapsed: Micros,
+    /// Whether it announces that the endpoint closes the connection.
+    pub announces_close: bool,
+    /// Whether the endpoint may have processed a message of the call before, so that it can respond at once.
+    pub is_repeat: bool,
     /// What its body says about the messages of the call.
     pub named_messages: NamedMessages,
 }
@@ -59,11 +64,13 @@
     let is_proven = |response: &ResponseFacts| match response.named_messages {
         NamedMessages::FirstAttempt => true,
         NamedMessages::Others => false,
-        NamedMessages::Unspecified | NamedMessages::Repeated => !history.contains(response.status),
+        NamedMessages::Unspecified | NamedMessages::Repeated => {
+            response.announces_close || !history.contains(response.status)
+        }
     };
     let is_credible = |response: &ResponseFacts| {
         response.named_messages != NamedMessages::Others
-            && !(is_success(response.status) && times.is_implausible(response.elapsed))
+            && (response.is_repeat || !times.is_implausible(response.status, response.elapsed))
     };
     match first_if_all_agree(responses, is_proven) {
         Agreement::On(index) => Attribution::Proven(index),
@@ -76,10 +83,6 @@
     }
 }
 
-fn is_success(status: u16) -> bool {
-    (200..300).contains(&status)
-}
-
 /// Whether responses say the same about their call.
 enum Agreement {
     /// All have the same status; this is the first.
--- a/src/invariants/mod.rs
+++ b/src/invariants/mod.rs
@@ -22,5 +22,5 @@
 pub use connection::{may_reuse, CloseReason, IdleFacts};
 pub use ledger::{Ledger, RepeatPolicy, TrackedAttempt, TrackedMessage, Violation};
 pub use response_history::ResponseHistory;
-pub use response_times::ResponseTimes;
+pub use response_times::{ResponseTimes, ResponseTiming};
 pub use send::{may_send, EndpointFacts, SendFacts, SendPermit, SendRefusal};
--- a/src/net/context.rs
+++ b/src/net/context.rs
@@ -3,6 +3,7 @@
 use super::config::Config;
 use super::counters::Counters;
 use super::endpoint::table::EndpointTable;
+use super::endpoint::times::SharedResponseTimes;
 use super::gauges::Gauges;
 use super::handover::ownership::FolderOwnership;
 use super::journal_handle::JournalHandle;
@@ -56,6 +57,8 @@
     /// The attempts made for each message, to detect violations of invariants; written by the delivery actor and by
     /// calls.
     pub ledger: RefCell<Ledger>,
+    /// How long the endpoints take for their responses; written by the endpoints' actors.
+    pub response_times: SharedResponseTimes,
     /// Message counts by the routes of the site file; written by the delivery actor.
     pub route_stats: RouteStatsTable,
     /// Counts of the requests to the registry; written by the registry poller.
@@ -103,6 +106,7 @@
             gauges: Gauges::default(),
             request_ids: RequestIds::default(),
             ledger: RefCell::default(),
+            response_times: SharedResponseTimes::default(),
             route_stats: RouteStatsTable::default(),
             registry_counts: RegistryCounts::default(),
         }
--- a/src/net/delivery/attempts.rs
+++ b/src/net/delivery/attempts.rs
@@ -162,6 +162,9 @@
             info!(self.context.log, "message"; "state" => "attempt-ended", "id" => &message.request.request_id,
                 "attempt" => number, "endpoint" => endpoint.0, "outcome" => ?outcome, "ms" => elapsed / 1000);
             message.route_stats.iter().for_each(|stats| stats.attempt_completed(outcome));
+            if !never_ran(outcome) {
+                message.mark_may_have_run();
+            }
         }
         if completes_message {
             self.end_by_response(id, outcome, message.as_deref(), ended_at);
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -83,8 +83,12 @@
         predecessor: &FrameSender,
     ) {
         let Some(class) = self.class_of(&journaled) else { return };
+        let may_have_run = journaled.progress.may_have_run();
         let request = self.rebuild_request(journaled, class, false);
         let mut message = InFlightMessage::new(handed_over.id, request, handed_over.attempts);
+        if may_have_run {
+            message.mark_may_have_run();
+        }
         message.received_at = handed_over.received_at;
         let attempt = handed_over.in_flight.map(|HandOverAttempt { number, endpoint }| {
             let cancel = predecessor.cancel_on_close(&self.context.executor, handed_over.id, number);
--- a/src/net/endpoint/actor.rs
+++ b/src/net/endpoint/actor.rs
@@ -1,14 +1,17 @@
 //! The actor of an endpoint: it owns the idle connections to the endpoint and starts the calls.
 
 use super::call::{self, CallSetup};
+use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
 use super::pool::Pool;
+use super::waiting::WaitingCalls;
 use crate::invariants::ResponseTimes;
 use crate::net::call::Call;
 use crate::net::messages::{EndedCallReport, EndpointMessage};
 use crate::net::Context;
 use crate::EndpointId;
 use async_channel::{Receiver, WeakSender};
+use async_io::Timer;
 use futures_lite::future;
 use std::rc::Rc;
 
@@ -21,46 +24,98 @@
     own_mailbox: WeakSender<EndpointMessage>,
 ) {
     let pool = Pool::new(context.clone(), endpoint);
-    let mut actor = EndpointActor { context, own_mailbox, pool, times: ResponseTimes::default() };
+    let (times, waiting) = (ResponseTimes::default(), WaitingCalls::default());
+    let mut actor = EndpointActor { context, own_mailbox, pool, times, waiting };
     loop {
-        let idle_end = async {
-            actor.pool.until_idle_end().await;
-            None
-        };
-        match future::or(async { Some(mailbox.recv().await) }, idle_end).await {
-            None => actor.pool.close_unusable(),
-            Some(Ok(EndpointMessage::Call(call))) => actor.start_call(call),
-            Some(Ok(EndpointMessage::CloseIdle)) => actor.pool.close_all(ConnectionEnd::CloseIdle),
-            Some(Ok(EndpointMessage::CallEnded(report))) => actor.call_ended(report),
-            Some(Err(_)) => return actor.pool.close_all(ConnectionEnd::EndpointRemoved),
+        match actor.next_input(&mailbox).await {
+            Input::IdleEnd => actor.pool.close_unusable(),
+            Input::WaitingCallOverdue => actor.start_overdue_calls(),
+            Input::Message(EndpointMessage::Call(call)) => actor.handle_call(call),
+            Input::Message(EndpointMessage::CloseIdle) => actor.pool.close_all(ConnectionEnd::CloseIdle),
+            Input::Message(EndpointMessage::ReusableAt(at)) => actor.waiting.expect_connection(at),
+            Input::Message(EndpointMessage::CallEnded(report)) => actor.call_ended(report),
+            Input::MailboxClosed => return actor.end(),
         }
     }
 }
 
+/// What the actor handles next.
+enum Input {
+    /// A message in the mailbox.
+    Message(EndpointMessage),
+    /// All senders of the mailbox were dropped.
+    MailboxClosed,
+    /// An idle connection has reached its timeout, or the endpoint has closed it or written to it.
+    IdleEnd,
+    /// A call has waited too long for a connection.
+    WaitingCallOverdue,
+}
+
 struct EndpointActor {
     context: Rc<Context>,
     own_mailbox: WeakSender<EndpointMessage>,
     pool: Pool,
     times: ResponseTimes,
+    waiting: WaitingCalls,
 }
 
 impl EndpointActor {
-    fn start_call(&mut self, call: Call) {
+    async fn next_input(&mut self, mailbox: &Receiver<EndpointMessage>) -> Input {
+        let clock = self.context.clock;
+        let overdue_at = self.waiting.next_overdue_at();
+        let received = async { mailbox.recv().await.map_or(Input::MailboxClosed, Input::Message) };
+        let overdue = async {
+            match overdue_at {
+                Some(at) => Timer::at(clock.instant_at(at)).await,
+                None => future::pending().await,
+            };
+            Input::WaitingCallOverdue
+        };
+        let idle_end = async {
+            self.pool.until_idle_end().await;
+            Input::IdleEnd
+        };
+        future::or(received, future::or(overdue, idle_end)).await
+    }
+
+    /// Starts a call, or lets it wait for a connection that is about to be reusable.
+    fn handle_call(&mut self, call: Call) {
+        let idle = self.take_connection(&call);
+        if idle.is_some() {
+            return self.start_call(call, idle);
+        }
+        if let Some(call) = self.waiting.add(self.context.clock.now(), call) {
+            self.start_call(call, None);
+        }
+    }
+
+    fn take_connection(&mut self, call: &Call) -> Option<EndpointConnection> {
         let non_idempotent = &self.context.config().non_idempotent;
         let may_not_repeat =
             call.attempts.iter().any(|attempt| non_idempotent[attempt.message.request.class.0]);
+        self.pool.take(may_not_repeat)
+    }
+
+    fn start_call(&self, call: Call, idle: Option<EndpointConnection>) {
         let setup = CallSetup {
-            idle: self.pool.take(may_not_repeat),
-            times: self.times,
+            idle,
+            times: self.times.or(self.context.response_times.get()),
             // `None` once the endpoint was removed: the call's connection is then closed instead of returned.
             return_to: self.own_mailbox.upgrade(),
         };
         self.context.executor.spawn(call::run(self.context.clone(), call, setup)).detach();
     }
 
+    fn start_overdue_calls(&mut self) {
+        for call in self.waiting.take_overdue(self.context.clock.now()) {
+            self.start_call(call, None);
+        }
+    }
+
     fn call_ended(&mut self, report: EndedCallReport) {
-        if let Some(response_time) = report.response_time {
-            self.times.record(response_time);
+        if let Some(response) = report.response_time {
+            self.times.record(response.status, response.elapsed);
+            self.context.response_times.record(response);
         }
         if report.found_stray {
             self.pool.suspend_reuse();
@@ -68,5 +123,18 @@
         if let Some(connection) = report.connection {
             self.pool.put(connection);
         }
+        // A waiting call is started in any case: with the connection, or with a new one if it cannot be reused.
+        if let Some(call) = self.waiting.take_first() {
+            let idle = self.take_connection(&call);
+            self.start_call(call, idle);
+        }
+    }
+
+    /// Starts the calls that still wait, and closes the idle connections.
+    fn end(mut self) {
+        while let Some(call) = self.waiting.take_first() {
+            self.start_call(call, None);
+        }
+        self.pool.close_all(ConnectionEnd::EndpointRemoved);
     }
 }
--- a/src/net/endpoint/call.rs
+++ b/src/net/endpoint/call.rs
@@ -8,6 +8,7 @@
 use super::connection_end::{CallFailure, ConnectionEnd};
 use super::exchange::{self, CallEnd, Progress, Stage};
 use super::late_response;
+use super::received::OwnResponse;
 use super::response;
 use crate::invariants::{Attribution, ResponseTimes, SendRefusal};
 use crate::net::call::{AttemptResult, Call, CallResult};
@@ -62,12 +63,12 @@
     unreported_attempts: &mut [bool],
 ) -> CallResult {
     let CallSetup { idle, times, return_to } = setup;
-    let progress = Progress::new(times);
+    let progress = Progress::new(call, times);
     let mut connection = idle;
     let end = until_end(
         context,
         call,
-        exchange(context, call, &mut connection, &progress),
+        exchange(context, call, &mut connection, &progress, return_to.as_ref()),
         &progress,
         unreported_attempts,
     )
@@ -84,13 +85,14 @@
     call: &Call,
     connection_slot: &mut Option<EndpointConnection>,
     progress: &Progress,
+    endpoint_mailbox: Option<&Sender<EndpointMessage>>,
 ) -> CallEnd {
-    match exchange::send(context, call, connection_slot, progress).await {
-        Ok(connection) => {
-            confirmation::receive(context, call, connection, progress).await.unwrap_or_else(CallEnd::from)
-        }
-        Err(end) => end,
-    }
+    let connection = match exchange::send(context, call, connection_slot, progress).await {
+        Ok(connection) => connection,
+        Err(end) => return end,
+    };
+    let received = confirmation::receive(context, call, connection, progress, endpoint_mailbox).await;
+    received.unwrap_or_else(CallEnd::from)
 }
 
 /// Waits for the end of a call. Attempts that time out at their message's deadline, before the others of the call,
@@ -141,7 +143,7 @@
     async fn conclude(&self, end: CallEnd, connection: Option<EndpointConnection>) -> CallResult {
         let found_stray = self.record_strays() || self.progress.found_stray.get();
         let is_followed = self.record_unread_stray(connection.as_ref());
-        let response_time = self.response_time();
+        let response_time = self.progress.received.borrow().own().map(|own| own.time());
         let (result, reusable) = match end {
             CallEnd::NotSent(refusal) => (self.refusal_result(refusal), connection),
             end => match self.response_result() {
@@ -188,8 +190,7 @@
             ConnectionEnd::ConnectionLimit
         } else if !keep_alive || has_unread || self.return_to.is_none() {
             ConnectionEnd::Response
-        } else if !matches!(end, CallEnd::Responded) || !(own.is_proven || own.status == 200) {
-            // The message is sent again, and must not have two calls out if its own response is still to come here.
+        } else if !matches!(end, CallEnd::Responded) || !self.is_certain(&own) {
             ConnectionEnd::UnprovenResponse
         } else {
             return connection;
@@ -198,6 +199,12 @@
         None
     }
 
+    /// Whether no further response is to come on the connection as far as can be told. If the message is sent again, it
+    /// must not have two calls out, so a refusal has to be proven, or have come when it could be expected.
+    fn is_certain(&self, own: &OwnResponse<'_>) -> bool {
+        own.is_proven || own.status == 200 || self.progress.is_expected(own)
+    }
+
     /// The result of a call that failed the check before its first byte.
     fn refusal_result(&self, refusal: SendRefusal) -> CallResult {
         let outcome = match refusal {
@@ -250,18 +257,13 @@
         }
         if self.progress.received.borrow().is_empty() {
             if let Some(status) = connection.and_then(EndpointConnection::unread_status) {
-                self.progress.add_head(status, None, self.context.clock.now());
+                let elapsed = self.progress.elapsed(self.context.clock.now());
+                self.progress.received.borrow_mut().add_status(status, elapsed);
             }
         }
         self.progress.received.borrow().own().is_some_and(|own| own.status == 200)
     }
 
-    /// The time that the endpoint took for a successful response, in microseconds.
-    fn response_time(&self) -> Option<Micros> {
-        let received = self.progress.received.borrow();
-        received.own().filter(|own| own.status == 200).map(|own| own.elapsed)
-    }
-
     /// The time since the request was written, in microseconds; `None` if the connection was new or any byte of a
     /// response was received.
     fn unanswered_since_written(&self, connection: Option<&EndpointConnection>) -> Option<Micros> {
--- a/src/net/endpoint/confirmation.rs
+++ b/src/net/endpoint/confirmation.rs
@@ -4,14 +4,15 @@
 
 use super::connection::EndpointConnection;
 use super::exchange::{CallEnd, Progress};
-use super::response::{self, parse_retry_after, Response, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
+use super::response::{self, Response, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
 use crate::invariants::Attribution;
 use crate::net::call::{Call, CallResult};
 use crate::net::gauges::GaugeGuard;
 use crate::net::http::HttpError;
-use crate::net::messages::DeliveryMessage;
+use crate::net::messages::{DeliveryMessage, EndpointMessage};
 use crate::net::Context;
 use crate::Micros;
+use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 const DELIVERED_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Receives responses to a written call until one of them is known to be its own, or they contradict each other.
+/// `endpoint_mailbox` is that of the endpoint's actor; `None` if the endpoint was removed.
 ///
 /// # Errors
 ///
@@ -29,6 +31,7 @@
     call: &Call,
     connection: &mut EndpointConnection,
     progress: &Progress,
+    endpoint_mailbox: Option<&Sender<EndpointMessage>>,
 ) -> Result<CallEnd, HttpError> {
     // While the doubt lasts, the connection counts as idle: its call occupies no slot any more.
     let mut _idle: Option<GaugeGuard> = None;
@@ -46,7 +49,12 @@
                 }
                 _idle.get_or_insert_with(|| idle_connections.increment_scoped());
                 announce(context, call, progress).await;
-                if !begins_before(context, connection, progress.doubt_ends_at(context.clock.now())).await {
+                let doubt_ends_at = progress.doubt_ends_at(context.clock.now());
+                if let Some(mailbox) = endpoint_mailbox {
+                    // If the mailbox is full, the next call opens a connection instead of waiting for this one.
+                    let _ = mailbox.try_send(EndpointMessage::ReusableAt(doubt_ends_at));
+                }
+                if !begins_before(context, connection, doubt_ends_at).await {
                     return Ok(CallEnd::Responded);
                 }
             }
@@ -67,8 +75,8 @@
     let now = context.clock.now();
     connection.history.record(head.status);
     connection.last_response_at = Some(now);
-    // The retry-after must be honored even if the body cannot be read.
-    progress.add_head(head.status, parse_retry_after(&head), now);
+    // Its retry-after must be honored even if the body cannot be read.
+    progress.received.borrow_mut().add_head(&head, progress.elapsed(now));
     if head.status == 200 && call.attempts.len() == 1 {
         // The message is delivered. The body only decides whether the connection can be reused.
         connection.http.stall_timeout = Some(DELIVERED_BODY_STALL_TIMEOUT);
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -3,11 +3,11 @@
 
 use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
-use super::received::ReceivedResponses;
+use super::received::{OwnResponse, ReceivedResponses};
 use super::request;
 use crate::invariants::{
-    may_send, Attribution, CloseReason, ResponseHistory, ResponseTimes, SendFacts, SendPermit, SendRefusal,
-    Violation,
+    may_send, Attribution, CloseReason, ResponseHistory, ResponseTimes, ResponseTiming, SendFacts,
+    SendPermit, SendRefusal, Violation,
 };
 use crate::journal::AttemptStart;
 use crate::net::call::Call;
@@ -79,23 +79,22 @@
 
 impl Progress {
     /// A call that has not begun. `times` is how long its endpoint usually takes for a response.
-    pub fn new(times: ResponseTimes) -> Self {
+    pub fn new(call: &Call, times: ResponseTimes) -> Self {
         Progress {
             stage: Cell::default(),
             reused: Cell::default(),
             previous_response_at: Cell::default(),
             written_at: Cell::default(),
-            received: ReceivedResponses::new(ResponseHistory::default(), times).into(),
+            received: ReceivedResponses::new(call, ResponseHistory::default(), times).into(),
             found_stray: Cell::default(),
             is_announced: Cell::default(),
             times,
         }
     }
 
-    /// Adds a response whose head was read `now`, in microseconds of the monotonic clock.
-    pub fn add_head(&self, status: u16, retry_after: Option<Micros>, now: Micros) {
-        let elapsed = now.saturating_sub(self.written_at.get().unwrap_or(now));
-        self.received.borrow_mut().add_head(status, retry_after, elapsed);
+    /// The time since the request was written, in microseconds.
+    pub fn elapsed(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.written_at.get().unwrap_or(now))
     }
 
     /// Which of the responses is the call's own.
@@ -108,17 +107,32 @@
         self.received.borrow().own().is_some_and(|own| own.response.is_some())
     }
 
-    /// When the doubt about the last response ends, in microseconds of the monotonic clock.
+    /// When the doubt about the call's probable response ends, in microseconds of the monotonic clock.
     pub fn doubt_ends_at(&self, received_at: Micros) -> Micros {
-        self.times.doubt_ends_at(self.written_at.get().unwrap_or(received_at), received_at)
+        let timing = self.timing(received_at);
+        self.received.borrow().own().map_or(received_at, |own| self.times.doubt_ends_at(own.status, &timing))
+    }
+
+    /// Whether the call's own response could be expected when it was received.
+    pub fn is_expected(&self, own: &OwnResponse<'_>) -> bool {
+        let received_at = self.written_at.get().unwrap_or_default() + own.elapsed;
+        self.times.is_expected(own.status, &self.timing(received_at))
+    }
+
+    fn timing(&self, received_at: Micros) -> ResponseTiming {
+        ResponseTiming {
+            written_at: self.written_at.get().unwrap_or(received_at),
+            received_at,
+            previous_response_at: self.previous_response_at.get(),
+        }
     }
 
     /// Records that the request is about to be written on this connection.
-    fn begin_writing(&self, connection: &EndpointConnection, reused: bool) {
+    fn begin_writing(&self, call: &Call, connection: &EndpointConnection, reused: bool) {
         self.stage.set(Stage::Writing);
         self.reused.set(reused);
         self.previous_response_at.set(connection.last_response_at);
-        self.received.replace(ReceivedResponses::new(connection.history.clone(), self.times));
+        self.received.replace(ReceivedResponses::new(call, connection.history.clone(), self.times));
     }
 }
 
@@ -153,7 +167,7 @@
         }
     };
     let connection = connection_slot.as_mut().expect("the loop ends with a connection");
-    progress.begin_writing(connection, reused);
+    progress.begin_writing(call, connection, reused);
     record_first_byte(context, call);
     let bytes = request::format(call, context.clock.now());
     write_request(&mut connection.http, permit, &bytes).await.map_err(HttpError::Socket)?;
--- a/src/net/endpoint/mod.rs
+++ b/src/net/endpoint/mod.rs
@@ -12,5 +12,7 @@
 mod request;
 pub mod response;
 pub mod table;
+pub mod times;
+mod waiting;
 
 pub use actor::run;
--- a/src/net/endpoint/pool.rs
+++ b/src/net/endpoint/pool.rs
@@ -14,9 +14,6 @@
 use std::rc::Rc;
 use std::task::Poll;
 
-/// A connection that has been idle for this long, in microseconds, is preferred: a copy of its last response that is
-/// late by itself has then probably arrived.
-const PREFERRED_IDLE_TIME: Micros = 50_000;
 /// How long no connection to an endpoint is reused after a stray response, in microseconds.
 const REUSE_SUSPENSION: Micros = 60_000_000;
 
@@ -25,8 +22,6 @@
     connection: EndpointConnection,
     /// The remote address, to detect that the endpoint has moved.
     address: Option<SocketAddr>,
-    /// Since when it is idle, in microseconds of the monotonic clock.
-    idle_since: Micros,
     /// The connection is not reused after this time, in microseconds of the monotonic clock, since the endpoint may
     /// close it soon after.
     reusable_until: Micros,
@@ -68,19 +63,15 @@
         let timeout = self.context.config().endpoint_idle_timeout;
         let reusable_until = reusable_until(idle_since, timeout);
         let address = connection.http.peer_address();
-        self.idle.push(IdleConnection { connection, address, idle_since, reusable_until });
+        self.idle.push(IdleConnection { connection, address, reusable_until });
     }
 
-    /// Takes the most recently used connection, so that the others can reach their idle timeout, but rather one that has
-    /// been idle for [`PREFERRED_IDLE_TIME`]. A call that `may_not_repeat` takes none that has carried a refusal: a copy
-    /// of it would be read as proof that the call never ran.
+    /// Takes the most recently used connection, so that the others can reach their idle timeout. A call that
+    /// `may_not_repeat` takes none that has carried a refusal: a copy of it would be read as proof that the call never ran.
     pub fn take(&mut self, may_not_repeat: bool) -> Option<EndpointConnection> {
         self.close_unusable();
-        let preferred_before = self.context.clock.now().saturating_sub(PREFERRED_IDLE_TIME);
         let is_eligible = |idle: &IdleConnection| !(may_not_repeat && idle.connection.history.has_refusal());
-        let is_preferred = |idle: &IdleConnection| is_eligible(idle) && idle.idle_since <= preferred_before;
-        let index =
-            self.idle.iter().rposition(is_preferred).or_else(|| self.idle.iter().rposition(is_eligible))?;
+        let index = self.idle.iter().rposition(is_eligible)?;
         Some(self.remove(index))
     }
 
--- a/src/net/endpoint/received.rs
+++ b/src/net/endpoint/received.rs
@@ -1,10 +1,12 @@
 //! The responses that arrived after the request of a call, and which of them is the call's own.
 
-use super::response::Response;
+use super::response::{parse_retry_after, Response};
 use crate::invariants::{
     attribute, Attribution, NamedMessages, ResponseFacts, ResponseHistory, ResponseTimes,
 };
 use crate::net::call::Call;
+use crate::net::http::ResponseHead;
+use crate::net::messages::ResponseTime;
 use crate::Micros;
 use std::collections::BTreeSet;
 
@@ -29,24 +31,50 @@
     pub is_proven: bool,
 }
 
+impl OwnResponse<'_> {
+    /// The time that the endpoint took for it.
+    pub fn time(&self) -> ResponseTime {
+        ResponseTime { status: self.status, elapsed: self.elapsed }
+    }
+}
+
 /// The responses that arrived after the request of a call, in the order of arrival.
 pub(super) struct ReceivedResponses {
     /// What the connection had carried before the call.
     history: ResponseHistory,
     times: ResponseTimes,
+    /// Whether an endpoint may have processed a message of the call before.
+    is_repeat: bool,
     received: Vec<Received>,
 }
 
 impl ReceivedResponses {
     /// No responses yet. `history` is what the connection has carried before, `times` is how long its endpoint takes.
-    pub fn new(history: ResponseHistory, times: ResponseTimes) -> Self {
-        ReceivedResponses { history, times, received: Vec::new() }
+    pub fn new(call: &Call, history: ResponseHistory, times: ResponseTimes) -> Self {
+        let is_repeat = call.attempts.iter().any(|attempt| attempt.message.may_have_run());
+        ReceivedResponses { history, times, is_repeat, received: Vec::new() }
     }
 
     /// Adds a response whose head was read, `elapsed` microseconds after the request was written.
-    pub fn add_head(&mut self, status: u16, retry_after: Option<Micros>, elapsed: Micros) {
-        let facts = ResponseFacts { status, elapsed, named_messages: NamedMessages::Unspecified };
-        self.received.push(Received { facts, retry_after, response: None });
+    pub fn add_head(&mut self, head: &ResponseHead, elapsed: Micros) {
+        let facts = ResponseFacts { announces_close: !head.keep_alive, ..self.facts(head.status, elapsed) };
+        self.received.push(Received { facts, retry_after: parse_retry_after(head), response: None });
+    }
+
+    /// Adds a response of which only the status line could be read.
+    pub fn add_status(&mut self, status: u16, elapsed: Micros) {
+        let facts = self.facts(status, elapsed);
+        self.received.push(Received { facts, retry_after: None, response: None });
+    }
+
+    fn facts(&self, status: u16, elapsed: Micros) -> ResponseFacts {
+        ResponseFacts {
+            status,
+            elapsed,
+            announces_close: false,
+            is_repeat: self.is_repeat,
+            named_messages: NamedMessages::Unspecified,
+        }
     }
 
     /// Completes the response that was added last.
--- a/src/net/in_flight.rs
+++ b/src/net/in_flight.rs
@@ -51,6 +51,7 @@
     /// The counts of the message's route; `None` without a site file.
     pub route_stats: Option<Rc<RouteStats>>,
     attempts: Cell<u32>,
+    may_have_run: Cell<bool>,
     ended: Cell<bool>,
 }
 
@@ -59,6 +60,7 @@
     pub fn new(id: MessageId, request: Request, attempts: u32) -> Self {
         InFlightMessage {
             id,
+            may_have_run: request.failed_over.into(),
             request,
             received_at: None,
             restored: false,
@@ -80,6 +82,16 @@
         self.attempts.get()
     }
 
+    /// Whether an endpoint may have processed the message. It may then respond at once to a further attempt.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+
+    /// Records that an endpoint may have processed the message.
+    pub fn mark_may_have_run(&self) {
+        self.may_have_run.set(true);
+    }
+
     /// Whether the message has ended, so that no attempt may be sent for it.
     pub fn is_ended(&self) -> bool {
         self.ended.get()
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -176,16 +176,28 @@
     Call(Call),
     /// Asks to close the idle connections.
     CloseIdle,
+    /// A call was answered, and its connection can probably be reused at this time, in microseconds of the monotonic
+    /// clock, when the doubt about the response ends.
+    ReusableAt(Micros),
     /// A call has ended.
     CallEnded(EndedCallReport),
 }
 
+/// The time that an endpoint took for a response.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseTime {
+    /// The status code.
+    pub status: u16,
+    /// From the end of the request to the head of the response, in microseconds.
+    pub elapsed: Micros,
+}
+
 /// What a call reports to the actor of its endpoint.
 pub struct EndedCallReport {
     /// The call's connection, if it can be reused.
     pub connection: Option<EndpointConnection>,
-    /// The time that the endpoint took for a successful response, in microseconds; `None` if there was none.
-    pub response_time: Option<Micros>,
+    /// The time that the endpoint took for the call's own response; `None` if there was none.
+    pub response_time: Option<ResponseTime>,
     /// Whether a stray response arrived on the call's connection.
     pub found_stray: bool,
 }
