--- a/src/invariants/response_times.rs
+++ b/src/invariants/response_times.rs
@@ -13,18 +13,17 @@
 const SLOWEST_DECAY_DIVISOR: Micros = 8;
 /// The number of responses from which on it is known how long an endpoint takes.
 const MIN_SAMPLES: u32 = 5;
-/// A response can be expected once this share of the fastest time has passed.
-const EXPECTED_DIVISOR: Micros = 2;
-/// A copy that is late by itself is expected within this time after the response that it copies, in microseconds.
-const MAX_COPY_DELAY: Micros = 100_000;
+/// The part of the fastest time, in percent, after which a response can be expected.
+const EXPECTED_AFTER_PERCENT: Micros = 80;
+/// A copy that the next request sets off comes within this time after the request, in microseconds.
+const MAX_COPY_DELAY_AFTER_REQUEST: Micros = 25_000;
+/// A copy that is late by itself comes within this time after the response that it copies, in microseconds.
+const MAX_COPY_DELAY_AFTER_RESPONSE: Micros = 100_000;
 /// An endpoint that has responded within this time, in microseconds, has no implausibly fast responses, since the
 /// scheduling of processes alone varies by as much.
 const MIN_FASTEST: Micros = 20_000;
-/// A response is implausibly fast if it took less than the fastest so far divided by this, and less than
-/// [`MAX_IMPLAUSIBLE`]: an endpoint that was slow so far may recover.
+/// A response is implausibly fast if it took less than the fastest so far divided by this.
 const IMPLAUSIBLE_DIVISOR: Micros = 4;
-/// A response that took this long, in microseconds, is never implausibly fast.
-const MAX_IMPLAUSIBLE: Micros = 25_000;
 
 /// When a response was received. Its times are in microseconds of the monotonic clock.
 #[derive(Clone, Copy, Debug)]
@@ -42,9 +41,10 @@
         self.received_at.saturating_sub(self.written_at)
     }
 
-    /// Whether it came so soon after the response before that it may be a copy of that one, late by itself.
-    fn is_near_previous(&self) -> bool {
-        self.previous_response_at.is_some_and(|previous| self.received_at < previous + MAX_COPY_DELAY)
+    /// Whether it came so soon after the request, or after the response before, that it may well be a copy of that one.
+    fn may_be_copy(&self) -> bool {
+        let is_near = |previous| self.received_at < previous + MAX_COPY_DELAY_AFTER_RESPONSE;
+        self.elapsed() < MAX_COPY_DELAY_AFTER_REQUEST || self.previous_response_at.is_some_and(is_near)
     }
 }
 
@@ -70,20 +70,20 @@
     }
 
     /// Whether a response is too fast for this endpoint, so that it is probably a copy of an earlier one. Only a successful
-    /// one can be: it takes work.
+    /// one can be, as it takes work, and only while a copy is likely: an endpoint that was slow so far may recover.
     pub fn is_implausible(&self, status: u16, elapsed: Micros) -> bool {
         let TimeRange { fastest, .. } = self.successes;
         is_success(status)
             && self.successes.is_known()
             && fastest >= MIN_FASTEST
-            && elapsed < (fastest / IMPLAUSIBLE_DIVISOR).min(MAX_IMPLAUSIBLE)
+            && elapsed < (fastest / IMPLAUSIBLE_DIVISOR).min(MAX_COPY_DELAY_AFTER_REQUEST)
     }
 
     /// Whether the call's own response with this status could be expected at this time, so that a copy is unlikely.
     pub fn is_expected(&self, status: u16, timing: &ResponseTiming) -> bool {
         let range = if is_success(status) { &self.successes } else { &self.others };
-        let is_early = timing.elapsed() < range.fastest / EXPECTED_DIVISOR;
-        range.is_known() && !is_early && !timing.is_near_previous()
+        let is_early = timing.elapsed() < range.fastest * EXPECTED_AFTER_PERCENT / 100;
+        range.is_known() && !is_early && !timing.may_be_copy()
     }
 
     /// When the doubt about a response ends, in microseconds of the monotonic clock. If the response could not be expected
