--- a/crates/soak-test/src/endpoint.rs
+++ b/crates/soak-test/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! The destinations' endpoints. Each has one listener for all forwarders; a message's id tells which forwarder sent it.
 
 use crate::checker::CallTarget;
+use crate::copies::ResponseCopies;
 use crate::environment::{sleep, Behaviour, Endpoint, Environment};
 use crate::observation::AttemptOutcome;
 use async_io::{Async, Timer};
@@ -88,6 +89,7 @@
     stream: Async<TcpStream>,
 ) {
     let mut connection = HttpConnection::new(stream);
+    let mut copies = ResponseCopies::default();
     let reset_count = endpoint.reset_count.get();
     loop {
         // Between calls, a fault may make the endpoint reset the connection.
@@ -116,13 +118,22 @@
             let attempt = environment.checker.borrow_mut().record_attempt(&id, target, first_byte);
             attempts.extend(attempt.map(|number| (id, number)));
         }
-        let batch = head.target.ends_with(":batch");
-        let (outcome, keep_alive) =
-            process_call(&environment, &endpoint, &attempts, &mut connection, batch).await;
-        let mut checker = environment.checker.borrow_mut();
-        attempts.iter().for_each(|(id, attempt)| checker.record_attempt_end(id, *attempt, outcome));
-        if !keep_alive {
-            return;
+        // An endpoint that hangs writes nothing at all.
+        if current_behaviour(&environment, &endpoint) != Behaviour::Hangs {
+            copies.request_received(&environment, &mut connection).await;
+        }
+        let call = ReceivedCall {
+            attempts,
+            is_batch: head.target.ends_with(":batch"),
+            is_refused: copies.refuses_request(&environment),
+        };
+        let end = process_call(&environment, &endpoint, &call, &mut connection).await;
+        for (id, attempt) in &call.attempts {
+            environment.checker.borrow_mut().record_attempt_end(id, *attempt, end.outcome);
+        }
+        match end.response {
+            Some(response) => copies.response_written(&environment, &connection, response.as_bytes()),
+            None => return,
         }
     }
 }
@@ -140,15 +151,36 @@
     let _ = SockRef::from(connection.socket()).set_linger(Some(Duration::ZERO));
 }
 
-/// Processes a call and answers it as the endpoint's behaviour demands. Returns how the attempts ended, and whether the
-/// connection is kept alive.
+/// A call that was received completely.
+struct ReceivedCall {
+    /// The ids of its messages, each with the number of the attempt.
+    attempts: Vec<(String, usize)>,
+    /// Whether it was sent as a batch.
+    is_batch: bool,
+    /// Whether it is refused without being run, whatever the endpoint's behaviour is.
+    is_refused: bool,
+}
+
+/// How a call ended at its endpoint.
+struct CallEnd {
+    outcome: AttemptOutcome,
+    /// The response, if it is complete and the connection is kept alive.
+    response: Option<String>,
+}
+
+impl CallEnd {
+    fn without_response(outcome: AttemptOutcome) -> Self {
+        CallEnd { outcome, response: None }
+    }
+}
+
+/// Processes a call and answers it as the endpoint's behaviour demands.
 async fn process_call(
     environment: &Environment,
     endpoint: &Endpoint,
-    attempts: &[(String, usize)],
+    call: &ReceivedCall,
     connection: &mut HttpConnection,
-    batch: bool,
-) -> (AttemptOutcome, bool) {
+) -> CallEnd {
     let behaviour = current_behaviour(environment, endpoint);
     let work_done = async {
         match behaviour {
@@ -164,48 +196,63 @@
         false
     };
     if !future::or(work_done, abandoned).await {
-        return (AttemptOutcome::MayHaveRun, false);
+        return CallEnd::without_response(AttemptOutcome::MayHaveRun);
     }
-    let (response, outcome) = match behaviour {
-        Behaviour::Resets => {
-            reset_connection(connection);
-            return (AttemptOutcome::MayHaveRun, false);
-        }
-        Behaviour::Fails => {
-            ("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n".to_owned(), AttemptOutcome::MayHaveRun)
+    let Some((response, outcome)) = response_to(call, behaviour) else {
+        reset_connection(connection);
+        return CallEnd::without_response(AttemptOutcome::MayHaveRun);
+    };
+    if connection.write(response.as_bytes()).await.is_err() {
+        return CallEnd::without_response(AttemptOutcome::MayHaveRun);
+    }
+    match behaviour {
+        _ if call.is_refused => {}
+        Behaviour::Rejects(retry_after_ms) => record_retry_after(environment, endpoint, call, retry_after_ms),
+        Behaviour::TruncatesAnswers => {
+            let closed = async {
+                let _ = connection.fill().await;
+            };
+            future::or(closed, sleep(environment.random_duration(50, 400))).await;
+            return CallEnd::without_response(outcome);
         }
+        _ => {}
+    }
+    CallEnd { outcome, response: Some(response) }
+}
+
+/// The response to a call and what it says about its attempts; `None` if the connection is reset instead.
+fn response_to(call: &ReceivedCall, behaviour: Behaviour) -> Option<(String, AttemptOutcome)> {
+    let empty = |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+    Some(match behaviour {
+        Behaviour::Resets => return None,
+        _ if call.is_refused => (empty("503 Busy"), AttemptOutcome::Rejected),
+        Behaviour::Fails => (empty("500 Failed"), AttemptOutcome::MayHaveRun),
         Behaviour::TruncatesAnswers => ("HTTP/1.1 2".to_owned(), AttemptOutcome::MayHaveRun),
         Behaviour::Rejects(retry_after_ms) => {
-            let response = format!(
-                "HTTP/1.1 429 Wait\r\nX-RateLimit-Wait-Ms: {retry_after_ms}\r\nContent-Length: 0\r\n\r\n"
-            );
-            (response, AttemptOutcome::Rejected)
+            let status = format!("429 Wait\r\nX-RateLimit-Wait-Ms: {retry_after_ms}");
+            (empty(&status), AttemptOutcome::Rejected)
         }
         _ => {
             let result_line = |(id, _): &(String, usize)| format!("{id} delivered\r\n");
-            let body: String = if batch { attempts.iter().map(result_line).collect() } else { String::new() };
-            (
-                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
-                AttemptOutcome::Delivered,
-            )
+            let results = call.attempts.iter().filter(|_| call.is_batch).map(result_line);
+            let body: String = results.collect();
+            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            (response, AttemptOutcome::Delivered)
         }
-    };
-    if connection.write(response.as_bytes()).await.is_err() {
-        return (AttemptOutcome::MayHaveRun, false);
-    }
-    if let Behaviour::Rejects(retry_after_ms) = behaviour {
-        let mut checker = environment.checker.borrow_mut();
-        let retry_after = Duration::from_millis(retry_after_ms);
-        attempts.iter().for_each(|(id, _)| checker.record_retry_after(id, endpoint.destination, retry_after));
-    }
-    if behaviour == Behaviour::TruncatesAnswers {
-        let closed = async {
-            let _ = connection.fill().await;
-        };
-        future::or(closed, sleep(environment.random_duration(50, 400))).await;
-        return (outcome, false);
+    })
+}
+
+fn record_retry_after(
+    environment: &Environment,
+    endpoint: &Endpoint,
+    call: &ReceivedCall,
+    retry_after_ms: u64,
+) {
+    let mut checker = environment.checker.borrow_mut();
+    let retry_after = Duration::from_millis(retry_after_ms);
+    for (id, _) in &call.attempts {
+        checker.record_retry_after(id, endpoint.destination, retry_after);
     }
-    (outcome, true)
 }
 
 /// The ids of the messages that a call carries: one from its header, or those of the batch in its body. Each message of a
--- a/crates/soak-test/src/environment.rs
+++ b/crates/soak-test/src/environment.rs
@@ -71,6 +71,8 @@
     pub client_timeout: Duration,
     /// Some processes hand over to a successor while they serve.
     pub hand_overs: bool,
+    /// Endpoints and agents sometimes send a response twice.
+    pub copied_responses: bool,
     /// Idle clients sometimes use up all client connections of a forwarder.
     pub idle_clients: bool,
 }
@@ -107,6 +109,11 @@
         self.executor.spawn(task).detach();
     }
 
+    /// Whether responses are sent twice at present.
+    pub fn copies_responses(&self) -> bool {
+        self.options.copied_responses && !self.faults_ended.get()
+    }
+
     /// Draws a number below `bound`; 0 if the bound is 0.
     pub fn random_below(&self, bound: usize) -> usize {
         self.random.borrow_mut().usize(0..bound.max(1))
--- a/crates/soak-test/src/main.rs
+++ b/crates/soak-test/src/main.rs
@@ -4,6 +4,7 @@
 
 mod checker;
 mod client;
+mod copies;
 mod deployment;
 mod endpoint;
 mod environment;
@@ -45,7 +46,8 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Run a number of seeds, with hand-overs in every second one and idle clients in every third
+    /// Run a number of seeds, with hand-overs in every second one, idle clients in every third, and copied responses in four
+    /// of five
     Run {
         /// The first seed
         #[arg(long, default_value_t = 1)]
@@ -91,8 +93,16 @@
             let mut violations = 0;
             for seed in seed..seed + seeds {
                 let (hand_overs, idle_clients) = (seed.is_multiple_of(2), seed.is_multiple_of(3));
-                let options =
-                    RunOptions { forwarders, fault_duration, rate, client_timeout, hand_overs, idle_clients };
+                let copied_responses = seed % 5 != 4;
+                let options = RunOptions {
+                    forwarders,
+                    fault_duration,
+                    rate,
+                    client_timeout,
+                    hand_overs,
+                    copied_responses,
+                    idle_clients,
+                };
                 violations += run_seed(seed, options, keep.as_ref());
             }
             println!("{seeds} seeds, {violations} violations");
--- a/crates/soak-test/src/platform.rs
+++ b/crates/soak-test/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's agent for each forwarder: it pushes the endpoint list and receives delivery reports.
 
+use crate::copies::ResponseCopies;
 use crate::deployment::{endpoint_kind, CAPACITY_PER_S, ZONES};
 use crate::environment::{sleep, Environment};
 use crate::observation::Report;
@@ -18,6 +19,11 @@
 /// An agent sends an empty line as a heartbeat after this time without an update.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The response to delivery reports that were received.
+const REPORTS_CONFIRMED: &[u8] = b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n";
+/// The response to delivery reports that the agent does not take.
+const REPORTS_REJECTED: &[u8] = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+
 /// Starts an agent for a forwarder and returns its address. A forwarder may have several, as a reload may change the
 /// address.
 ///
@@ -44,12 +50,20 @@
     forwarder: usize,
     mut connection: HttpConnection,
 ) -> io::Result<()> {
+    let mut copies = ResponseCopies::default();
     while let Ok(head) = connection.read_request().await {
         let Ok(body) = connection.request_body(&head, 4 << 20).await else { break };
         if head.method == "POST" {
             let text = String::from_utf8_lossy(&body).into_owned();
-            text.lines().for_each(|line| record_report(&environment, line));
-            connection.write(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n").await?;
+            copies.request_received(&environment, &mut connection).await;
+            let response = if copies.refuses_request(&environment) {
+                REPORTS_REJECTED
+            } else {
+                text.lines().for_each(|line| record_report(&environment, line));
+                REPORTS_CONFIRMED
+            };
+            connection.write(response).await?;
+            copies.response_written(&environment, &connection, response);
             continue;
         }
         return serve_watch(&environment, forwarder, &mut connection).await;
--- a/src/invariants/response_times.rs
+++ b/src/invariants/response_times.rs
@@ -10,7 +10,7 @@
 /// The call's own response is awaited for this multiple of the time that the slowest recent one took.
 const SLOWEST_MULTIPLE: Micros = 2;
 /// Of the slowest time, this share is forgotten with each faster response.
-const SLOWEST_DECAY_DIVISOR: Micros = 8;
+const SLOWEST_DECAY_DIVISOR: Micros = 64;
 /// The number of responses from which on it is known how long an endpoint takes.
 const MIN_SAMPLES: u32 = 5;
 /// The part of the fastest time, in percent, after which a response can be expected.
--- a/src/net/endpoint/call.rs
+++ b/src/net/endpoint/call.rs
@@ -146,7 +146,7 @@
         let response_time = self.progress.received.borrow().own().map(|own| own.time());
         let (result, reusable) = match end {
             CallEnd::NotSent(refusal) => (self.refusal_result(refusal), connection),
-            end => match self.response_result() {
+            end => match self.response_result(&end) {
                 Some(result) => {
                     let reusable = self.reusable(&end, connection, &result, is_followed);
                     (result, reusable)
@@ -163,7 +163,10 @@
     }
 
     /// The result of a call whose own response was received completely; `None` if it was not.
-    fn response_result(&self) -> Option<CallResult> {
+    fn response_result(&self, end: &CallEnd) -> Option<CallResult> {
+        if matches!(end, CallEnd::Unattributed) {
+            return None;
+        }
         let received = self.progress.received.borrow();
         let response = received.own()?.response?;
         let (log, retry_after) = (&self.context.log, received.retry_after());
@@ -223,7 +226,7 @@
             CallEnd::TimedOut if !self.is_written() => CallFailure::TimedOutBeforeSent,
             CallEnd::Cancelled if self.is_written() => CallFailure::Cancelled,
             CallEnd::Cancelled => CallFailure::CancelledBeforeSent,
-            CallEnd::Contradictory => CallFailure::ContradictoryResponses,
+            CallEnd::Unattributed => CallFailure::UnattributedResponse,
             CallEnd::TimedOut | CallEnd::Responded | CallEnd::NotSent(_) => CallFailure::TimedOut,
         }
     }
@@ -231,7 +234,8 @@
     /// The result of a call without a complete response of its own. Its connection is closed, or kept for at most 500 ms
     /// to read a late response. In both cases its end is logged now.
     fn failure_result(&self, failure: CallFailure, connection: Option<EndpointConnection>) -> CallResult {
-        let delivered = self.is_delivered(connection.as_ref());
+        let delivered =
+            failure != CallFailure::UnattributedResponse && self.is_delivered(connection.as_ref());
         let abandoned = matches!(failure, CallFailure::TimedOut | CallFailure::Cancelled);
         let unanswered = self.progress.received.borrow().own().is_none();
         if let Some(connection) = connection.filter(|_| abandoned && unanswered) {
--- a/src/net/endpoint/confirmation.rs
+++ b/src/net/endpoint/confirmation.rs
@@ -38,10 +38,10 @@
     loop {
         let read = read_response(context, call, connection, progress).await;
         match (progress.attribution(), read) {
-            (Attribution::Contradictory, _) => return Ok(CallEnd::Contradictory),
+            (Attribution::Contradictory, _) => return Ok(CallEnd::Unattributed),
             (_, Err(error)) if !progress.has_complete_response() => return Err(error),
             (Attribution::Proven(_), _) => return Ok(CallEnd::Responded),
-            (Attribution::Probable(_), Err(error)) => return Ok(end_by_failure(&error, connection)),
+            (Attribution::Probable(_), Err(_)) => return Ok(end_by_failure(connection, progress)),
             (Attribution::Probable(_), Ok(())) => {
                 let idle_connections = &context.gauges.idle_endpoint_connections;
                 if _idle.is_none() && idle_connections.get() >= context.config().max_idle_connections() {
@@ -86,14 +86,14 @@
     Ok(())
 }
 
-/// How a call ends whose connection fails while its only credible response may still be a copy. If the failure cut off a
-/// further response, that may have been the call's own.
-fn end_by_failure(error: &HttpError, connection: &EndpointConnection) -> CallEnd {
-    let cut_off_response = connection.http.buffer.bytes().starts_with(b"HTTP/");
-    match error {
-        HttpError::Closed | HttpError::Socket(_) if !cut_off_response => CallEnd::Responded,
-        _ if cut_off_response => CallEnd::Contradictory,
-        _ => CallEnd::Responded,
+/// How a call ends whose connection fails while its only credible response may still be a copy. The failure may have taken
+/// the call's own response with it if a further response had begun, or if the call's own could not be expected so early.
+fn end_by_failure(connection: &EndpointConnection, progress: &Progress) -> CallEnd {
+    let has_begun = connection.http.buffer.bytes().starts_with(b"HTTP/");
+    let is_expected = progress.received.borrow().own().is_some_and(|own| progress.is_expected(&own));
+    match is_expected && !has_begun {
+        true => CallEnd::Responded,
+        false => CallEnd::Unattributed,
     }
 }
 
--- a/src/net/endpoint/connection_end.rs
+++ b/src/net/endpoint/connection_end.rs
@@ -18,8 +18,8 @@
     StaleConnection,
     /// The connection failed after the request was written, with this error code.
     Reset(&'static str),
-    /// Several responses followed the request, and it cannot be told which belongs to the call.
-    ContradictoryResponses,
+    /// It cannot be told which of the responses that followed the request belongs to the call, if any.
+    UnattributedResponse,
     /// The timeout expired after the request was written.
     TimedOut,
     /// The timeout expired before the request was written.
@@ -50,7 +50,7 @@
         match self {
             CallFailure::ConnectFailed | CallFailure::TimedOutBeforeSent => Outcome::ConnectFailed,
             // The connection is to blame, not the endpoint's health.
-            CallFailure::StaleConnection | CallFailure::ContradictoryResponses => Outcome::StaleConnection,
+            CallFailure::StaleConnection | CallFailure::UnattributedResponse => Outcome::StaleConnection,
             CallFailure::Reset(_) => Outcome::Reset,
             CallFailure::TimedOut => Outcome::TimedOut,
             CallFailure::Cancelled => Outcome::Cancelled,
@@ -64,7 +64,7 @@
             CallFailure::ConnectFailed => "connect-failed",
             CallFailure::StaleConnection => "stale",
             CallFailure::Reset(code) => code,
-            CallFailure::ContradictoryResponses => "contradictory-responses",
+            CallFailure::UnattributedResponse => "unattributed-response",
             CallFailure::TimedOut => "cut",
             CallFailure::TimedOutBeforeSent => "cut-before-sent",
             CallFailure::Cancelled => "called-off",
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -25,8 +25,8 @@
 pub(super) enum CallEnd {
     /// It is known which response is the call's own.
     Responded,
-    /// Responses arrived that contradict each other, and it cannot be told which is the call's own.
-    Contradictory,
+    /// Responses arrived, and it cannot be told which of them is the call's own, if any.
+    Unattributed,
     /// The check before the first byte refused to send the call.
     NotSent(SendRefusal),
     /// The connection could not be opened, or failed.
