Leave more room around the copy and the late refusal of review case 1

The copy comes 2 ms behind the answer and the fifth message 60 ms later, so that the case depends less on the speed of the machine.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex};
 
 /// The time between an answer and the copy right behind it.
-const COPY_BEHIND_MS: u64 = 1;
+const COPY_BEHIND_MS: u64 = 2;
 /// One way between the forwarder and the endpoint.
 const ONE_WAY_MS: u64 = 15;
 const WORK_MS: u64 = 150;
@@ -83,7 +83,7 @@
     let mut taken: Vec<(String, u64)> = Vec::new();
     for number in 0..5 {
         if number == 4 {
-            sleep_ms(600);
+            sleep_ms(660);
         }
         let (id, key) = (format!("m-{number}"), format!("k-{number}"));
         let submission = Submission {
