Make review case 3 certain to fail, and end what a case leaves behind

Now there are twelve, and the endpoint is the only one of its destination until it is replaced. The bound and the disruption are the same.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,4 +9,6 @@
 [ -x "$program" ] && [ -x "$ROOT/target/release/cedarbridge" ] || exit 2
 timeout -k 2 110 "$program"
 code=$?
+# Ended by the time limit, the program has not ended its forwarders.
+[ "$code" -lt 124 ] || xargs -r kill -9 <"$WORK/pids" 2>/dev/null
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -8,9 +8,9 @@
 use lab::*;
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-const FORWARDERS: usize = 6;
+const FORWARDERS: usize = 12;
 /// How long discovery turns calls away.
 const REFUSING_MS: u64 = 8_000;
 const TOLD_AFTER_MS: u64 = 6_000;
@@ -40,10 +40,10 @@
         kind: "small-partner".to_owned(),
         destination,
         lifecycle: "active",
-        weight: 20.0,
+        weight: 400.0,
     };
     let leaving = member("s-1", endpoint("address of s-1", Some(calls.clone())), 1);
-    let staying = member("s-2", endpoint("address of s-2", None), 1);
+    let replacing = member("s-2", endpoint("address of s-2", None), 1);
     let settings = |me: usize| {
         format!(
             r#"{{"azs":["tartu-room"],"zone":"tartu-room","balancers":{FORWARDERS},"me":{me},
@@ -51,7 +51,7 @@
             "callers":{{"marks-retry":true}},"layers":["partner-systems"],"stage":0,"value-by":"request","family":"deliver",
             "categories":[{{"name":"notice","semantics":"token","dedup-scope":"all","memory-span":30000.0,
               "promise":2500.0,"deadline":28000.0,"gain":1.0,"late-worth":0.3,"stream":false}}],
-            "realms":[{{"name":"lounatv","portion":1.0,"quota-per-s":45.0}}],"over-share-worth":0.1,
+            "realms":[{{"name":"lounatv","portion":1.0,"quota-per-s":400.0}}],"over-share-worth":0.1,
             "fees":{{"cross-zone":0.0,"handshake":0.02}},
             "permissions":{{"max-open":388,"max-attempts":12,"cancel":true,"probing":false,"peers":false,"retry-after":true,
               "max-retry-after":3000.0,"conn-idle":5000.0,"dial-timeout":1500.0,"second-copies":false,"multiplex":1}},
@@ -63,9 +63,7 @@
     };
     // Each forwarder has an agent on its own machine.
     let platforms: Vec<Platform> = (0..FORWARDERS)
-        .map(|number| {
-            Platform::start(&record, &format!("agent of n{number}"), vec![leaving.clone(), staying.clone()])
-        })
+        .map(|number| Platform::start(&record, &format!("agent of n{number}"), vec![leaving.clone()]))
         .collect();
     let mut forwarders: Vec<Forwarder> = (0..FORWARDERS)
         .map(|number| {
@@ -84,13 +82,15 @@
     let started_at = Instant::now();
     let elapsed = || started_at.elapsed().as_millis() as u64;
     let (mut changed_at, mut number) = (None, 0);
-    let end = REFUSING_MS + TOLD_AFTER_MS + 9_000;
+    let end = REFUSING_MS + TOLD_AFTER_MS + 4_000;
     while elapsed() < end {
         if changed_at.is_none() && elapsed() >= REFUSING_MS {
-            // The machine of s-1 is given to another partner: its address is that of s-9 from now on.
+            // s-1 is replaced by s-2, and its machine is given to another partner: its address is that of s-9 from now on.
             let gone = Member { lifecycle: "left", ..leaving.clone() };
             let new = member("s-9", leaving.address, 2);
-            platforms.iter().for_each(|platform| platform.change(vec![gone.clone(), new.clone()]));
+            platforms
+                .iter()
+                .for_each(|platform| platform.change(vec![gone.clone(), replacing.clone(), new.clone()]));
             if with_trouble() {
                 platforms.iter().for_each(|platform| platform.refuse(false));
             }
@@ -109,7 +109,8 @@
         };
         submission.send(&record, forwarders[number % FORWARDERS].listen);
         number += 1;
-        std::thread::sleep(Duration::from_millis(50));
+        // More messages from shortly before the change counts as told.
+        sleep_ms(if elapsed() < REFUSING_MS + TOLD_AFTER_MS - 500 { 60 } else { 3 });
     }
     let changed_at = changed_at.expect("the list was changed");
     let limit = changed_at + TOLD_AFTER_MS + GRACE_MS + SLACK_MS;
--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -677,6 +677,9 @@
             .spawn()
             .expect("the forwarder can be started");
         self.record.line(format!("{}: started", self.name));
+        // run.sh ends what is left if this program is ended itself.
+        let pids = fs::OpenOptions::new().create(true).append(true).open(work_folder().join("pids"));
+        let _ = pids.and_then(|mut file| writeln!(file, "{}", child.id()));
         self.child = Some(child);
         let started_at = Instant::now();
         while started_at.elapsed() < Duration::from_secs(10) {
