--- a/src/net/delivery/attempts.rs
+++ b/src/net/delivery/attempts.rs
@@ -162,6 +162,7 @@
         if let Some(message) = &message {
             info!(self.context.log, "message"; "state" => "attempt-ended", "id" => &message.request.request_id,
                 "attempt" => number, "endpoint" => endpoint.0, "outcome" => ?outcome, "ms" => elapsed / 1000);
+            message.record_outcome(outcome);
             message.route_stats.iter().for_each(|stats| stats.attempt_completed(outcome));
             if !never_ran(outcome) {
                 message.mark_may_have_run();
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -247,7 +247,8 @@
             context.record_violation(violation, request_id, Some(call.endpoint));
         }
         info!(context.log, "message"; "state" => "attempt", "id" => request_id, "attempt" => attempt.number,
-            "endpoint" => call.endpoint.0, "left_ms" => attempt.timeout_at.saturating_sub(now) / 1000);
+            "endpoint" => call.endpoint.0, "left_ms" => attempt.timeout_at.saturating_sub(now) / 1000,
+            "after" => attempt.message.last_outcome().map(|outcome| format!("{outcome:?}")));
     }
     table.record_first_byte(call.endpoint);
     context.counters.calls.increment();
--- a/src/net/endpoint/observation.rs
+++ b/src/net/endpoint/observation.rs
@@ -81,7 +81,7 @@
                 let is_closed = matches!(ended, Ok(_) | Err(HttpError::Closed));
                 let idle_time = context.clock.now().saturating_sub(idle_since);
                 if is_closed && is_idle_close(idle_time, context.config().endpoint_idle_timeout) {
-                    connection.unconfirmed.end_answered();
+                    connection.unconfirmed.end_closed_as_idle();
                 }
                 connection.unconfirmed.end_with_connection();
                 return Observed { connection: None, found_stray };
--- a/src/net/endpoint/unconfirmed.rs
+++ b/src/net/endpoint/unconfirmed.rs
@@ -21,6 +21,40 @@
 /// What an open message takes in memory and in the journal besides its body, in bytes.
 const MESSAGE_OVERHEAD_BYTES: usize = 512;
 
+/// What ended the doubt about a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SettlementReason {
+    /// A later response on the connection can be no copy.
+    LaterResponse,
+    /// A later call on the connection was answered.
+    LaterCallAnswered,
+    /// The endpoint has closed the connection as idle.
+    ClosedAsIdle,
+    /// One response more than calls has arrived.
+    SurplusResponse,
+    /// The time of the call is over.
+    TimeOver,
+    /// The connection has ended.
+    ConnectionEnded,
+    /// This process has given up the connection.
+    ConnectionGivenUp,
+}
+
+impl SettlementReason {
+    /// The name of the reason in logs.
+    fn name(self) -> &'static str {
+        match self {
+            SettlementReason::LaterResponse => "later-response",
+            SettlementReason::LaterCallAnswered => "later-call-answered",
+            SettlementReason::ClosedAsIdle => "closed-idle",
+            SettlementReason::SurplusResponse => "surplus-response",
+            SettlementReason::TimeOver => "time-over",
+            SettlementReason::ConnectionEnded => "connection-ended",
+            SettlementReason::ConnectionGivenUp => "connection-given-up",
+        }
+    }
+}
+
 /// When the request of a call was written. The times are in microseconds of the monotonic clock.
 #[derive(Clone, Copy)]
 pub(super) struct RequestTiming {
@@ -42,6 +76,8 @@
     /// The result of its response; `None` once it was reported.
     result: Option<CallResult>,
     body_bytes: usize,
+    /// Why the response is refuted if the call is dropped.
+    refutation: SettlementReason,
 }
 
 impl UnconfirmedCall {
@@ -57,13 +93,37 @@
         let body_bytes = call.attempts.iter().map(|attempt| size(&attempt.message.request.body)).sum();
         context.gauges.unconfirmed_calls.increment();
         context.gauges.unconfirmed_bytes.add(body_bytes);
-        UnconfirmedCall {
+        let unconfirmed = UnconfirmedCall {
             context: context.clone(),
             call,
             timing,
             responses,
             result: Some(result),
             body_bytes,
+            refutation: SettlementReason::ConnectionGivenUp,
+        };
+        unconfirmed.log_doubt();
+        unconfirmed
+    }
+
+    fn log_doubt(&self) {
+        let status = self.responses.own().map(|own| own.status);
+        let reason = match self.responses.last_may_be_copy() {
+            true => "equal-to-earlier",
+            false => "earlier-call-unconfirmed",
+        };
+        for attempt in &self.call.attempts {
+            info!(self.context.log, "response may be a copy"; "id" => &attempt.message.request.request_id,
+                "attempt" => attempt.number, "endpoint" => self.call.endpoint.0, "status" => status,
+                "reason" => reason);
+        }
+    }
+
+    fn log_settlement(&self, settlement: &'static str, reason: SettlementReason) {
+        for attempt in &self.call.attempts {
+            info!(self.context.log, "unconfirmed response settled"; "id" => &attempt.message.request.request_id,
+                "attempt" => attempt.number, "endpoint" => self.call.endpoint.0, "end" => settlement,
+                "reason" => reason.name());
         }
     }
 
@@ -81,8 +141,9 @@
     }
 
     /// Reports that the response is the call's own.
-    fn confirm(mut self) {
+    fn confirm(mut self, reason: SettlementReason) {
         if let Some(result) = self.result.take() {
+            self.log_settlement("confirmed", reason);
             // The load report and the retry-after were reported when the response arrived.
             self.send(CallResult { report: None, retry_after: None, ..result });
         }
@@ -127,13 +188,20 @@
         if let Some(retry_after) = result.retry_after {
             self.context.endpoint_table.record_retry_after(self.call.endpoint, retry_after);
         }
+        self.log_settlement("corrected", SettlementReason::SurplusResponse);
         self.result = None;
         self.send(result);
     }
 
+    /// Reports that the response is not confirmed.
+    fn refute(mut self, reason: SettlementReason) {
+        self.refutation = reason;
+    }
+
     /// Reports that the response is not confirmed, once the time of the call is over: its message was probably delivered, and an
     /// endpoint that has lost all its connections must not get all their messages again at once.
-    fn refute_at_timeout(self) {
+    fn refute_at_timeout(mut self) {
+        self.refutation = SettlementReason::ConnectionEnded;
         let (context, times_out_at) = (self.context.clone(), self.facts().times_out_at);
         let executor = context.executor.clone();
         let refute = async move {
@@ -161,10 +229,7 @@
         if self.result.take().is_none() {
             return;
         }
-        for attempt in &self.call.attempts {
-            info!(self.context.log, "response not confirmed"; "id" => &attempt.message.request.request_id,
-                "attempt" => attempt.number, "endpoint" => self.call.endpoint.0);
-        }
+        self.log_settlement("not-confirmed", self.refutation);
         let unconfirmed = AttemptResult::from_outcome(Outcome::StaleConnection);
         self.send(CallResult::same_for_all(self.call.attempts.len(), unconfirmed));
     }
@@ -196,14 +261,27 @@
     /// Confirms the first call, because the connection has carried one more response that can be no copy.
     pub fn confirm_first(&mut self) {
         if let Some(first) = self.calls.pop_front() {
-            first.confirm();
+            first.confirm(SettlementReason::LaterResponse);
         }
     }
 
-    /// Ends all calls, because their endpoint has responded to a later one or has closed the connection as idle, so that it
-    /// has answered them all. A response other than a success is not confirmed: it may be that to another of them.
+    /// Ends all calls, because their endpoint has responded to a later one, so that it has answered them all. A response other than a success is not confirmed: it may be that to another of them.
     pub fn end_answered(&mut self) {
-        self.calls.drain(..).filter(UnconfirmedCall::is_success).for_each(UnconfirmedCall::confirm);
+        self.end_all_answered(SettlementReason::LaterCallAnswered);
+    }
+
+    /// Ends all calls as [`UnconfirmedCalls::end_answered`] does, because their endpoint has closed the connection as idle.
+    pub fn end_closed_as_idle(&mut self) {
+        self.end_all_answered(SettlementReason::ClosedAsIdle);
+    }
+
+    fn end_all_answered(&mut self, reason: SettlementReason) {
+        for call in self.calls.drain(..) {
+            match call.is_success() {
+                true => call.confirm(reason),
+                false => call.refute(reason),
+            }
+        }
     }
 
     /// Ends all calls, as not confirmed, because their connection has ended.
@@ -216,14 +294,19 @@
     pub fn add_response(&mut self, response: Response) {
         match self.calls.len() {
             1 => {
-                let is_open = self.calls[0].add_response(response);
-                self.calls.truncate(usize::from(is_open));
+                if !self.calls[0].add_response(response) {
+                    self.refute_all(SettlementReason::SurplusResponse);
+                }
             }
             _ if response.head.status == 200 && self.allow_further_call() => {}
-            _ => self.calls.clear(),
+            _ => self.refute_all(SettlementReason::SurplusResponse),
         }
     }
 
+    fn refute_all(&mut self, reason: SettlementReason) {
+        self.calls.drain(..).for_each(|call| call.refute(reason));
+    }
+
     /// When [`UnconfirmedCalls::end_timed_out`] has calls to end, in microseconds of the monotonic clock; `None` without calls.
     pub fn next_timeout(&self, connection_use: ConnectionUse) -> Option<Micros> {
         next_timeout(&self.facts(), connection_use)
@@ -234,8 +317,8 @@
         let ends = timed_out_calls(&self.facts(), connection_use, now);
         for (call, end) in std::mem::take(&mut self.calls).into_iter().zip(ends) {
             match end {
-                Some(ConfirmationEnd::Confirmed) => call.confirm(),
-                Some(ConfirmationEnd::NotConfirmed) => drop(call),
+                Some(ConfirmationEnd::Confirmed) => call.confirm(SettlementReason::TimeOver),
+                Some(ConfirmationEnd::NotConfirmed) => call.refute(SettlementReason::TimeOver),
                 None => self.calls.push_back(call),
             }
         }
--- a/src/net/in_flight.rs
+++ b/src/net/in_flight.rs
@@ -1,7 +1,7 @@
 //! The messages of clients: the request as it was received, and its state until the message ends.
 
 use crate::net::route_stats::RouteStats;
-use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, TenantId, ZoneId};
+use crate::{ClassId, DestinationId, MessageId, Micros, NewMessage, Outcome, TenantId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -54,6 +54,7 @@
     /// The counts of the message's route; `None` without a site file.
     pub route_stats: Option<Rc<RouteStats>>,
     attempts: Cell<u32>,
+    last_outcome: Cell<Option<Outcome>>,
     may_have_run: Cell<bool>,
     ended: Cell<bool>,
 }
@@ -71,6 +72,7 @@
             unknown_attempt_at: None,
             route_stats: None,
             attempts: Cell::new(attempts),
+            last_outcome: Cell::default(),
             ended: Cell::new(false),
         }
     }
@@ -86,6 +88,16 @@
         self.attempts.get()
     }
 
+    /// The outcome of the last attempt that has ended in this process; `None` if there is none.
+    pub fn last_outcome(&self) -> Option<Outcome> {
+        self.last_outcome.get()
+    }
+
+    /// Records the outcome of an attempt that has ended.
+    pub fn record_outcome(&self, outcome: Outcome) {
+        self.last_outcome.set(Some(outcome));
+    }
+
     /// Whether an endpoint may have processed the message. It may then respond at once to a further attempt.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run.get()
