--- a/tests/scenario/endpoint.rs
+++ b/tests/scenario/endpoint.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The backlog of an endpoint that accepts connections, in connections.
 const BACKLOG: i32 = 64;
@@ -138,6 +139,11 @@
                 );
                 self.call_connections.insert(ids[0].to_owned(), call.stream);
             }
+            ["expect-no-call", milliseconds] => {
+                let time = milliseconds.parse().expect("a number of milliseconds");
+                let call = self.calls.recv_timeout(Duration::from_millis(time));
+                assert!(call.is_err(), "a call with {:?}", call.map(|call| call.ids));
+            }
             ["serves", ids @ ..] => self.serve_calls(expand_ids(ids)),
             ["send", id, status, more @ ..] => self.respond(id, status, more),
             ["send-raw", id, ..] => {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -70,6 +70,7 @@
 //! | line | effect |
 //! | --- | --- |
 //! | `e1 expect m1 m2`, `e1 expect-unordered m1 m2` | expects that the next call has these messages, in this or any order |
+//! | `e1 expect-no-call 1500` | expects that no call arrives for 1500 ms |
 //! | `e1 serves m1 m2`, `e1 serves m*20` | expects calls with these messages (m1 to m20) in any order, and delivers all |
 //! | `e1 send m1 200 Header:value m1=delivered …` | responds to the call of m1, with headers and results of messages |
 //! | `e1 send-raw m1 TEXT`, `e1 close m1` | writes the text to the connection of that call; closes the connection |
@@ -86,7 +87,7 @@
 //! | `platform changes-silently e1=leaving` | sets lifecycles in the list and sends nothing on the watches |
 //! | `platform changes-on-old-watches e1=leaving` | sets lifecycles and sends them only on watches at former addresses |
 //! | `platform expect m1 failed [alone]` | expects the next delivery report (as the only one of its request) |
-//! | `platform expect-all m*20 returned` | expects reports of m1 to m20 in any order, possibly repeated |
+//! | `platform expect-all m*20 x1 failed` | expects reports of m1 to m20 and x1 in any order, possibly repeated |
 //! | `platform expect-no-report` | expects that no further delivery report has arrived |
 //! | `platform expect-watch 1` | expects that the next watch asks for changes since generation 1; `-`: for all |
 //! | `platform expect-watch 1 within 500` | expects it in 500 ms |
--- a/tests/scenario/platform.rs
+++ b/tests/scenario/platform.rs
@@ -139,7 +139,7 @@
                 let report = self.reports.try_recv();
                 assert!(report.is_err(), "{report:?}");
             }
-            ["expect-all", ids, state] => self.expect_reports(expand_ids(&[ids]), state),
+            ["expect-all", ids @ .., state] => self.expect_reports(expand_ids(ids), state),
             ["expect-watch", after] => self.expect_watch(after, STEP_TIMEOUT),
             ["expect-watch", after, "within", time] => {
                 let time = time.parse().expect("`within` takes milliseconds");
