--- a/src/invariants/mod.rs
+++ b/src/invariants/mod.rs
@@ -19,7 +19,9 @@
 pub mod send;
 
 pub use admission::{may_admit, AdmissionFacts, Rejection};
-pub use attribution::{attribute, Attribution, EarlierResponses, NamedMessages, ResponseFacts};
+pub use attribution::{
+    attribute, Attribution, CallResponses, EarlierResponses, NamedMessages, ResponseFacts,
+};
 pub use connection::{may_reuse, CloseReason, IdleFacts};
 pub use ledger::{Ledger, RepeatPolicy, TrackedAttempt, TrackedMessage, Violation};
 pub use response_history::{is_refusal, ResponseDigest, ResponseHistory, ResponseIdentity};
--- a/src/invariants/response_history.rs
+++ b/src/invariants/response_history.rs
@@ -1,11 +1,12 @@
-//! What a connection has carried: the identities of its responses so far. A response that differs from all of them is no
-//! copy of an earlier one.
+//! What a connection has carried: how often each response was received. An endpoint answers the calls on a connection in
+//! order, and may write copies of a response at any time after it. So of equal responses only the first is certainly no copy.
 
-use std::collections::BTreeSet;
+use crate::MessageId;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// A connection whose history holds this many different responses is not reused, so that its memory is bounded.
-const MAX_DIFFERENT_RESPONSES: usize = 256;
+/// A connection whose history holds this many different responses, or messages, is not reused, so that its memory is bounded.
+const MAX_HISTORY_ENTRIES: usize = 256;
 
 /// A digest of a head or of a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,12 +32,29 @@
     Complete(ResponseDigest),
 }
 
+/// How often a response was received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ResponseCount {
+    /// All of them, copies included.
+    received: usize,
+    /// Those that are known to be no copies.
+    known_originals: usize,
+}
+
+impl ResponseCount {
+    /// The number of originals among them, at least.
+    fn min_originals(self) -> usize {
+        self.known_originals.max(1)
+    }
+}
+
 /// The identities of the responses that a connection has carried.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHistory {
     statuses: BTreeSet<u16>,
     heads: BTreeSet<ResponseDigest>,
-    complete: BTreeSet<ResponseDigest>,
+    complete: BTreeMap<ResponseDigest, ResponseCount>,
+    unended_messages: BTreeSet<MessageId>,
 }
 
 impl ResponseHistory {
@@ -48,7 +66,30 @@
 
     /// Adds a complete response.
     pub fn record_complete(&mut self, response: ResponseDigest) {
-        self.complete.insert(response);
+        self.complete.entry(response).or_default().received += 1;
+    }
+
+    /// Records that a response has named this message and said that it has not ended.
+    pub fn record_unended(&mut self, message: MessageId) {
+        self.unended_messages.insert(message);
+    }
+
+    /// Whether a response has named this message and said that it has not ended.
+    pub fn has_unended(&self, message: MessageId) -> bool {
+        self.unended_messages.contains(&message)
+    }
+
+    /// Records that none of the responses so far is a copy: each is that to a call of its own.
+    pub fn record_all_original(&mut self) {
+        for count in self.complete.values_mut() {
+            count.known_originals = count.received;
+        }
+    }
+
+    /// How many of the responses are certainly no copies. As an endpoint answers in order, it has answered at least so many of
+    /// the calls on the connection, from the first on.
+    pub fn min_answered_calls(&self) -> usize {
+        self.complete.values().map(|count| count.min_originals()).sum()
     }
 
     /// Whether the connection has carried a response from which this one cannot be told. If not, it is no copy of an earlier
@@ -57,7 +98,7 @@
         match response {
             ResponseIdentity::Status(status) => self.statuses.contains(&status),
             ResponseIdentity::Head(digest) => self.heads.contains(&digest),
-            ResponseIdentity::Complete(digest) => self.complete.contains(&digest),
+            ResponseIdentity::Complete(digest) => self.complete.contains_key(&digest),
         }
     }
 
@@ -66,9 +107,10 @@
         self.statuses.is_empty()
     }
 
-    /// Whether the connection has carried so many different responses that it is not reused.
+    /// Whether the connection has carried so many different responses, or messages, that it is not reused.
     pub fn is_full(&self) -> bool {
-        self.heads.len().max(self.complete.len()) >= MAX_DIFFERENT_RESPONSES
+        let entries = [self.heads.len(), self.complete.len(), self.unended_messages.len()];
+        entries.into_iter().any(|count| count >= MAX_HISTORY_ENTRIES)
     }
 
     /// Whether the connection has carried a response that says that its call never ran. A copy of it must not be read as
--- a/src/journal/encoding.rs
+++ b/src/journal/encoding.rs
@@ -15,7 +15,10 @@
 const KIND_ATTEMPT_NEVER_RAN: u8 = 3;
 const KIND_ENDED: u8 = 4;
 const KIND_COMPLETED: u8 = 5;
+/// A probe, if nothing follows. Otherwise the next byte is the kind of an extension; releases that do not know it read the record
+/// as a probe.
 const KIND_PROBE: u8 = 6;
+const EXTENSION_MAY_HAVE_ENDED: u8 = 1;
 
 /// An attempt that is not in flight may have run, here or at an unknown endpoint.
 const FLAG_EARLIER_ATTEMPT_MAY_HAVE_RUN: u8 = 1;
@@ -28,6 +31,8 @@
 const FLAG_UNKNOWN_ATTEMPT: u8 = 1 << 5;
 /// With `FLAG_UNKNOWN_ATTEMPT`: an attempt of this forwarder that is not in flight may have run as well.
 const FLAG_OWN_EARLIER_ATTEMPT_MAY_HAVE_RUN: u8 = 1 << 6;
+/// A response says that the message has ended. Releases that do not know the flag pass over it.
+const FLAG_MAY_HAVE_ENDED: u8 = 1 << 7;
 
 /// The value that follows is the earliest start of the attempt at an unknown endpoint, or 0. Releases that do not know such
 /// attempts pass over it.
@@ -68,6 +73,9 @@
             put_attempt_start(&mut bytes, start.as_ref());
         }
         JournalRecord::Progressed(ProgressStep::AttemptNeverRan) => bytes.push(KIND_ATTEMPT_NEVER_RAN),
+        JournalRecord::Progressed(ProgressStep::MayHaveEnded) => {
+            bytes.extend_from_slice(&[KIND_PROBE, EXTENSION_MAY_HAVE_ENDED]);
+        }
         JournalRecord::Progressed(ProgressStep::Ended(end)) => {
             bytes.push(KIND_ENDED);
             put_report(&mut bytes, *end);
@@ -122,6 +130,7 @@
         (FLAG_HAS_FIRST_POSSIBLE_EFFECT, progress.first_possible_effect.is_some()),
         (FLAG_UNKNOWN_ATTEMPT, has_unknown_attempt),
         (FLAG_OWN_EARLIER_ATTEMPT_MAY_HAVE_RUN, own_may_have_run && has_unknown_attempt),
+        (FLAG_MAY_HAVE_ENDED, progress.may_have_ended),
     ];
     flags.into_iter().filter(|(_, is_set)| *is_set).map(|(flag, _)| flag).sum()
 }
@@ -219,11 +228,19 @@
             KIND_ATTEMPT_NEVER_RAN => JournalRecord::Progressed(ProgressStep::AttemptNeverRan),
             KIND_ENDED => JournalRecord::Progressed(ProgressStep::Ended(self.report()?.0?)),
             KIND_COMPLETED => JournalRecord::Completed,
-            KIND_PROBE => JournalRecord::Probe,
+            KIND_PROBE => self.probe_or_extension(),
             _ => return None,
         })
     }
 
+    /// Reads what follows the kind of a probe. An extension that this release does not know is read as a probe.
+    fn probe_or_extension(&mut self) -> JournalRecord {
+        match self.byte() {
+            Some(EXTENSION_MAY_HAVE_ENDED) => JournalRecord::Progressed(ProgressStep::MayHaveEnded),
+            _ => JournalRecord::Probe,
+        }
+    }
+
     fn message(&mut self) -> Option<JournaledMessage> {
         let (destination, deadline) = (self.u64()?, self.u64()?);
         let attempts = self.u32()?;
@@ -245,6 +262,7 @@
             attempts,
             earlier_attempt_may_have_run: is_set(earlier_flag),
             attempt_in_flight: is_set(FLAG_ATTEMPT_IN_FLIGHT),
+            may_have_ended: is_set(FLAG_MAY_HAVE_ENDED),
             first_possible_effect: self.attempt_start()?,
             unknown_attempt: has_unknown_attempt.then_some(UnknownAttempt { earliest_start }),
             report,
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -81,8 +81,8 @@
 pub struct Journal {
     log: SegmentLog,
     write_state: WriteState,
-    /// The queued records, oldest first. There are at most three for each message, one of each kind: an attempt never ran,
-    /// the message is undelivered, the message is completed.
+    /// The queued records, oldest first. There are at most four for each message, one of each kind: an attempt never ran, the
+    /// message may have ended, it is undelivered, it is completed.
     unwritten: VecDeque<UnwrittenRecord>,
 }
 
@@ -168,14 +168,21 @@
     /// Records that an attempt never ran. Does nothing unless it is the last attempt that was recorded for the message,
     /// and in flight. The record is queued if it cannot be written now.
     pub fn record_never_ran(&mut self, id: u64, number: u32) {
-        let is_in_flight = self.log.progress(id).is_some_and(|progress| {
-            progress.attempt_in_flight && progress.attempts == number.saturating_add(1)
-        });
-        if is_in_flight {
+        if self.log.progress(id).is_some_and(|progress| progress.is_in_flight(number)) {
             self.record_event(id, JournalRecord::Progressed(ProgressStep::AttemptNeverRan));
         }
     }
 
+    /// Records that a response to an attempt says that its message has ended, although it may be a copy of an earlier one. Does
+    /// nothing unless it is the last attempt that was recorded for the message, and in flight. The record is queued if it
+    /// cannot be written now.
+    pub fn record_may_have_ended(&mut self, id: u64, number: u32) {
+        let is_new = |progress: &Progress| progress.is_in_flight(number) && !progress.may_have_ended;
+        if self.log.progress(id).is_some_and(is_new) {
+            self.record_event(id, JournalRecord::Progressed(ProgressStep::MayHaveEnded));
+        }
+    }
+
     /// Records that a message is undelivered, and how it ended. The message stays in the journal until the platform has
     /// confirmed its delivery report. The record is queued if it cannot be written now. Does nothing for a message that the
     /// journal does not hold.
--- a/src/journal/record.rs
+++ b/src/journal/record.rs
@@ -31,6 +31,9 @@
     pub earlier_attempt_may_have_run: bool,
     /// Whether an attempt is in flight.
     pub attempt_in_flight: bool,
+    /// Whether a response to the attempt in flight says that the message has ended. It may be a copy of an earlier response, so
+    /// that the end is not confirmed, but the message must not be sent again.
+    pub may_have_ended: bool,
     /// The first attempt of this forwarder that may have run. Its zone and its start determine where and for how long repeats
     /// are dropped. `None` if no attempt may have run, or if its start is not known.
     pub first_possible_effect: Option<AttemptStart>,
@@ -59,6 +62,11 @@
         self.attempt_in_flight && !self.earlier_attempt_may_have_run
     }
 
+    /// Whether the attempt with this number, counted from 0, is in flight.
+    pub fn is_in_flight(&self, number: u32) -> bool {
+        self.attempt_in_flight && self.attempts == number.saturating_add(1)
+    }
+
     /// Updates the progress by one recorded step.
     pub fn apply(&mut self, step: &ProgressStep) {
         match step {
@@ -67,6 +75,7 @@
                 // No record says that the attempt in flight until now never ran, so it may have run.
                 self.earlier_attempt_may_have_run |= self.attempt_in_flight;
                 self.attempt_in_flight = true;
+                self.may_have_ended = false;
                 if self.first_possible_effect.is_none() {
                     self.set_first_possible_effect(start.clone());
                 }
@@ -76,7 +85,9 @@
                     self.first_possible_effect = None;
                 }
                 self.attempt_in_flight = false;
+                self.may_have_ended = false;
             }
+            ProgressStep::MayHaveEnded => self.may_have_ended = true,
             ProgressStep::Ended(end) => self.report = Some(*end),
         }
     }
@@ -131,6 +142,8 @@
     },
     /// The attempt in flight never ran.
     AttemptNeverRan,
+    /// A response to the attempt in flight says that the message has ended, but it may be a copy of an earlier one.
+    MayHaveEnded,
     /// The message ended undelivered, which is to be reported to the platform.
     Ended(ReportedEnd),
 }
--- a/src/net/call.rs
+++ b/src/net/call.rs
@@ -138,6 +138,11 @@
     pub fn from_outcome(outcome: Outcome) -> Self {
         AttemptResult { outcome, completes_message: outcome == Outcome::Ok }
     }
+
+    /// A result that completes the message.
+    pub fn ended(outcome: Outcome) -> Self {
+        AttemptResult { outcome, completes_message: true }
+    }
 }
 
 /// The result of a call.
@@ -151,12 +156,21 @@
     /// The retry-after of the response, in microseconds.
     #[serde(rename = "wait")]
     pub retry_after: Option<Micros>,
+    /// Whether the messages that end with the call end unconfirmed: the response that says so may be a copy of an earlier one.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub unconfirmed: bool,
 }
 
 impl CallResult {
     /// The same result for each of `attempts` attempts, without a load report or a retry-after.
     pub fn same_for_all(attempts: usize, result: AttemptResult) -> Self {
-        CallResult { attempts: vec![result; attempts], report: None, retry_after: None }
+        CallResult { attempts: vec![result; attempts], report: None, retry_after: None, unconfirmed: false }
+    }
+
+    /// The result of `attempts` attempts whose messages end unconfirmed: with [`Outcome::Ok`] they were probably delivered, and
+    /// with [`Outcome::NotSent`] they are probably over.
+    pub fn ended_unconfirmed(attempts: usize, outcome: Outcome) -> Self {
+        CallResult { unconfirmed: true, ..CallResult::same_for_all(attempts, AttemptResult::ended(outcome)) }
     }
 }
 
@@ -176,3 +190,24 @@
     #[serde(rename = "ended")]
     pub result: CallResult,
 }
+
+impl CallCompletion {
+    /// Whether a message ends with the call.
+    pub fn ends_messages(&self) -> bool {
+        self.ended_attempts().next().is_some()
+    }
+
+    /// The attempts with which their messages end.
+    pub fn ended_attempts(&self) -> impl Iterator<Item = AttemptId> + '_ {
+        let results = self.attempts.iter().zip(&self.result.attempts);
+        results.filter(|(_, result)| result.completes_message).map(|(attempt, _)| *attempt)
+    }
+
+    /// The messages that end unconfirmed with the call.
+    pub fn unconfirmed_messages(&self) -> Vec<MessageId> {
+        match self.result.unconfirmed {
+            true => self.ended_attempts().map(|attempt| attempt.message).collect(),
+            false => Vec::new(),
+        }
+    }
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -97,6 +97,10 @@
     failed = "failed",
     /// Messages returned to their clients by a delivery report.
     returned = "returned",
+    /// Messages that have ended by a response that may be a copy of an earlier one. They also count as delivered if it says so.
+    unconfirmed_ends = "unconfirmed_ends",
+    /// Of these, messages whose ends were reported to the platform, as no later response has confirmed them.
+    unconfirmed_reports = "unconfirmed_reports",
     /// Delivery reports that the platform has confirmed.
     reports_confirmed = "notices",
     /// Connections opened to endpoints.
--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -1,6 +1,7 @@
 //! The state of the delivery actor and the loop that reads its mailbox.
 
 use super::endpoints::Endpoints;
+use super::unconfirmed_ends::UnconfirmedEnd;
 use crate::net::call::AttemptId;
 use crate::net::handover::{self, frames::PolicyTimer};
 use crate::net::in_flight::InFlightMessage;
@@ -50,6 +51,8 @@
     pub(super) endpoint_list: Sender<EndpointListMessage>,
     pub(super) endpoints: Endpoints,
     pub(super) messages: BTreeMap<MessageId, OpenMessage>,
+    /// The messages that have ended by a response that may be a copy.
+    pub(super) unconfirmed_ends: BTreeMap<MessageId, UnconfirmedEnd>,
     /// The last id that was assigned to a message.
     pub(super) last_id: u64,
     /// The timers that the policy has set; the first one due is on top.
@@ -90,6 +93,7 @@
             endpoint_list,
             endpoints: Endpoints::default(),
             messages: BTreeMap::new(),
+            unconfirmed_ends: BTreeMap::new(),
             last_id,
             timers: BinaryHeap::new(),
             events: Vec::new(),
@@ -177,6 +181,9 @@
             DeliveryMessage::Settings(settings) => self.events.push(Event::Settings(settings)),
             DeliveryMessage::CallAnswered(completion) => self.call_answered(&completion),
             DeliveryMessage::CallCompleted(completion) => self.call_completed(completion),
+            DeliveryMessage::EndSettled { messages, settlement } => {
+                self.settle_ends(messages, settlement).await
+            }
             DeliveryMessage::HandOver(successor) => self.successor = Some(successor),
             DeliveryMessage::Admin { command, reply } => {
                 // The command arrived during a hand-over that failed, so this process performs it.
--- a/src/net/delivery/attempts.rs
+++ b/src/net/delivery/attempts.rs
@@ -26,6 +26,8 @@
     /// The time from the policy's decision until then, in microseconds.
     elapsed: Micros,
     result: AttemptResult,
+    /// Whether the message ends unconfirmed, if it ends with the attempt.
+    unconfirmed: bool,
     report: Option<LoadReport>,
 }
 
@@ -137,12 +139,13 @@
         let CallCompletion { endpoint, decided_at, attempts, result } = completion;
         let rejection_has_retry_after =
             result.attempts.iter().any(|attempt| matches!(attempt.outcome, Outcome::Rejected(Some(_))));
-        let report = result.report;
+        let (report, unconfirmed) = (result.report, result.unconfirmed);
         for (id, result) in attempts.into_iter().zip(result.attempts) {
             let answered_at = self.attempt_in_flight(id).and_then(|attempt| attempt.answered_at);
             let ended_at = answered_at.unwrap_or(self.context.clock.now());
             let elapsed = ended_at.saturating_sub(decided_at);
-            self.attempt_completed(CompletedAttempt { id, endpoint, ended_at, elapsed, result, report });
+            let attempt = CompletedAttempt { id, endpoint, ended_at, elapsed, result, unconfirmed, report };
+            self.attempt_completed(attempt);
         }
         // The outcome of a rejected attempt already contains the retry-after; without a rejected attempt it needs an
         // event of its own.
@@ -152,7 +155,8 @@
     }
 
     fn attempt_completed(&mut self, attempt: CompletedAttempt) {
-        let CompletedAttempt { id: attempt_id, endpoint, ended_at, elapsed, result, report } = attempt;
+        let CompletedAttempt { id: attempt_id, endpoint, ended_at, elapsed, result, unconfirmed, report } =
+            attempt;
         let AttemptId { message: id, number } = attempt_id;
         let AttemptResult { outcome, completes_message } = result;
         self.context.counters.count_attempt(outcome);
@@ -167,9 +171,19 @@
             if !never_ran(outcome) {
                 message.mark_may_have_run();
             }
+            if !completes_message && is_response(outcome) {
+                message.refute_end_read(number);
+                self.context.ledger.borrow_mut().end_refuted(id, number);
+            }
         }
         if completes_message {
-            self.end_by_response(id, outcome, message.as_deref(), ended_at);
+            let is_ended = self.end_by_response(id, outcome, message.as_deref(), ended_at);
+            match message.as_deref().filter(|_| is_ended) {
+                Some(message) if unconfirmed => self.keep_unconfirmed_end(id, message),
+                // It has ended in another way, which may still be to be reported.
+                None if unconfirmed => {}
+                _ => self.context.journal.record_completed(id),
+            }
         } else if never_ran(outcome) {
             self.context.journal.record_never_ran(id, number);
         }
@@ -195,17 +209,18 @@
         Some(open.message.clone())
     }
 
-    /// Ends a message that its endpoint has accepted or reported as expired.
+    /// Ends a message that its endpoint has accepted or reported as expired. Returns false if it had ended before.
     fn end_by_response(
         &mut self,
         id: MessageId,
         outcome: Outcome,
         message: Option<&InFlightMessage>,
         ended_at: Micros,
-    ) {
+    ) -> bool {
         let delivered = outcome == Outcome::Ok;
         let end = if delivered { MessageEnd::Delivered } else { MessageEnd::Expired };
-        if self.end_message(id, end) && delivered {
+        let is_ended = self.end_message(id, end);
+        if is_ended && delivered {
             self.context.counters.delivered.increment();
             let received_at = message.and_then(|message| message.received_at);
             let stats = message.and_then(|message| message.route_stats.as_ref());
@@ -214,10 +229,15 @@
                 self.context.route_stats.record_delivery(stats, delivery_time);
             }
         }
-        self.context.journal.record_completed(id);
+        is_ended
     }
 }
 
+/// Whether the outcome comes from a response, which corrects any that arrived for the attempt before.
+fn is_response(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected(_) | Outcome::NotSent)
+}
+
 /// Whether the outcome proves that the endpoint did not run the attempt.
 fn never_ran(outcome: Outcome) -> bool {
     matches!(
--- a/src/net/delivery/message_end.rs
+++ b/src/net/delivery/message_end.rs
@@ -150,6 +150,11 @@
             ReportedEnd::Failed => self.context.counters.failed.increment(),
             ReportedEnd::Returned(_) => self.context.counters.returned.increment(),
         }
+        self.send_report(report).await;
+    }
+
+    /// Passes a delivery report on to be sent to the platform.
+    pub(super) async fn send_report(&mut self, report: DeliveryReport) {
         self.context.gauges.reports_pending.increment();
         self.context.request_ids.acquire(&report.request_id);
         // Sending fails only as the process ends; the next process finds the report in the journal.
--- a/src/net/delivery/mod.rs
+++ b/src/net/delivery/mod.rs
@@ -11,5 +11,6 @@
 mod restore;
 mod status;
 mod step;
+mod unconfirmed_ends;
 
 pub use actor::DeliveryActor;
--- a/src/net/delivery/restore.rs
+++ b/src/net/delivery/restore.rs
@@ -1,6 +1,7 @@
 //! Restores from the journal the messages that an earlier process accepted and did not complete.
 
 use super::actor::DeliveryActor;
+use super::unconfirmed_ends::UnconfirmedEnd;
 use crate::journal::{JournaledMessage, Progress, ReportedEnd};
 use crate::net::in_flight::{InFlightMessage, Request};
 use crate::net::messages::DeliveryReport;
@@ -8,11 +9,15 @@
 
 impl DeliveryActor {
     /// Passes the journaled messages to the policy under their ids, and queues delivery reports for those that must
-    /// not be sent again.
+    /// not be sent again, among them messages that may have ended.
     pub async fn restore(&mut self, journaled: Vec<(u64, JournaledMessage)>) {
         for (id, journaled) in journaled {
-            self.context.counters.restored.increment();
             let id = MessageId(id);
+            if journaled.progress.report.is_none() && journaled.progress.may_have_ended {
+                self.report_unconfirmed_end(id, &UnconfirmedEnd::from(&journaled)).await;
+                continue;
+            }
+            self.context.counters.restored.increment();
             let end = self.end_without_attempt(&journaled);
             let report = |end: ReportedEnd, journaled: JournaledMessage| DeliveryReport {
                 id,
--- /dev/null
+++ b/src/net/delivery/unconfirmed_ends.rs
@@ -0,0 +1,61 @@
+//! Messages that have ended by a response that may be a copy of an earlier one. They are not called again.
+//! Until their ends are confirmed they stay in the journal, and an end that is not confirmed is reported to the platform: if the
+//! message was delivered, the report does no harm, and if it was not, the report is its end.
+
+use super::actor::DeliveryActor;
+use crate::journal::{JournaledMessage, ReportedEnd};
+use crate::net::in_flight::InFlightMessage;
+use crate::net::messages::{DeliveryReport, EndSettlement};
+use crate::{MessageId, Micros};
+use slog::info;
+
+/// A message whose end is unconfirmed.
+pub(super) struct UnconfirmedEnd {
+    /// The client's id of the message.
+    request_id: String,
+    /// The deadline of the message, in microseconds of the monotonic clock.
+    deadline: Micros,
+}
+
+impl From<&InFlightMessage> for UnconfirmedEnd {
+    fn from(message: &InFlightMessage) -> Self {
+        UnconfirmedEnd { request_id: message.request.request_id.clone(), deadline: message.request.deadline }
+    }
+}
+
+impl From<&JournaledMessage> for UnconfirmedEnd {
+    fn from(message: &JournaledMessage) -> Self {
+        UnconfirmedEnd { request_id: message.request_id.clone(), deadline: message.deadline }
+    }
+}
+
+impl DeliveryActor {
+    /// Keeps a message that has ended unconfirmed until its end is settled.
+    pub(super) fn keep_unconfirmed_end(&mut self, id: MessageId, message: &InFlightMessage) {
+        self.context.request_ids.acquire(&message.request.request_id);
+        self.context.counters.unconfirmed_ends.increment();
+        self.unconfirmed_ends.insert(id, message.into());
+    }
+
+    /// Settles messages that have ended unconfirmed. Others among them have been settled before.
+    pub(super) async fn settle_ends(&mut self, messages: Vec<MessageId>, settlement: EndSettlement) {
+        for id in messages {
+            let Some(end) = self.unconfirmed_ends.remove(&id) else { continue };
+            match settlement {
+                EndSettlement::Confirmed => self.context.journal.record_completed(id),
+                EndSettlement::Unsettled => self.report_unconfirmed_end(id, &end).await,
+            }
+            self.context.request_ids.release(&end.request_id);
+        }
+    }
+
+    /// Reports a message that may have ended, as its end will not be confirmed.
+    pub(super) async fn report_unconfirmed_end(&mut self, id: MessageId, end: &UnconfirmedEnd) {
+        info!(self.context.log, "message"; "state" => "unconfirmed", "id" => &end.request_id);
+        self.context.counters.unconfirmed_reports.increment();
+        self.context.journal.record_undelivered(id, ReportedEnd::Failed);
+        let (request_id, deadline) = (end.request_id.clone(), end.deadline);
+        let report = DeliveryReport { id, request_id, end: ReportedEnd::Failed, deadline };
+        self.send_report(report).await;
+    }
+}
--- a/src/net/endpoint/actor.rs
+++ b/src/net/endpoint/actor.rs
@@ -4,6 +4,7 @@
 use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
 use super::pool::{ConnectionNeed, Pool};
+use super::unconfirmed::are_too_many;
 use super::waiting::WaitingCalls;
 use crate::invariants::{is_refusal, ResponseTimes};
 use crate::net::call::Call;
@@ -15,12 +16,9 @@
 use futures_lite::future;
 use std::rc::Rc;
 
-/// For this long after a refusal, calls use no connection with unconfirmed calls, in microseconds: a refusal behind them
-/// would be no proof that its call never ran.
+/// For this long after a refusal, calls use no connection on which a response may still be corrected, in microseconds: a refusal
+/// there would be no proof that its call never ran.
 const REFUSAL_MEMORY: Micros = 5_000_000;
-/// The inverse of the share of the journal that the messages of unconfirmed calls may take. While they take more, calls use
-/// no connection with unconfirmed calls, so that further responses are proven.
-const UNCONFIRMED_JOURNAL_DIVISOR: u64 = 8;
 
 /// Runs until all senders of the mailbox are dropped, that is until the endpoint was removed from the list and its
 /// calls are complete. `own_mailbox` is the sender of the same mailbox, by which calls return their connections.
@@ -103,11 +101,11 @@
         let is_non_idempotent = |class: ClassId| config.non_idempotent[class.0];
         let now = self.context.clock.now();
         let refuses = self.refused_at.is_some_and(|refused_at| now < refused_at + REFUSAL_MEMORY);
-        let unconfirmed_bytes = self.context.gauges.unconfirmed_bytes.get() as u64;
-        let max_unconfirmed_bytes = config.journal_limit_bytes() / UNCONFIRMED_JOURNAL_DIVISOR;
+        let is_non_idempotent = call.attempts.iter().any(|a| is_non_idempotent(a.message.request.class));
         let need = ConnectionNeed {
-            without_refusals: call.attempts.iter().any(|a| is_non_idempotent(a.message.request.class)),
-            without_unconfirmed: refuses || unconfirmed_bytes >= max_unconfirmed_bytes,
+            without_refusals: is_non_idempotent,
+            without_correctable: refuses || are_too_many(&self.context),
+            without_unanswered: refuses && is_non_idempotent,
         };
         self.pool.take(need)
     }
--- a/src/net/endpoint/call.rs
+++ b/src/net/endpoint/call.rs
@@ -8,10 +8,9 @@
 use super::ended_call::EndedCall;
 use super::exchange::{self, CallEnd, Progress, Stage};
 use super::receive;
-use crate::invariants::confirmation::ConnectionUse;
 use crate::invariants::ResponseTimes;
 use crate::net::call::{AttemptResult, Call, CallCompletion, CallResult};
-use crate::net::messages::{DeliveryMessage, EndpointMessage};
+use crate::net::messages::{DeliveryMessage, EndSettlement, EndpointMessage};
 use crate::net::Context;
 use crate::{Micros, Outcome};
 use async_channel::Sender;
@@ -59,9 +58,16 @@
     }
 }
 
-async fn send_completion(context: &Context, completion: CallCompletion) {
+/// Sends the completion of a call to the delivery actor. Messages that have ended unconfirmed are settled at once, because
+/// nothing more is read on the connection of the call.
+pub(super) async fn send_completion(context: &Context, completion: CallCompletion) {
+    let unsettled = completion.unconfirmed_messages();
     // Sending fails only as the process ends, with no delivery actor left to notify.
     let _ = context.delivery.send(DeliveryMessage::CallCompleted(completion)).await;
+    if !unsettled.is_empty() {
+        let (messages, settlement) = (unsettled, EndSettlement::Unsettled);
+        let _ = context.delivery.send(DeliveryMessage::EndSettled { messages, settlement }).await;
+    }
 }
 
 /// Sends a call and receives its response.
@@ -83,7 +89,7 @@
 enum Progressed {
     /// The call ends.
     Ended(CallEnd),
-    /// An unconfirmed call before it on its connection ends.
+    /// The time of an unconfirmed call before it on its connection is over.
     EarlierCallEnds,
 }
 
@@ -115,7 +121,7 @@
         let end = match future::or(ended, interrupted).await {
             Progressed::Ended(end) => end,
             Progressed::EarlierCallEnds => {
-                progress.unconfirmed.borrow_mut().end_timed_out(ConnectionUse::CallInFlight, clock.now());
+                progress.unconfirmed.borrow_mut().end_due(context);
                 continue;
             }
         };
@@ -131,7 +137,7 @@
 
 /// Returns once the time of an unconfirmed call before this one on its connection is over.
 async fn until_earlier_call_ends(context: &Context, progress: &Progress) -> Progressed {
-    let next_end: Option<Micros> = progress.unconfirmed.borrow().next_timeout(ConnectionUse::CallInFlight);
+    let next_end: Option<Micros> = progress.unconfirmed.borrow().next_change_at();
     match next_end {
         Some(at) => Timer::at(context.clock.instant_at(at)).await,
         None => future::pending().await,
--- a/src/net/endpoint/connection.rs
+++ b/src/net/endpoint/connection.rs
@@ -10,7 +10,9 @@
 pub struct EndpointConnection {
     /// The connection itself.
     pub http: HttpConnection,
-    /// The responses to the calls that it has carried. Empty on a new connection.
+    /// The number of calls that it has carried.
+    pub calls: usize,
+    /// The responses that it has carried. Empty on a new connection.
     pub history: ResponseHistory,
     /// When the last of them was received, in microseconds of the monotonic clock; `None` on a new connection.
     pub last_response_at: Option<Micros>,
@@ -23,6 +25,7 @@
     pub fn new(http: HttpConnection) -> Self {
         EndpointConnection {
             http,
+            calls: 0,
             history: ResponseHistory::default(),
             last_response_at: None,
             unconfirmed: UnconfirmedCalls::default(),
@@ -31,10 +34,12 @@
 
     /// What it has carried before the next call.
     pub(super) fn earlier_responses(&self) -> EarlierResponses {
-        EarlierResponses {
-            history: self.history.clone(),
-            has_unconfirmed_calls: !self.unconfirmed.is_empty(),
-        }
+        EarlierResponses { history: self.history.clone(), calls: self.calls }
+    }
+
+    /// Whether it has carried a call that may be unanswered, so that the response to a further call may be that to this one.
+    pub fn has_unanswered_calls(&self) -> bool {
+        self.history.min_answered_calls() < self.calls
     }
 
     /// What the endpoint has done on the connection since its last call, as it is named in logs: see
--- a/src/net/endpoint/ended_call.rs
+++ b/src/net/endpoint/ended_call.rs
@@ -2,6 +2,7 @@
 
 use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
+use super::end_read;
 use super::exchange::{CallEnd, Progress};
 use super::observation::{observe, Observed, QuietEnd};
 use super::received::OwnResponse;
@@ -40,25 +41,30 @@
             end => match self.response_result(&end) {
                 Some(result) => {
                     // The endpoint answers in order, so it has answered the calls before.
-                    self.progress.unconfirmed.borrow_mut().end_answered();
-                    let reusable = self.reusable(connection, &result, is_followed);
+                    self.progress.unconfirmed.borrow_mut().confirm_all();
+                    let mut reusable = self.reusable(connection, &result, is_followed);
+                    reusable.iter_mut().for_each(|connection| connection.history.record_all_original());
                     (result, reusable)
                 }
                 None => (self.failure_result(&end, connection), None),
             },
         };
-        self.record_retry_after(&result);
+        let completion = self.completion(result);
+        end_read::record(self.context, &self.unreported_call(), &completion.result);
+        self.record_retry_after(&completion.result);
         self.report_end(EndedCallReport { connection: reusable, response_time, found_stray }).await;
-        self.completion(result)
+        completion
     }
 
     /// Ends a call whose response may be a copy of an earlier one. The delivery actor learns of the response now; the call is
     /// completed once its response is confirmed or refuted.
     pub async fn conclude_unconfirmed(self, connection: EndpointConnection, result: CallResult) {
+        let result = CallResult { unconfirmed: true, ..result };
+        end_read::record(self.context, &self.unreported_call(), &self.unreported_results(result.clone()));
         self.announce(&result).await;
-        let is_success = self.progress.received.borrow().are_plain_successes();
-        if is_success && !self.progress.received.borrow().last_may_be_copy() {
-            self.progress.unconfirmed.borrow_mut().confirm_first();
+        if self.progress.received.borrow().facts().all_say_ended() {
+            let answered_calls = connection.history.min_answered_calls();
+            self.progress.unconfirmed.borrow_mut().confirm_answered(answered_calls);
         }
         self.observe_unconfirmed(connection, result).await;
     }
@@ -71,7 +77,7 @@
         let quiet_end = self.quiet_end(&connection);
         connection.unconfirmed = self.progress.unconfirmed.take();
         if let Some(timing) = self.progress.request_timing() {
-            let (call, result) = (self.call.with_attempts(&self.unreported), self.unreported_results(result));
+            let (call, result) = (self.unreported_call(), self.unreported_results(result));
             let responses = self.progress.received.take();
             let unconfirmed = UnconfirmedCall::new(self.context, call, timing, responses, result);
             connection.unconfirmed.push(unconfirmed);
@@ -89,22 +95,21 @@
         self.report_end(EndedCallReport { connection, response_time, found_stray }).await;
     }
 
-    /// What becomes of the connection if no further response arrives. After a success it may carry the next call. After any
-    /// other response the message may be sent again once the connection is given up, unless the response may be that to a
-    /// call before.
+    /// What becomes of the connection if no further response arrives. After one that says that the messages have ended it may
+    /// carry the next call. After any other it is given up soon, so that a message that has not ended may be called again.
     fn quiet_end(&self, connection: &EndpointConnection) -> QuietEnd {
         let received = self.progress.received.borrow();
         let Some((own, rests_until)) = received.own().zip(self.rests_until()) else {
             return QuietEnd::Timeout;
         };
-        if !received.are_plain_successes() {
-            return match self.progress.unconfirmed.borrow().is_empty() {
-                true => QuietEnd::GivenUpAt(rests_until),
-                false => QuietEnd::Timeout,
-            };
+        if !received.facts().all_say_ended() {
+            return QuietEnd::GivenUpAt(rests_until);
         }
         let keeps_alive = own.response.is_some_and(|response| response.head.keep_alive);
+        // The response still due to a batch may name its messages, and says nothing of those of a further call.
+        let is_batch = self.call.attempts.len() > 1;
         match keeps_alive
+            && !is_batch
             && !received.has_strays()
             && self.return_to.is_some()
             && !connection.history.is_full()
@@ -148,9 +153,14 @@
         }
     }
 
+    /// The call with the attempts whose results are still to be reported.
+    pub(super) fn unreported_call(&self) -> Call {
+        self.call.with_attempts(&self.unreported)
+    }
+
     /// The completion with the results of the attempts that are still to be reported.
     fn completion(&self, result: CallResult) -> CallCompletion {
-        self.call.with_attempts(&self.unreported).completion(self.unreported_results(result))
+        self.unreported_call().completion(self.unreported_results(result))
     }
 
     fn unreported_results(&self, result: CallResult) -> CallResult {
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -103,6 +103,7 @@
         self.previous_response_at.set(connection.last_response_at);
         self.received.replace(ReceivedResponses::new(connection.earlier_responses()));
         self.unconfirmed.replace(std::mem::take(&mut connection.unconfirmed));
+        connection.calls += 1;
     }
 }
 
@@ -188,7 +189,10 @@
 fn check_sendable(context: &Context, call: &Call, progress: &Progress) -> Result<SendPermit, CallEnd> {
     let facts = SendFacts {
         now: context.clock.now(),
-        message_complete: call.attempts.iter().any(|attempt| attempt.message.is_ended()),
+        message_complete: call
+            .attempts
+            .iter()
+            .any(|attempt| attempt.message.is_ended() || attempt.message.is_end_read()),
         handed_over: context.journal.is_paused(),
         journal_writable: context.journal.is_writable(),
         times_out_at: call.first_timeout(&vec![true; call.attempts.len()]),
--- a/src/net/endpoint/failed_call.rs
+++ b/src/net/endpoint/failed_call.rs
@@ -7,6 +7,7 @@
 use super::exchange::{CallEnd, Stage};
 use super::late_response;
 use super::observation::observe_in_background;
+use super::received::OwnResponse;
 use crate::net::call::{AttemptResult, CallResult};
 use crate::{Micros, Outcome};
 
@@ -31,11 +32,18 @@
         }
         self.log_connection_end(ConnectionEnd::CallFailed(failure));
         self.progress.unconfirmed.borrow_mut().end_with_connection();
-        let outcome = if delivered { Outcome::Ok } else { failure.outcome() };
-        CallResult {
-            retry_after: self.progress.received.borrow().retry_after(),
-            ..CallResult::same_for_all(self.call.attempts.len(), AttemptResult::from_outcome(outcome))
-        }
+        let result = match delivered {
+            true => self.same_for_all(Outcome::Ok),
+            false => {
+                let unproven_end = self.progress.received.borrow().unproven_end(self.call, failure.outcome());
+                unproven_end.unwrap_or_else(|| self.same_for_all(failure.outcome()))
+            }
+        };
+        CallResult { retry_after: self.progress.received.borrow().retry_after(), ..result }
+    }
+
+    fn same_for_all(&self, outcome: Outcome) -> CallResult {
+        CallResult::same_for_all(self.call.attempts.len(), AttemptResult::from_outcome(outcome))
     }
 
     fn classify(&self, end: &CallEnd, connection: Option<&EndpointConnection>) -> CallFailure {
@@ -61,16 +69,17 @@
     /// Whether the message of a call was delivered although its response is not complete: for a single message the
     /// status line with 200 is enough, if it is certainly that of the call's own response.
     fn is_delivered(&self, connection: Option<&EndpointConnection>) -> bool {
-        if self.call.attempts.len() > 1 || !self.is_written() {
+        if !self.is_written() {
             return false;
         }
         if self.progress.received.borrow().is_empty() {
             if let Some(status) = connection.and_then(EndpointConnection::unread_status) {
                 let elapsed = self.progress.elapsed(self.context.clock.now());
-                self.progress.received.borrow_mut().add_status(status, elapsed);
+                self.progress.received.borrow_mut().add_status(self.call, status, elapsed);
             }
         }
-        self.progress.received.borrow().own().is_some_and(|own| own.status == 200 && own.is_proven)
+        let is_success = |own: OwnResponse<'_>| own.status == 200 && own.is_proven;
+        self.call.attempts.len() == 1 && self.progress.received.borrow().own().is_some_and(is_success)
     }
 
     /// The time since the request was written, in microseconds; `None` if the connection was new or any byte of a
--- a/src/net/endpoint/mod.rs
+++ b/src/net/endpoint/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 pub mod connection;
 pub mod connection_end;
+mod end_read;
 mod ended_call;
 mod exchange;
 mod failed_call;
--- a/src/net/endpoint/observation.rs
+++ b/src/net/endpoint/observation.rs
@@ -1,12 +1,9 @@
-//! Observes a connection without a call in flight for as long as its unconfirmed calls may still be answered by another
-//! response. An endpoint that closes such a connection as idle has answered all calls; an earlier end confirms nothing.
+//! Observes a connection without a call in flight for as long as a further response may still correct the result of an
+//! unconfirmed call. The end of the connection confirms nothing.
 
 use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
 use super::receive::read_response;
-use crate::invariants::confirmation::ConnectionUse;
-use crate::invariants::connection::is_idle_close;
-use crate::net::http::HttpError;
 use crate::net::messages::{EndedCallReport, EndpointMessage};
 use crate::net::stray_response::REQUEST_TIMEOUT;
 use crate::net::Context;
@@ -29,9 +26,9 @@
 pub(super) enum QuietEnd {
     /// It may carry the next call from this time on, in microseconds of the monotonic clock.
     ReusableAt(Micros),
-    /// It is given up at this time, in microseconds of the monotonic clock. Its calls are not confirmed.
+    /// It is given up at this time, in microseconds of the monotonic clock.
     GivenUpAt(Micros),
-    /// It is observed until the time of its last unconfirmed call is over.
+    /// It is given up once the time of its last unconfirmed call is over.
     Timeout,
 }
 
@@ -44,7 +41,7 @@
     }
 }
 
-/// Observes a connection until it may carry the next call, or all of its unconfirmed calls have ended.
+/// Observes a connection until it may carry the next call, or no response on it can be corrected any more.
 pub(super) async fn observe(
     context: &Context,
     endpoint: EndpointId,
@@ -54,35 +51,31 @@
     let _idle = context.gauges.idle_endpoint_connections.increment_scoped();
     let mut found_stray = false;
     loop {
-        let next_timeout = connection.unconfirmed.next_timeout(ConnectionUse::AtRest);
-        let Some(next_at) = next_timeout.into_iter().chain(quiet_end.at()).min() else {
+        let may_be_reused = matches!(quiet_end, QuietEnd::ReusableAt(_));
+        if !may_be_reused && !connection.unconfirmed.has_correctable_calls() {
             return Observed { connection: None, found_stray };
-        };
+        }
+        let next_change_at = connection.unconfirmed.next_change_at();
+        let next_at = next_change_at.into_iter().chain(quiet_end.at()).min().unwrap_or_default();
         if !begins_before(context, &mut connection, next_at).await {
-            let now = context.clock.now();
-            connection.unconfirmed.end_timed_out(ConnectionUse::AtRest, now);
-            if quiet_end.at().is_some_and(|at| at <= now) {
+            connection.unconfirmed.end_due(context);
+            if quiet_end.at().is_some_and(|at| at <= context.clock.now()) {
                 let is_reusable = matches!(quiet_end, QuietEnd::ReusableAt(_));
                 return Observed { connection: is_reusable.then_some(connection), found_stray };
             }
             continue;
         }
         quiet_end = QuietEnd::Timeout;
-        let idle_since = connection.last_response_at.unwrap_or_default();
         match read_response(context, &mut connection).await {
             Ok(response) if response.head.status != REQUEST_TIMEOUT => {
                 if !std::mem::replace(&mut found_stray, true) {
                     context.counters.connections_given_up.increment();
                     ConnectionEnd::StrayResponse.log(&context.log, endpoint);
                 }
-                connection.unconfirmed.add_response(response);
+                let answered_calls = connection.history.min_answered_calls();
+                connection.unconfirmed.add_surplus(response, answered_calls);
             }
-            ended => {
-                let is_closed = matches!(ended, Ok(_) | Err(HttpError::Closed));
-                let idle_time = context.clock.now().saturating_sub(idle_since);
-                if is_closed && is_idle_close(idle_time, context.config().endpoint_idle_timeout) {
-                    connection.unconfirmed.end_closed_as_idle();
-                }
+            _ => {
                 connection.unconfirmed.end_with_connection();
                 return Observed { connection: None, found_stray };
             }
@@ -90,8 +83,8 @@
     }
 }
 
-/// Observes a connection that is not to be reused, until its unconfirmed calls have ended. Closes it at once if it has none,
-/// or if too many connections are observed already.
+/// Observes a connection that is not to be reused, until no response on it can be corrected any more. Closes it at once if
+/// none can, or if too many connections are observed already.
 pub(super) fn observe_in_background(
     context: &Rc<Context>,
     endpoint: EndpointId,
@@ -101,7 +94,7 @@
     let config = context.config();
     let max_connections = config.max_idle_connections() + config.max_concurrent_calls;
     let is_crowded = context.gauges.idle_endpoint_connections.get() >= max_connections;
-    if connection.unconfirmed.is_empty() || is_crowded {
+    if !connection.unconfirmed.has_correctable_calls() || is_crowded {
         return;
     }
     let executor = context.executor.clone();
--- a/src/net/endpoint/pool.rs
+++ b/src/net/endpoint/pool.rs
@@ -3,7 +3,6 @@
 use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
 use super::observation::observe_in_background;
-use crate::invariants::confirmation::ConnectionUse;
 use crate::invariants::connection::reusable_until;
 use crate::invariants::{may_reuse, IdleFacts};
 use crate::net::messages::EndpointMessage;
@@ -109,7 +108,7 @@
 
     /// Closes the connections that reached the idle timeout, that lead to a former address of the endpoint, or that
     /// the endpoint has closed or written to. A call written to a closed connection would count as one that may have
-    /// run. Ends the unconfirmed calls on the other connections whose time is over.
+    /// run. Ends the messages of unconfirmed calls on the other connections whose time is over.
     pub fn close_unusable(&mut self) {
         let now = self.context.clock.now();
         let address = self.context.endpoint_table.get(self.endpoint).map(|state| state.address);
@@ -123,7 +122,7 @@
                 peer_activity: idle.connection.idle_end(),
             };
             let Err(reason) = may_reuse(&facts) else {
-                idle.connection.unconfirmed.end_timed_out(ConnectionUse::AtRest, now);
+                idle.connection.unconfirmed.end_due(&self.context);
                 continue;
             };
             let connection = self.remove(index);
@@ -155,9 +154,8 @@
     /// Returns once a connection reaches its idle timeout, the time of an unconfirmed call on it is over, or the endpoint
     /// closes or writes to it.
     pub async fn until_idle_end(&mut self) {
-        let call_timeout =
-            |idle: &IdleConnection| idle.connection.unconfirmed.next_timeout(ConnectionUse::AtRest);
-        let timeouts = self.idle.iter().flat_map(|idle| [Some(idle.reusable_until), call_timeout(idle)]);
+        let next_change_at = |idle: &IdleConnection| idle.connection.unconfirmed.next_change_at();
+        let timeouts = self.idle.iter().flat_map(|idle| [Some(idle.reusable_until), next_change_at(idle)]);
         let Some(first_timeout) = timeouts.flatten().min() else {
             return future::pending().await;
         };
@@ -180,7 +178,7 @@
         self.idle.remove(index).connection
     }
 
-    /// Closes a connection, once its unconfirmed calls have ended.
+    /// Closes a connection, once no response on it can be corrected any more.
     fn close(&self, connection: EndpointConnection, reason: ConnectionEnd) {
         reason.log(&self.context.log, self.endpoint);
         observe_in_background(&self.context, self.endpoint, connection, self.endpoint_mailbox.upgrade());
@@ -193,13 +191,16 @@
     /// The call may not be repeated: it uses no connection that has carried a refusal, as a copy of it would leave open
     /// whether the call has run.
     pub without_refusals: bool,
-    /// The call uses no connection with unconfirmed calls, so that a refusal is proven to be its own.
-    pub without_unconfirmed: bool,
+    /// The call uses no connection on which the response to an earlier call may still be corrected.
+    pub without_correctable: bool,
+    /// The call uses no connection on which an earlier call may be unanswered, so that a refusal is proven to be its own.
+    pub without_unanswered: bool,
 }
 
 impl ConnectionNeed {
     fn is_met_by(self, connection: &EndpointConnection) -> bool {
         !(self.without_refusals && connection.history.has_refusal()
-            || self.without_unconfirmed && !connection.unconfirmed.is_empty())
+            || self.without_correctable && connection.unconfirmed.has_correctable_calls()
+            || self.without_unanswered && connection.has_unanswered_calls())
     }
 }
--- a/src/net/endpoint/receive.rs
+++ b/src/net/endpoint/receive.rs
@@ -2,7 +2,7 @@
 
 use super::connection::EndpointConnection;
 use super::exchange::{CallEnd, Progress};
-use super::received::{head_digest, response_digest};
+use super::received::{head_digest, response_digest, unended_messages};
 use super::response::{Response, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
 use crate::invariants::Attribution;
 use crate::net::call::Call;
@@ -26,7 +26,7 @@
 ) -> Result<CallEnd, HttpError> {
     loop {
         receive_response(context, call, connection, progress).await?;
-        match progress.received.borrow().attribution() {
+        match progress.received.borrow().facts().attribution() {
             Attribution::Proven(_) => return Ok(CallEnd::Responded),
             Attribution::Probable(_) => return Ok(CallEnd::Unconfirmed),
             Attribution::Contradictory => return Ok(CallEnd::Unattributed),
@@ -44,13 +44,21 @@
 ) -> Result<(), HttpError> {
     let head = read_head(context, connection).await?;
     // Its retry-after must be honored even if the body cannot be read.
-    progress.received.borrow_mut().add_head(&head, progress.elapsed(context.clock.now()));
+    progress.received.borrow_mut().add_head(call, &head, progress.elapsed(context.clock.now()));
     if head.status == 200 && call.attempts.len() == 1 {
         // The message is delivered. The body only decides whether the connection can be reused.
         connection.http.stall_timeout = Some(DELIVERED_BODY_STALL_TIMEOUT);
     }
-    let response = read_body(connection, head).await?;
+    let response = match read_body(connection, head).await {
+        Ok(response) => response,
+        Err(error) => {
+            progress.received.borrow_mut().add_partial_body(connection.http.buffer.bytes());
+            return Err(error);
+        }
+    };
+    let unended = unended_messages(call, &response);
     progress.received.borrow_mut().complete_last(call, response);
+    unended.into_iter().for_each(|message| connection.history.record_unended(message));
     Ok(())
 }
 
--- a/src/net/endpoint/received.rs
+++ b/src/net/endpoint/received.rs
@@ -1,24 +1,25 @@
 //! The responses that arrived after the request of a call, and which of them is the call's own.
 
-use super::response::{parse_retry_after, Response};
+use super::response::{find_batch_result, parse_retry_after, Response};
 use crate::invariants::{
-    attribute, Attribution, EarlierResponses, NamedMessages, ResponseDigest, ResponseFacts, ResponseIdentity,
+    Attribution, CallResponses, EarlierResponses, NamedMessages, ResponseDigest, ResponseFacts,
+    ResponseIdentity,
 };
-use crate::net::call::Call;
+use crate::net::call::{Attempt, AttemptResult, Call, CallResult};
 use crate::net::http::ResponseHead;
 use crate::net::messages::ResponseTime;
-use crate::Micros;
-use std::collections::BTreeSet;
+use crate::{MessageId, Micros, Outcome};
 
-/// A response to be attributed.
+/// A response that arrived after the request of a call.
 struct Received {
-    facts: ResponseFacts,
     /// From the end of the request to the head of the response, in microseconds.
     elapsed: Micros,
     /// The retry-after in its head, in microseconds.
     retry_after: Option<Micros>,
     /// The complete response; `None` if only its status or its head is known.
     response: Option<Response>,
+    /// The lines of an incomplete body that are complete.
+    partial_body: String,
 }
 
 /// The call's own response, as far as it is known.
@@ -61,60 +62,59 @@
 /// The responses that arrived after the request of a call, in the order of arrival.
 #[derive(Default)]
 pub(super) struct ReceivedResponses {
-    /// What the connection had carried before the call.
-    earlier: EarlierResponses,
+    /// What is known of each, by which it is attributed.
+    facts: CallResponses,
+    /// The responses themselves.
     received: Vec<Received>,
 }
 
 impl ReceivedResponses {
     /// No responses yet. `earlier` is what the connection has carried before.
     pub fn new(earlier: EarlierResponses) -> Self {
-        ReceivedResponses { earlier, received: Vec::new() }
+        ReceivedResponses { facts: CallResponses::new(earlier), received: Vec::new() }
     }
 
-    /// Records that the responses to all calls before on the connection have arrived.
-    pub fn confirm_earlier_calls(&mut self) {
-        self.earlier.has_unconfirmed_calls = false;
-    }
-
-    /// Whether the connection had carried a response that cannot be told from the last one.
-    pub fn last_may_be_copy(&self) -> bool {
-        self.received.last().is_some_and(|last| self.earlier.history.may_contain(last.facts.identity))
+    /// What is known of the responses.
+    pub fn facts(&self) -> &CallResponses {
+        &self.facts
     }
 
     /// Adds a response whose head was read, `elapsed` microseconds after the request was written.
-    pub fn add_head(&mut self, head: &ResponseHead, elapsed: Micros) {
+    pub fn add_head(&mut self, call: &Call, head: &ResponseHead, elapsed: Micros) {
         let identity = ResponseIdentity::Head(head_digest(head));
-        self.add(head.status, identity, elapsed, parse_retry_after(head));
+        let named_messages = unread_names(call, head.status);
+        self.facts.push(ResponseFacts { status: head.status, identity, named_messages });
+        let retry_after = parse_retry_after(head);
+        self.received.push(Received { elapsed, retry_after, response: None, partial_body: String::new() });
     }
 
     /// Adds a response of which only the status line could be read.
-    pub fn add_status(&mut self, status: u16, elapsed: Micros) {
-        self.add(status, ResponseIdentity::Status(status), elapsed, None);
+    pub fn add_status(&mut self, call: &Call, status: u16, elapsed: Micros) {
+        let identity = ResponseIdentity::Status(status);
+        self.facts.push(ResponseFacts { status, identity, named_messages: unread_names(call, status) });
+        let partial_body = String::new();
+        self.received.push(Received { elapsed, retry_after: None, response: None, partial_body });
     }
 
-    fn add(&mut self, status: u16, identity: ResponseIdentity, elapsed: Micros, retry_after: Option<Micros>) {
-        let facts = ResponseFacts { status, identity, named_messages: NamedMessages::Unspecified };
-        self.received.push(Received { facts, elapsed, retry_after, response: None });
+    /// Adds what was received of the body of the response that was added last, and that will not be complete.
+    pub fn add_partial_body(&mut self, body: &[u8]) {
+        let Some(received) = self.received.last_mut() else { return };
+        let complete_lines = body.iter().rposition(|byte| *byte == b'\n').map_or(0, |index| index + 1);
+        received.partial_body = String::from_utf8_lossy(&body[..complete_lines]).into_owned();
     }
 
     /// Completes the response that was added last.
     pub fn complete_last(&mut self, call: &Call, response: Response) {
-        if let Some(last) = self.received.last_mut() {
-            last.facts.identity = ResponseIdentity::Complete(response_digest(&response));
-            last.facts.named_messages = named_messages(call, &response);
-            last.response = Some(response);
+        let named = named_messages(call, &response, self.facts.earlier());
+        if let Some((facts, received)) = self.facts.last_mut().zip(self.received.last_mut()) {
+            facts.identity = ResponseIdentity::Complete(response_digest(&response));
+            facts.named_messages = named;
+            received.response = Some(response);
         }
     }
 
-    /// Which response is the call's own.
-    pub fn attribution(&self) -> Attribution {
-        let facts: Vec<ResponseFacts> = self.received.iter().map(|received| received.facts).collect();
-        attribute(&self.earlier, &facts)
-    }
-
     fn own_index(&self) -> Option<usize> {
-        match self.attribution() {
+        match self.facts.attribution() {
             Attribution::Proven(index) | Attribution::Probable(index) => Some(index),
             Attribution::Undecided | Attribution::Contradictory => None,
         }
@@ -122,14 +122,40 @@
 
     /// The call's own response; `None` if none can be attributed to the call.
     pub fn own(&self) -> Option<OwnResponse<'_>> {
-        let Received { facts, elapsed, response, .. } = &self.received[self.own_index()?];
-        let is_proven = matches!(self.attribution(), Attribution::Proven(_));
-        Some(OwnResponse { status: facts.status, response: response.as_ref(), elapsed: *elapsed, is_proven })
-    }
-
-    /// Whether all responses say that the call's only message was delivered.
-    pub fn are_plain_successes(&self) -> bool {
-        self.received.iter().all(|received| received.facts.is_plain_success())
+        let index = self.own_index()?;
+        let Received { elapsed, response, .. } = &self.received[index];
+        let status = self.facts.responses()[index].status;
+        let is_proven = matches!(self.facts.attribution(), Attribution::Proven(_));
+        Some(OwnResponse { status, response: response.as_ref(), elapsed: *elapsed, is_proven })
+    }
+
+    /// The result of a call none of whose responses is certainly its own and complete. The messages of which a response says
+    /// that they have ended end unconfirmed, and the attempts of the others end with `outcome`; `None` if there is no such
+    /// message.
+    pub fn unproven_end(&self, call: &Call, outcome: Outcome) -> Option<CallResult> {
+        let plain_end = self.facts.may_have_ended().then(|| self.facts.unproven_outcome());
+        let result_of = |attempt: &Attempt| {
+            let ended = plain_end.or_else(|| self.partial_end(attempt));
+            ended.map_or(AttemptResult::from_outcome(outcome), AttemptResult::ended)
+        };
+        let attempts: Vec<_> = call.attempts.iter().map(result_of).collect();
+        let ends_messages = attempts.iter().any(|result| result.completes_message);
+        let result =
+            CallResult { attempts, report: None, retry_after: self.retry_after(), unconfirmed: true };
+        ends_messages.then_some(result)
+    }
+
+    /// How an attempt has ended its message according to an incomplete body; `None` if that does not say so.
+    fn partial_end(&self, attempt: &Attempt) -> Option<Outcome> {
+        let request_id = &attempt.message.request.request_id;
+        let bodies = self.received.iter().map(|received| received.partial_body.as_str());
+        let mut results = bodies.filter_map(|body| find_batch_result(body, request_id));
+        results.find(|result| result.completes_message).map(|result| result.outcome)
+    }
+
+    /// The complete response with this index; `None` if only its head or its status is known.
+    pub fn response(&self, index: usize) -> Option<&Response> {
+        self.received.get(index)?.response.as_ref()
     }
 
     /// The longest retry-after of all responses, in microseconds. Obeying that of a copy as well does no harm.
@@ -145,8 +171,11 @@
     /// The responses that are not the call's own.
     pub fn strays(&self) -> Vec<StrayFacts> {
         let own = self.own_index();
-        let received = self.received.iter().enumerate().filter(|(index, _)| Some(*index) != own);
-        received.map(|(_, stray)| StrayFacts { status: stray.facts.status, elapsed: stray.elapsed }).collect()
+        let received = self.facts.responses().iter().zip(&self.received).enumerate();
+        let strays = received.filter(|(index, _)| Some(*index) != own);
+        strays
+            .map(|(_, (facts, stray))| StrayFacts { status: facts.status, elapsed: stray.elapsed })
+            .collect()
     }
 
     /// Whether more than one response arrived, so that at least one of them is a stray.
@@ -155,21 +184,50 @@
     }
 }
 
+/// Whether the body of a response with this status names the messages of the call.
+fn names_messages(call: &Call, status: u16) -> bool {
+    call.attempts.len() > 1 && status == 200
+}
+
+/// What is known of the messages in the body of a response with this status before the body is read.
+fn unread_names(call: &Call, status: u16) -> NamedMessages {
+    match names_messages(call, status) {
+        true => NamedMessages::Incomplete,
+        false => NamedMessages::Unspecified,
+    }
+}
+
 /// What the body of a response says about the messages of a call.
-fn named_messages(call: &Call, response: &Response) -> NamedMessages {
-    if call.attempts.len() == 1 || response.head.status != 200 {
+fn named_messages(call: &Call, response: &Response, earlier: &EarlierResponses) -> NamedMessages {
+    if !names_messages(call, response.head.status) {
         return NamedMessages::Unspecified;
     }
-    let body = String::from_utf8_lossy(&response.body);
-    let named: BTreeSet<&str> =
-        body.lines().filter_map(|line| line.trim().split_once(' ')).map(|(id, _)| id).collect();
-    let mut attempts =
-        call.attempts.iter().filter(|a| named.contains(a.message.request.request_id.as_str())).peekable();
-    if attempts.peek().is_none() {
+    let mut named = named_results(call, response).peekable();
+    if named.peek().is_none() {
         return NamedMessages::Others;
     }
-    match attempts.any(|attempt| attempt.number == 0) {
-        true => NamedMessages::FirstAttempt,
+    match named.any(|(message, ended)| ended || !earlier.has_unended(message)) {
+        true => NamedMessages::Unprecedented,
         false => NamedMessages::Repeated,
     }
 }
+
+/// The messages of a call that the body of its response names, each with whether it has ended.
+fn named_results<'a>(
+    call: &'a Call,
+    response: &'a Response,
+) -> impl Iterator<Item = (MessageId, bool)> + use<'a> {
+    let body = String::from_utf8_lossy(&response.body);
+    call.attempts.iter().filter_map(move |attempt| {
+        let result = find_batch_result(&body, &attempt.message.request.request_id)?;
+        Some((attempt.message.id, result.completes_message))
+    })
+}
+
+/// The messages of a call that its response names without saying that they have ended.
+pub(super) fn unended_messages(call: &Call, response: &Response) -> Vec<MessageId> {
+    if !names_messages(call, response.head.status) {
+        return Vec::new();
+    }
+    named_results(call, response).filter(|(_, ended)| !ended).map(|(message, _)| message).collect()
+}
--- a/src/net/endpoint/response.rs
+++ b/src/net/endpoint/response.rs
@@ -51,7 +51,7 @@
         let request_id = &attempt.message.request.request_id;
         status_result.unwrap_or_else(|| result_in_batch(&body, request_id, retry_after))
     });
-    CallResult { attempts: results.collect(), report, retry_after }
+    CallResult { attempts: results.collect(), report, retry_after, unconfirmed: false }
 }
 
 /// The result that the status code gives to all attempts of a call. For a batch with status 200 the body has the
@@ -83,17 +83,28 @@
     }
 }
 
-/// The result of one attempt, as the body of a batch's response names it.
+/// The result of one attempt of a batch. If the body of the response does not name its message, it may have run.
 fn result_in_batch(body: &str, request_id: &str, retry_after: Option<Micros>) -> AttemptResult {
+    match find_batch_result(body, request_id) {
+        Some(AttemptResult { outcome: Outcome::Rejected(_), .. }) => {
+            AttemptResult::from_outcome(Outcome::Rejected(retry_after))
+        }
+        result => result.unwrap_or(AttemptResult::from_outcome(Outcome::Error)),
+    }
+}
+
+/// The result of one attempt, as the body of a batch's response names it, without a retry-after; `None` if it does not.
+pub(super) fn find_batch_result(body: &str, request_id: &str) -> Option<AttemptResult> {
     let mut lines = body.lines().filter_map(|line| line.trim().split_once(' '));
-    match lines.find(|(id, _)| *id == request_id).map(|(_, result)| result) {
-        Some("delivered") => AttemptResult::from_outcome(Outcome::Ok),
-        Some("refused") => AttemptResult::from_outcome(Outcome::Rejected(retry_after)),
-        Some("over") => not_run(true),
-        Some("spent") => not_run(false),
-        // Any other result, or none: the message may have run.
+    let (_, result) = lines.find(|(id, _)| *id == request_id)?;
+    Some(match result {
+        "delivered" => AttemptResult::from_outcome(Outcome::Ok),
+        "refused" => AttemptResult::from_outcome(Outcome::Rejected(None)),
+        "over" => not_run(true),
+        "spent" => not_run(false),
+        // Any other result: the message may have run.
         _ => AttemptResult::from_outcome(Outcome::Error),
-    }
+    })
 }
 
 /// The result of an attempt that the endpoint did not run. `completes_message`: the message has expired and must
--- a/src/net/endpoint/unconfirmed.rs
+++ b/src/net/endpoint/unconfirmed.rs
@@ -1,39 +1,47 @@
 //! Unconfirmed calls: calls that were answered by a response that may be a copy of an earlier one on their connection. The
 //! delivery actor knows of the response, so that the slot of the call is free and the connection may carry the next call,
-//! but the attempt stays in flight until its response is confirmed or refuted.
+//! but the attempt stays in flight until its response is confirmed or corrected, or its time is over. The rules are in
+//! [`confirmation`](crate::invariants::confirmation).
 
 use super::received::ReceivedResponses;
 use super::response::{self, Response};
-use crate::invariants::confirmation::{
-    next_timeout, timed_out_calls, ConfirmationEnd, ConnectionUse, UnconfirmedFacts,
-};
-use crate::invariants::Attribution;
+use crate::invariants::confirmation::{Settled, Settlement, Unconfirmed, UnconfirmedQueue};
+use crate::invariants::CallResponses;
 use crate::net::call::{AttemptResult, Call, CallResult};
-use crate::net::messages::DeliveryMessage;
+use crate::net::messages::{DeliveryMessage, EndSettlement};
 use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::Context;
 use crate::{Micros, Outcome};
 use async_io::Timer;
 use slog::info;
-use std::collections::VecDeque;
+use std::cell::Cell;
 use std::rc::Rc;
 
-/// What an open message takes in memory and in the journal besides its body, in bytes.
+/// What an unconfirmed message takes in memory and in the journal besides its body, in bytes.
 const MESSAGE_OVERHEAD_BYTES: usize = 512;
-
-/// What ended the doubt about a response.
+/// The inverse of the share of the journal that the messages of unconfirmed calls may take. While they take more, calls use no
+/// connection on which a response may still be corrected.
+const UNCONFIRMED_JOURNAL_DIVISOR: u64 = 8;
+/// The inverse of the share of the journal that messages may take that have ended unconfirmed. While they take more, each is
+/// reported once it has ended.
+const UNCONFIRMED_ENDS_JOURNAL_DIVISOR: u64 = 16;
+/// How long before its deadline an unconfirmed end is reported, in microseconds, so that the report is in time even if it has
+/// to be sent again.
+const REPORT_MARGIN: Micros = 250_000;
+
+/// What settled an unconfirmed call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SettlementReason {
+pub(super) enum SettlementReason {
     /// A later response on the connection can be no copy.
     LaterResponse,
     /// A later call on the connection was answered.
     LaterCallAnswered,
-    /// The endpoint has closed the connection as idle.
-    ClosedAsIdle,
     /// One response more than calls has arrived.
     SurplusResponse,
-    /// The time of the call is over.
+    /// The time of the call, or of its message, is over.
     TimeOver,
+    /// Too many messages are unconfirmed.
+    TooManyUnconfirmed,
     /// The connection has ended.
     ConnectionEnded,
     /// This process has given up the connection.
@@ -46,9 +54,9 @@
         match self {
             SettlementReason::LaterResponse => "later-response",
             SettlementReason::LaterCallAnswered => "later-call-answered",
-            SettlementReason::ClosedAsIdle => "closed-idle",
             SettlementReason::SurplusResponse => "surplus-response",
             SettlementReason::TimeOver => "time-over",
+            SettlementReason::TooManyUnconfirmed => "too-many",
             SettlementReason::ConnectionEnded => "connection-ended",
             SettlementReason::ConnectionGivenUp => "connection-given-up",
         }
@@ -64,8 +72,7 @@
     pub previous_response_at: Option<Micros>,
 }
 
-/// A call whose response may be a copy of an earlier one. Dropping it refutes it, because nothing can confirm the response
-/// once its connection is given up.
+/// A call whose response may be a copy of an earlier one.
 pub(super) struct UnconfirmedCall {
     context: Rc<Context>,
     /// The call, with the attempts whose results are still to be reported.
@@ -73,11 +80,30 @@
     timing: RequestTiming,
     /// The responses that arrived after its request.
     responses: ReceivedResponses,
-    /// The result of its response; `None` once it was reported.
-    result: Option<CallResult>,
+    /// The result of its response.
+    result: CallResult,
     body_bytes: usize,
-    /// Why the response is refuted if the call is dropped.
-    refutation: SettlementReason,
+    /// Whether its messages have ended, as its time is over.
+    has_ended: Cell<bool>,
+}
+
+impl Unconfirmed for UnconfirmedCall {
+    fn responses(&self) -> &CallResponses {
+        self.responses.facts()
+    }
+
+    fn is_batch(&self) -> bool {
+        self.call.attempts.len() > 1
+    }
+
+    fn times_out_at(&self) -> Micros {
+        self.call.attempts.iter().map(|attempt| attempt.timeout_at).min().unwrap_or_default()
+    }
+
+    fn report_at(&self) -> Micros {
+        let deadline = self.call.attempts.iter().map(|attempt| attempt.message.request.deadline).min();
+        deadline.unwrap_or_default().saturating_sub(REPORT_MARGIN)
+    }
 }
 
 impl UnconfirmedCall {
@@ -98,9 +124,9 @@
             call,
             timing,
             responses,
-            result: Some(result),
+            result,
             body_bytes,
-            refutation: SettlementReason::ConnectionGivenUp,
+            has_ended: Cell::new(false),
         };
         unconfirmed.log_doubt();
         unconfirmed
@@ -108,7 +134,7 @@
 
     fn log_doubt(&self) {
         let status = self.responses.own().map(|own| own.status);
-        let reason = match self.responses.last_may_be_copy() {
+        let reason = match self.responses.facts().last_may_be_copy() {
             true => "equal-to-earlier",
             false => "earlier-call-unconfirmed",
         };
@@ -119,49 +145,12 @@
         }
     }
 
-    fn log_settlement(&self, settlement: &'static str, reason: SettlementReason) {
-        for attempt in &self.call.attempts {
-            info!(self.context.log, "unconfirmed response settled"; "id" => &attempt.message.request.request_id,
-                "attempt" => attempt.number, "endpoint" => self.call.endpoint.0, "end" => settlement,
-                "reason" => reason.name());
-        }
-    }
-
-    fn facts(&self) -> UnconfirmedFacts {
-        let attempts = &self.call.attempts;
-        UnconfirmedFacts {
-            is_success: self.is_success(),
-            times_out_at: attempts.iter().map(|a| a.timeout_at).min().unwrap_or_default(),
-            deadline: attempts.iter().map(|a| a.message.request.deadline).min().unwrap_or_default(),
-        }
-    }
-
-    fn is_success(&self) -> bool {
-        self.responses.are_plain_successes()
-    }
-
-    /// Reports that the response is the call's own.
-    fn confirm(mut self, reason: SettlementReason) {
-        if let Some(result) = self.result.take() {
-            self.log_settlement("confirmed", reason);
-            // The load report and the retry-after were reported when the response arrived.
-            self.send(CallResult { report: None, retry_after: None, ..result });
-        }
-    }
-
-    /// Adds a response that arrived although the call was answered before, and reports the call's end if that is known now.
-    /// Returns whether the call can still be confirmed.
-    fn add_response(&mut self, response: Response) -> bool {
-        self.responses.confirm_earlier_calls();
+    /// Adds a response that arrived although the call was answered before.
+    fn add_response(&mut self, response: Response) {
         let elapsed = self.context.clock.now().saturating_sub(self.timing.written_at);
-        self.responses.add_head(&response.head, elapsed);
+        self.responses.add_head(&self.call, &response.head, elapsed);
         self.responses.complete_last(&self.call, response);
-        let attribution = self.responses.attribution();
         self.record_strays();
-        if matches!(attribution, Attribution::Proven(_)) {
-            self.correct();
-        }
-        matches!(attribution, Attribution::Probable(_))
     }
 
     /// Records the responses that are not the call's own.
@@ -179,152 +168,193 @@
         }
     }
 
-    /// Reports the result of the response that is proven to be the call's own.
-    fn correct(&mut self) {
+    /// Notifies the delivery actor that the messages of the call have ended, as its time is over.
+    fn end(&self) {
+        self.has_ended.set(true);
+        let gauges = &self.context.gauges;
+        gauges.unconfirmed_calls.decrement();
+        gauges.unconfirmed_bytes.subtract(self.body_bytes);
+        gauges.unconfirmed_end_bytes.add(self.body_bytes);
+        self.notify(vec![DeliveryMessage::CallCompleted(self.call.completion(self.ended_result()))]);
+    }
+
+    /// The result by which the messages of the call end unconfirmed.
+    fn ended_result(&self) -> CallResult {
+        CallResult::ended_unconfirmed(self.call.attempts.len(), self.responses.facts().unproven_outcome())
+    }
+
+    fn settle(self, settlement: Settlement, reason: SettlementReason) {
+        self.log_settlement(settlement, reason);
+        let has_ended = self.has_ended.get();
+        let completed = |result: CallResult| DeliveryMessage::CallCompleted(self.call.completion(result));
+        let end_settled = |settlement: EndSettlement| DeliveryMessage::EndSettled {
+            messages: self.call.attempts.iter().map(|attempt| attempt.message.id).collect(),
+            settlement,
+        };
+        let messages = match settlement {
+            Settlement::Confirmed | Settlement::Corrected(_) if has_ended => {
+                vec![end_settled(EndSettlement::Confirmed)]
+            }
+            // The load report and the retry-after were reported when the response arrived.
+            Settlement::Confirmed => {
+                let result = self.result.clone();
+                vec![completed(CallResult { report: None, retry_after: None, unconfirmed: false, ..result })]
+            }
+            Settlement::Corrected(index) => vec![completed(self.corrected_result(index))],
+            Settlement::Unsettled if has_ended => vec![end_settled(EndSettlement::Unsettled)],
+            Settlement::Unsettled => {
+                vec![completed(self.ended_result()), end_settled(EndSettlement::Unsettled)]
+            }
+            Settlement::MayHaveRun => {
+                let may_have_run = AttemptResult::from_outcome(Outcome::StaleConnection);
+                let completion = completed(CallResult::same_for_all(self.call.attempts.len(), may_have_run));
+                if reason == SettlementReason::ConnectionEnded {
+                    return self.notify_at_timeout(completion);
+                }
+                vec![completion]
+            }
+        };
+        self.notify(messages);
+    }
+
+    fn log_settlement(&self, settlement: Settlement, reason: SettlementReason) {
+        let end = match settlement {
+            Settlement::Confirmed => "confirmed",
+            Settlement::Corrected(_) => "corrected",
+            Settlement::Unsettled => "unsettled",
+            Settlement::MayHaveRun => "may-have-run",
+        };
+        for attempt in &self.call.attempts {
+            info!(self.context.log, "unconfirmed response settled"; "id" => &attempt.message.request.request_id,
+                "attempt" => attempt.number, "endpoint" => self.call.endpoint.0, "end" => end,
+                "reason" => reason.name());
+        }
+    }
+
+    /// The result of the response that is proven to be the call's own.
+    fn corrected_result(&self, index: usize) -> CallResult {
         let (log, retry_after) = (&self.context.log, self.responses.retry_after());
-        let Some(response) = self.responses.own().and_then(|own| own.response) else { return };
+        let Some(response) = self.responses.response(index) else { return self.ended_result() };
         // An unconfirmed response is always on a reused connection.
         let result = response::read_result(log, &self.call, response, retry_after, true);
         if let Some(retry_after) = result.retry_after {
             self.context.endpoint_table.record_retry_after(self.call.endpoint, retry_after);
         }
-        self.log_settlement("corrected", SettlementReason::SurplusResponse);
-        self.result = None;
-        self.send(result);
-    }
-
-    /// Reports that the response is not confirmed.
-    fn refute(mut self, reason: SettlementReason) {
-        self.refutation = reason;
+        result
     }
 
-    /// Reports that the response is not confirmed, once the time of the call is over: its message was probably delivered, and an
-    /// endpoint that has lost all its connections must not get all their messages again at once.
-    fn refute_at_timeout(mut self) {
-        self.refutation = SettlementReason::ConnectionEnded;
-        let (context, times_out_at) = (self.context.clone(), self.facts().times_out_at);
+    /// Sends the message once the time of the call is over: an endpoint that has lost all its connections must not get all their
+    /// messages again at once.
+    fn notify_at_timeout(self, message: DeliveryMessage) {
+        let (context, times_out_at) = (self.context.clone(), self.times_out_at());
         let executor = context.executor.clone();
-        let refute = async move {
+        let notify = async move {
             Timer::at(context.clock.instant_at(times_out_at)).await;
-            drop(self);
+            self.notify(vec![message]);
         };
-        executor.spawn(refute).detach();
+        executor.spawn(notify).detach();
     }
 
-    fn send(&self, result: CallResult) {
-        let completion = self.call.completion(result);
+    fn notify(&self, messages: Vec<DeliveryMessage>) {
         let delivery = self.context.delivery.clone();
-        let send_completion = async move {
-            // Sending fails only as the process ends, with no delivery actor left to notify.
-            let _ = delivery.send(DeliveryMessage::CallCompleted(completion)).await;
+        let send_messages = async move {
+            for message in messages {
+                // Sending fails only as the process ends, with no delivery actor left to notify.
+                let _ = delivery.send(message).await;
+            }
         };
-        self.context.executor.spawn(send_completion).detach();
+        self.context.executor.spawn(send_messages).detach();
     }
 }
 
 impl Drop for UnconfirmedCall {
     fn drop(&mut self) {
-        self.context.gauges.unconfirmed_calls.decrement();
-        self.context.gauges.unconfirmed_bytes.subtract(self.body_bytes);
-        if self.result.take().is_none() {
-            return;
+        let gauges = &self.context.gauges;
+        if self.has_ended.get() {
+            return gauges.unconfirmed_end_bytes.subtract(self.body_bytes);
         }
-        self.log_settlement("not-confirmed", self.refutation);
-        let unconfirmed = AttemptResult::from_outcome(Outcome::StaleConnection);
-        self.send(CallResult::same_for_all(self.call.attempts.len(), unconfirmed));
+        gauges.unconfirmed_calls.decrement();
+        gauges.unconfirmed_bytes.subtract(self.body_bytes);
     }
 }
 
-/// The unconfirmed calls on a connection, in the order of their requests.
+/// The unconfirmed calls on a connection. Dropping them settles them, because nothing can confirm their responses once the
+/// connection is given up.
 #[derive(Default)]
 pub(super) struct UnconfirmedCalls {
-    calls: VecDeque<UnconfirmedCall>,
+    queue: UnconfirmedQueue<UnconfirmedCall>,
 }
 
 impl UnconfirmedCalls {
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
-        self.calls.is_empty()
+        self.queue.is_empty()
     }
 
-    /// Whether the connection may carry a further call: all calls were answered by the same kind of response, so that it
-    /// does not matter which response is whose.
-    pub fn allow_further_call(&self) -> bool {
-        self.calls.iter().all(UnconfirmedCall::is_success)
+    /// Whether the time of a call is not over, so that a further response may still correct its result.
+    pub fn has_correctable_calls(&self) -> bool {
+        self.queue.has_correctable_calls()
     }
 
     /// Adds the call that was sent last.
     pub fn push(&mut self, call: UnconfirmedCall) {
-        self.calls.push_back(call);
+        settle(self.queue.push(call), SettlementReason::LaterResponse);
     }
 
-    /// Confirms the first call, because the connection has carried one more response that can be no copy.
-    pub fn confirm_first(&mut self) {
-        if let Some(first) = self.calls.pop_front() {
-            first.confirm(SettlementReason::LaterResponse);
-        }
+    /// Confirms the calls that are answered, because the connection has carried so many responses that can be no copies.
+    pub fn confirm_answered(&mut self, answered_calls: usize) {
+        settle(self.queue.confirm_answered(answered_calls), SettlementReason::LaterResponse);
     }
 
-    /// Ends all calls, because their endpoint has responded to a later one, so that it has answered them all. A response other than a success is not confirmed: it may be that to another of them.
-    pub fn end_answered(&mut self) {
-        self.end_all_answered(SettlementReason::LaterCallAnswered);
+    /// Confirms all calls, because their endpoint has responded to a later one.
+    pub fn confirm_all(&mut self) {
+        settle(self.queue.confirm_all(), SettlementReason::LaterCallAnswered);
     }
 
-    /// Ends all calls as [`UnconfirmedCalls::end_answered`] does, because their endpoint has closed the connection as idle.
-    pub fn end_closed_as_idle(&mut self) {
-        self.end_all_answered(SettlementReason::ClosedAsIdle);
+    /// Settles all calls, because their connection has ended.
+    pub fn end_with_connection(&mut self) {
+        settle(self.queue.settle_all(), SettlementReason::ConnectionEnded);
     }
 
-    fn end_all_answered(&mut self, reason: SettlementReason) {
-        for call in self.calls.drain(..) {
-            match call.is_success() {
-                true => call.confirm(reason),
-                false => call.refute(reason),
-            }
+    /// Handles a response that arrived while no call was in flight.
+    pub fn add_surplus(&mut self, response: Response, answered_calls: usize) {
+        let says_ended = matches!(response.head.status, 200 | 410);
+        if let Some(call) = self.queue.only_call_mut() {
+            call.add_response(response);
         }
+        let settled = self.queue.settle_by_surplus(says_ended, answered_calls);
+        settle(settled, SettlementReason::SurplusResponse);
     }
 
-    /// Ends all calls, as not confirmed, because their connection has ended.
-    pub fn end_with_connection(&mut self) {
-        self.calls.drain(..).for_each(UnconfirmedCall::refute_at_timeout);
+    /// When [`UnconfirmedCalls::end_due`] has something to do, in microseconds of the monotonic clock; `None` without calls.
+    pub fn next_change_at(&self) -> Option<Micros> {
+        self.queue.next_change_at()
     }
 
-    /// Handles a response that arrived while no call was in flight, so that one response more than calls has arrived. Several
-    /// calls can then be confirmed only if all responses say the same; otherwise they end, as not confirmed.
-    pub fn add_response(&mut self, response: Response) {
-        match self.calls.len() {
-            1 => {
-                if !self.calls[0].add_response(response) {
-                    self.refute_all(SettlementReason::SurplusResponse);
-                }
-            }
-            _ if response.head.status == 200 && self.allow_further_call() => {}
-            _ => self.refute_all(SettlementReason::SurplusResponse),
+    /// Ends the messages of the calls whose time is over, and settles the calls whose end is to be reported now.
+    pub fn end_due(&mut self, context: &Context) {
+        let now = context.clock.now();
+        settle(self.queue.settle_due(now), SettlementReason::TimeOver);
+        self.queue.end_timed_out(now).into_iter().for_each(UnconfirmedCall::end);
+        let ended_bytes = context.gauges.unconfirmed_end_bytes.get() as u64;
+        if ended_bytes >= context.config().journal_limit_bytes() / UNCONFIRMED_ENDS_JOURNAL_DIVISOR {
+            settle(self.queue.settle_ended(), SettlementReason::TooManyUnconfirmed);
         }
     }
+}
 
-    fn refute_all(&mut self, reason: SettlementReason) {
-        self.calls.drain(..).for_each(|call| call.refute(reason));
-    }
-
-    /// When [`UnconfirmedCalls::end_timed_out`] has calls to end, in microseconds of the monotonic clock; `None` without calls.
-    pub fn next_timeout(&self, connection_use: ConnectionUse) -> Option<Micros> {
-        next_timeout(&self.facts(), connection_use)
+impl Drop for UnconfirmedCalls {
+    fn drop(&mut self) {
+        settle(self.queue.settle_all(), SettlementReason::ConnectionGivenUp);
     }
+}
 
-    /// Ends the calls whose time is over.
-    pub fn end_timed_out(&mut self, connection_use: ConnectionUse, now: Micros) {
-        let ends = timed_out_calls(&self.facts(), connection_use, now);
-        for (call, end) in std::mem::take(&mut self.calls).into_iter().zip(ends) {
-            match end {
-                Some(ConfirmationEnd::Confirmed) => call.confirm(SettlementReason::TimeOver),
-                Some(ConfirmationEnd::NotConfirmed) => call.refute(SettlementReason::TimeOver),
-                None => self.calls.push_back(call),
-            }
-        }
-    }
+/// Whether the messages of unconfirmed calls take more of the journal than they may.
+pub(super) fn are_too_many(context: &Context) -> bool {
+    let unconfirmed_bytes = context.gauges.unconfirmed_bytes.get() as u64;
+    unconfirmed_bytes >= context.config().journal_limit_bytes() / UNCONFIRMED_JOURNAL_DIVISOR
+}
 
-    fn facts(&self) -> Vec<UnconfirmedFacts> {
-        self.calls.iter().map(UnconfirmedCall::facts).collect()
-    }
+fn settle(settled: Vec<Settled<UnconfirmedCall>>, reason: SettlementReason) {
+    settled.into_iter().for_each(|settled| settled.call.settle(settled.settlement, reason));
 }
--- a/src/net/gauges.rs
+++ b/src/net/gauges.rs
@@ -64,10 +64,13 @@
     pub answered_messages: Gauge,
     /// Calls in flight; written by each call.
     pub calls_in_flight: Gauge,
-    /// Calls that were answered by a response that may be a copy of an earlier one; written by each such call.
+    /// Calls that were answered by a response that may be a copy of an earlier one, and whose time is not over; written by each
+    /// such call.
     pub unconfirmed_calls: Gauge,
     /// What the messages of these calls take in memory, in bytes; written by each such call.
     pub unconfirmed_bytes: Gauge,
+    /// What the messages take that have ended by such a response and are not reported yet, in bytes; written by each such call.
+    pub unconfirmed_end_bytes: Gauge,
     /// Delivery reports that the platform has not confirmed yet; written by the delivery actor and the sender of the
     /// reports.
     pub reports_pending: Gauge,
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -105,7 +105,9 @@
             // The result of a call that was answered is forwarded once the call is complete.
             // The successor has its own endpoint list and settings, serves its own status, and replies soon even without
             // a notice that a client has stopped sending.
+            // The successor has reported a message that ended unconfirmed, as it cannot wait for a confirmation.
             DeliveryMessage::CallAnswered(_)
+            | DeliveryMessage::EndSettled { .. }
             | DeliveryMessage::ListLine(_)
             | DeliveryMessage::ClientHalfClosed { .. }
             | DeliveryMessage::EndpointList(_)
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -4,7 +4,8 @@
 use super::link::{HandOverError, Link};
 use crate::net::in_flight::Request;
 use crate::net::messages::{
-    AdminCommand, DeliveryMessage, EndpointListMessage, ListLine, SubmitReply, DEFAULT_RETRY_AFTER,
+    AdminCommand, DeliveryMessage, EndSettlement, EndpointListMessage, ListLine, SubmitReply,
+    DEFAULT_RETRY_AFTER,
 };
 use crate::net::{operator, Context};
 use async_channel::{SendError, Sender};
@@ -80,7 +81,11 @@
                 if let Some(retry_after) = completion.result.retry_after {
                     self.context.endpoint_table.record_retry_after(completion.endpoint, retry_after);
                 }
-                delivery.send(DeliveryMessage::CallCompleted(completion)).await
+                let messages = completion.unconfirmed_messages();
+                delivery.send(DeliveryMessage::CallCompleted(completion)).await?;
+                // The predecessor does not notify this process of a confirmation.
+                let settlement = EndSettlement::Unsettled;
+                delivery.send(DeliveryMessage::EndSettled { messages, settlement }).await
             }
             PredecessorFrame::ListLine { available_since, address } => {
                 let line = ListLine { line: body, available_since, address };
--- a/src/net/in_flight.rs
+++ b/src/net/in_flight.rs
@@ -56,6 +56,8 @@
     attempts: Cell<u32>,
     last_outcome: Cell<Option<Outcome>>,
     may_have_run: Cell<bool>,
+    /// The attempt to which a response said that the message has ended.
+    end_read: Cell<Option<u32>>,
     ended: Cell<bool>,
 }
 
@@ -73,6 +75,7 @@
             route_stats: None,
             attempts: Cell::new(attempts),
             last_outcome: Cell::default(),
+            end_read: Cell::default(),
             ended: Cell::new(false),
         }
     }
@@ -108,6 +111,24 @@
         self.may_have_run.set(true);
     }
 
+    /// Records that a response to this attempt says that the message has ended.
+    pub fn record_end_read(&self, attempt: u32) {
+        self.end_read.set(Some(attempt));
+    }
+
+    /// Records that this attempt has not ended the message: what [`InFlightMessage::record_end_read`] recorded for it was a
+    /// copy of an earlier response.
+    pub fn refute_end_read(&self, attempt: u32) {
+        if self.end_read.get() == Some(attempt) {
+            self.end_read.set(None);
+        }
+    }
+
+    /// Whether a response says that the message has ended, certainly or probably, so that no attempt may be sent for it.
+    pub fn is_end_read(&self) -> bool {
+        self.end_read.get().is_some()
+    }
+
     /// Whether the message has ended, so that no attempt may be sent for it.
     pub fn is_ended(&self) -> bool {
         self.ended.get()
--- a/src/net/journal_handle.rs
+++ b/src/net/journal_handle.rs
@@ -82,6 +82,11 @@
         self.with_journal(|journal| journal.record_never_ran(id.0, number));
     }
 
+    /// Records that a response may have ended a message; see [`Journal::record_may_have_ended`].
+    pub fn record_may_have_ended(&self, id: MessageId, number: u32) {
+        self.with_journal(|journal| journal.record_may_have_ended(id.0, number));
+    }
+
     /// Records how a message ended, which is still to be reported to the platform; see [`Journal::record_undelivered`].
     pub fn record_undelivered(&self, id: MessageId, end: ReportedEnd) {
         self.with_journal(|journal| journal.record_undelivered(id.0, end));
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -40,6 +40,13 @@
     CallAnswered(CallCompletion),
     /// A call that this process or its predecessor made is complete.
     CallCompleted(CallCompletion),
+    /// Messages that have ended unconfirmed are settled.
+    EndSettled {
+        /// The messages.
+        messages: Vec<MessageId>,
+        /// Whether their ends are confirmed.
+        settlement: EndSettlement,
+    },
     /// A successor asks to take over.
     HandOver(Successor),
     /// An operator sent a command during a hand-over.
@@ -65,6 +72,15 @@
     Stop,
 }
 
+/// How the unconfirmed end of a message is settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndSettlement {
+    /// The message has ended as the response said.
+    Confirmed,
+    /// That is not known and will not be known, so the end is reported to the platform.
+    Unsettled,
+}
+
 /// The reply to a client's message.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SubmitReply {
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -135,6 +135,14 @@
     idempotent.forget(ID);
     assert!(idempotent.is_empty());
 
+    let mut answered = may_have_run(Idempotency::Idempotent);
+    answered.end_read(ID, 0);
+    answered.end_refuted(ID, 1);
+    assert_eq!(answered.attempt_started(ID, 1, 101, EAST), Some(Violation::AttemptAfterCompletion));
+    answered.attempt_ended(ID, 1, Outcome::NotSent);
+    answered.end_refuted(ID, 0);
+    assert_eq!(answered.attempt_started(ID, 2, 102, EAST), None);
+
     assert_eq!(
         may_have_run(Idempotency::NonIdempotent).attempt_started(ID, 1, 101, EAST),
         Some(Violation::RepeatForbidden)
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -102,6 +102,7 @@
                 attempts: 2,
                 earlier_attempt_may_have_run: true,
                 attempt_in_flight: true,
+                may_have_ended: false,
                 first_possible_effect: Some(attempt_start(6, "east")),
                 unknown_attempt: None,
                 report: None,
@@ -113,6 +114,35 @@
     assert_eq!((restored.highest_id, restored.messages[0].1.body.len()), (4, 10));
 }
 
+/// Guards against a message that the next process calls again although a response has said that it is over.
+#[test]
+fn a_message_that_may_have_ended_is_restored_as_one_through_compaction_until_its_next_attempt() {
+    let folder = JournalFolder::new("may-have-ended");
+    let (mut journal, _) = folder.open(60_000);
+    for id in 1..=3 {
+        journal.record_received(id, &message(&format!("m{id}"), 300)).expect("space");
+        journal.record_attempt(id, 0, attempt_start(5, "east")).expect("written");
+        journal.record_may_have_ended(id, 0);
+    }
+    // The response to an attempt before the last one says nothing of the last one.
+    journal.record_attempt(2, 1, attempt_start(6, "east")).expect("written");
+    journal.record_may_have_ended(2, 0);
+    journal.record_never_ran(3, 0);
+    let first_segments = folder.files();
+    let mut id = 3;
+    while folder.files().iter().any(|file| first_segments.contains(file)) {
+        id += 1;
+        journal.record_received(id, &message(&format!("m{id}"), 300)).expect("space");
+        journal.record_completed(id);
+    }
+    drop(journal);
+    let (_, restored) = folder.open(60_000);
+    assert!(restored.damage.is_empty());
+    let may_have_ended: Vec<bool> =
+        restored.messages.iter().map(|(_, message)| message.progress.may_have_ended).collect();
+    assert_eq!(may_have_ended, [true, false, false]);
+}
+
 /// Guards against a crash loop: a last record that is torn by a kill or damaged by a bad disk block must not prevent the
 /// start.
 #[test]
@@ -280,6 +310,7 @@
         attempts: 2,
         earlier_attempt_may_have_run: true,
         attempt_in_flight: true,
+        may_have_ended: false,
         first_possible_effect: Some(attempt_start(11, "north-hall")),
         unknown_attempt: None,
         report: None,
@@ -318,6 +349,7 @@
             attempts: 2,
             earlier_attempt_may_have_run: !never_ran,
             attempt_in_flight: true,
+            may_have_ended: false,
             first_possible_effect: Some(first_start),
             unknown_attempt,
             report: None,
--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -70,6 +70,7 @@
     let sent = Progress {
         attempts: 1,
         attempt_in_flight: true,
+        may_have_ended: false,
         first_possible_effect: attempt_start(11_000_000 + shift, "east"),
         ..no_progress()
     };
@@ -83,6 +84,7 @@
         attempts: 4,
         earlier_attempt_may_have_run: true,
         attempt_in_flight: false,
+        may_have_ended: false,
         first_possible_effect: attempt_start(9_000_000 + shift, "west"),
         unknown_attempt: None,
         report: Some(ReportedEnd::Returned(Some(20))),
