Report what may have ended at a planned exit and across a hand-over

Callers saw a call, by the next process, for a message that its endpoint had answered: after SIGTERM if the next process is of an older release, and by a successor whose predecessor died.

PredecessorGone then ended the attempt as "may have run".

Now the delivery actor reports all such messages when it stops deciding, before the exit. If the predecessor dies, the answered messages are reported. A further response still corrects the result while the predecessor lives, as a_late_response_behind_a_copy_is_awaited_across_a_hand_over holds.

Evidence: a_message_answered_before_sigterm_has_its_end_before_the_exit and a_message_answered_at_a_predecessor_that_dies_is_not_called_by_the_successor were red before.

--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -5,7 +5,9 @@
 use crate::net::call::AttemptId;
 use crate::net::handover::{self, frames::PolicyTimer};
 use crate::net::in_flight::InFlightMessage;
-use crate::net::messages::{DeliveryMessage, DeliveryReport, EndpointListMessage, SubmitReply, Successor};
+use crate::net::messages::{
+    DeliveryMessage, DeliveryReport, EndSettlement, EndpointListMessage, SubmitReply, Successor,
+};
 use crate::net::{operator, Context};
 use crate::settings_json::Names;
 use crate::{DeliveryPolicy, EndpointId, Event, MessageId, Micros};
@@ -181,6 +183,7 @@
             DeliveryMessage::Settings(settings) => self.events.push(Event::Settings(settings)),
             DeliveryMessage::CallAnswered(completion) => self.call_answered(&completion),
             DeliveryMessage::CallCompleted(completion) => self.call_completed(completion),
+            DeliveryMessage::EndRead(completion) => self.end_read_at_predecessor(&completion),
             DeliveryMessage::EndSettled { messages, settlement } => {
                 self.settle_ends(messages, settlement).await
             }
@@ -198,7 +201,11 @@
             // The calls in flight at the predecessor have no result any more. They are completed with an outcome that
             // says that they may have run.
             DeliveryMessage::PredecessorGone => {
-                self.take_lost_calls().into_iter().for_each(|completion| self.call_completed(completion))
+                for completion in self.take_lost_calls() {
+                    let unsettled = completion.unconfirmed_messages();
+                    self.call_completed(completion);
+                    self.settle_ends(unsettled, EndSettlement::Unsettled).await;
+                }
             }
             // The line is for a successor, and there is none: this process was not replaced.
             DeliveryMessage::ListLine(_) => {}
@@ -208,7 +215,7 @@
                 // Sending fails if the client that asked has disconnected; nobody needs the status then.
                 let _ = reply.try_send(self.status());
             }
-            DeliveryMessage::Stop => self.stop(),
+            DeliveryMessage::Stop => self.stop().await,
         }
     }
 }
--- a/src/net/delivery/admission.rs
+++ b/src/net/delivery/admission.rs
@@ -134,8 +134,8 @@
 
     /// Stops making steps. Messages that wait for the next step are accepted: they are journaled, so the next process
     /// will deliver them, and without a reply their clients' connections would be closed after a request that was
-    /// read.
-    pub(super) fn stop(&mut self) {
+    /// read. Messages that may have ended are reported, as nothing can confirm their ends any more.
+    pub(super) async fn stop(&mut self) {
         self.stopped = true;
         for (id, open) in &mut self.messages {
             if let Some(reply) = open.reply.take() {
@@ -144,5 +144,6 @@
                 let _ = reply.try_send(SubmitReply::Accepted(*id));
             }
         }
+        self.report_unsettled_ends().await;
     }
 }
--- a/src/net/delivery/restore.rs
+++ b/src/net/delivery/restore.rs
@@ -13,7 +13,7 @@
     pub async fn restore(&mut self, journaled: Vec<(u64, JournaledMessage)>) {
         for (id, journaled) in journaled {
             let id = MessageId(id);
-            if journaled.progress.report.is_none() && journaled.progress.may_have_ended {
+            if has_unconfirmed_end(&journaled.progress) {
                 self.report_unconfirmed_end(id, &UnconfirmedEnd::from(&journaled)).await;
                 continue;
             }
@@ -99,3 +99,8 @@
         }
     }
 }
+
+/// Whether a response may have ended the message, which is reported as failed then.
+fn has_unconfirmed_end(progress: &Progress) -> bool {
+    progress.may_have_ended && matches!(progress.report, None | Some(ReportedEnd::Failed))
+}
--- a/src/net/delivery/unconfirmed_ends.rs
+++ b/src/net/delivery/unconfirmed_ends.rs
@@ -2,9 +2,11 @@
 //! Until their ends are confirmed they stay in the journal, and an end that is not confirmed is reported to the platform: if the
 //! message was delivered, the report does no harm, and if it was not, the report is its end.
 
-use super::actor::DeliveryActor;
+use super::actor::{DeliveryActor, OpenMessage};
 use crate::journal::{JournaledMessage, ReportedEnd};
+use crate::net::call::{AttemptId, CallCompletion};
 use crate::net::in_flight::InFlightMessage;
+use crate::net::message_end::MessageEnd;
 use crate::net::messages::{DeliveryReport, EndSettlement};
 use crate::{MessageId, Micros};
 use slog::info;
@@ -49,6 +51,35 @@
         }
     }
 
+    /// Records that a message of a call in flight at the predecessor may have ended, so that it is not called again if the
+    /// predecessor is lost.
+    pub(super) fn end_read_at_predecessor(&mut self, answered: &CallCompletion) {
+        for AttemptId { message: id, number } in answered.ended_attempts() {
+            let Some(open) = self.messages.get(&id) else { continue };
+            open.message.record_end_read(number);
+            self.context.ledger.borrow_mut().end_read(id, number);
+            self.context.journal.record_may_have_ended(id, number);
+        }
+    }
+
+    /// Reports all messages that may have ended, because nothing can confirm their ends any more: the process exits.
+    pub(super) async fn report_unsettled_ends(&mut self) {
+        let is_answered = |open: &OpenMessage| {
+            let is_announced = open.attempt.as_ref().is_some_and(|attempt| attempt.answered_at.is_some());
+            is_announced && open.message.is_end_read() && !open.message.is_ended()
+        };
+        let answered: Vec<MessageId> =
+            self.messages.iter().filter(|(_, open)| is_answered(open)).map(|(id, _)| *id).collect();
+        for id in answered {
+            let Some(message) = self.messages.get(&id).map(|open| open.message.clone()) else { continue };
+            if self.end_message(id, MessageEnd::Failed) {
+                self.report_unconfirmed_end(id, &UnconfirmedEnd::from(&*message)).await;
+            }
+        }
+        let ended: Vec<MessageId> = self.unconfirmed_ends.keys().copied().collect();
+        self.settle_ends(ended, EndSettlement::Unsettled).await;
+    }
+
     /// Reports a message that may have ended, as its end will not be confirmed.
     pub(super) async fn report_unconfirmed_end(&mut self, id: MessageId, end: &UnconfirmedEnd) {
         info!(self.context.log, "message"; "state" => "unconfirmed", "id" => &end.request_id);
--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -21,6 +21,25 @@
 pub const ACCEPTED_FRAMES_HEADER: &str = "X-Accept-Frames";
 /// The value in [`ACCEPTED_FRAMES_HEADER`] that stands for [`PredecessorFrame::ListLine`].
 pub const LIST_LINE_FRAME: &str = "list-line";
+/// The value in [`ACCEPTED_FRAMES_HEADER`] that stands for [`PredecessorFrame::EndRead`].
+pub const READ_ENDS_FRAMES: &str = "read-ends";
+
+/// The optional frames that a successor accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AcceptedFrames {
+    /// Whether it accepts [`PredecessorFrame::ListLine`].
+    pub list_lines: bool,
+    /// Whether it accepts [`PredecessorFrame::EndRead`].
+    pub read_ends: bool,
+}
+
+impl AcceptedFrames {
+    /// Reads the value of [`ACCEPTED_FRAMES_HEADER`]. Names that this release does not know are ignored.
+    pub fn parse(header: &str) -> Self {
+        let accepts = |name: &str| header.split(',').any(|frame| frame.trim() == name);
+        AcceptedFrames { list_lines: accepts(LIST_LINE_FRAME), read_ends: accepts(READ_ENDS_FRAMES) }
+    }
+}
 
 /// An attempt that is in flight at the predecessor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -128,6 +147,9 @@
     /// A call that was in flight at the predecessor is complete.
     #[serde(rename = "Passed")]
     CallCompleted(CallCompletion),
+    /// A response says that messages of a call in flight at the predecessor have ended, but it may be a copy of an earlier one. The
+    /// call is not complete. It is sent only to a successor that accepts [`READ_ENDS_FRAMES`].
+    EndRead(CallCompletion),
     /// A watch of the predecessor received a line of the endpoint list, which is the frame's body. It is sent only to a
     /// successor that accepts [`LIST_LINE_FRAME`].
     ListLine {
--- a/src/net/handover/predecessor.rs
+++ b/src/net/handover/predecessor.rs
@@ -28,7 +28,7 @@
 pub async fn hand_over(actor: &mut DeliveryActor, successor: Successor, mailbox: &Receiver<DeliveryMessage>) {
     let context = actor.context().clone();
     let started_at = Instant::now();
-    let accepts_list_lines = successor.accepts_list_lines;
+    let accepted_frames = successor.accepted_frames;
     let send_result = within(OWNERSHIP_TIMEOUT, send_state(actor, &context, successor)).await;
     let link = match send_result.unwrap_or(Err(HttpError::TimedOut.into())) {
         Ok(link) => link,
@@ -50,7 +50,7 @@
         "open" => context.gauges.open_messages.get(), "in_flight" => context.gauges.calls_in_flight.get());
     actor.step_down();
     announce_hand_over(&context, actor.endpoint_list().clone());
-    let _unanswered = Relay::new(actor, link, accepts_list_lines).run(mailbox).await;
+    let _unanswered = Relay::new(actor, link, accepted_frames).run(mailbox).await;
     warn!(context.log, "the successor is gone");
     context.lifecycle.enter_hand_over(HandOverPhase::SuccessorLost);
     reject_all(mailbox).await;
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -1,6 +1,6 @@
 //! Forwards what a predecessor still receives to its successor, and passes the successor's replies back.
 
-use super::frames::{PredecessorFrame, SuccessorFrame};
+use super::frames::{AcceptedFrames, PredecessorFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use crate::net::delivery::DeliveryActor;
 use crate::net::messages::{AdminError, DeliveryMessage, ListLine, SubmitReply};
@@ -12,7 +12,7 @@
 pub(super) struct Relay<'a> {
     actor: &'a mut DeliveryActor,
     link: Link,
-    accepts_list_lines: bool,
+    accepted_frames: AcceptedFrames,
     /// The number of mailbox messages and frames received so far. A forwarded request gets this count as its number.
     last_number: u64,
     /// Where clients wait for replies, by the number of the forwarded message.
@@ -38,11 +38,11 @@
 
 impl<'a> Relay<'a> {
     /// Creates a relay to the successor at the other end of the link.
-    pub fn new(actor: &'a mut DeliveryActor, link: Link, accepts_list_lines: bool) -> Self {
+    pub fn new(actor: &'a mut DeliveryActor, link: Link, accepted_frames: AcceptedFrames) -> Self {
         Relay {
             actor,
             link,
-            accepts_list_lines,
+            accepted_frames,
             last_number: 0,
             replies: BTreeMap::new(),
             admin_replies: BTreeMap::new(),
@@ -90,10 +90,18 @@
                 self.admin_replies.insert(number, reply);
                 frames.send(&PredecessorFrame::Admin { number, command }).await
             }
-            DeliveryMessage::ListLine(line) if self.accepts_list_lines => {
+            DeliveryMessage::ListLine(line) if self.accepted_frames.list_lines => {
                 let ListLine { line, available_since, address } = line;
                 frames.send_with_body(&PredecessorFrame::ListLine { available_since, address }, &line).await
             }
+            DeliveryMessage::CallAnswered(answered)
+                if self.accepted_frames.read_ends && answered.ends_messages() =>
+            {
+                frames.send(&PredecessorFrame::EndRead(answered)).await
+            }
+            DeliveryMessage::EndRead(completion) if self.accepted_frames.read_ends => {
+                frames.send(&PredecessorFrame::EndRead(completion)).await
+            }
             // This process's own predecessor is gone, and with it the calls that were in flight there.
             DeliveryMessage::PredecessorGone => {
                 let mut sent = Ok(());
@@ -107,6 +115,7 @@
             // a notice that a client has stopped sending.
             // The successor has reported a message that ended unconfirmed, as it cannot wait for a confirmation.
             DeliveryMessage::CallAnswered(_)
+            | DeliveryMessage::EndRead(_)
             | DeliveryMessage::EndSettled { .. }
             | DeliveryMessage::ListLine(_)
             | DeliveryMessage::ClientHalfClosed { .. }
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -87,6 +87,9 @@
                 let settlement = EndSettlement::Unsettled;
                 delivery.send(DeliveryMessage::EndSettled { messages, settlement }).await
             }
+            PredecessorFrame::EndRead(completion) => {
+                delivery.send(DeliveryMessage::EndRead(completion)).await
+            }
             PredecessorFrame::ListLine { available_since, address } => {
                 let line = ListLine { line: body, available_since, address };
                 let line = EndpointListMessage::PredecessorLine(line);
--- a/src/net/handover/successor.rs
+++ b/src/net/handover/successor.rs
@@ -1,7 +1,7 @@
 //! The successor's side of a hand-over: it claims the state folder, requests the predecessor's state, and takes over.
 
 use super::frames::{HandOverState, PredecessorFrame, SuccessorFrame};
-use super::frames::{ACCEPTED_FRAMES_HEADER, FORMAT_VERSION, LIST_LINE_FRAME};
+use super::frames::{ACCEPTED_FRAMES_HEADER, FORMAT_VERSION, LIST_LINE_FRAME, READ_ENDS_FRAMES};
 use super::link::{FrameSender, HandOverError, Link, ReceivedFrame};
 use super::lock::{self, FolderLock, Owner};
 use super::ownership::FolderOwnership;
@@ -115,7 +115,7 @@
     let Owner { operator, token } = owner;
     let request = format!(
         "POST /admin/handover HTTP/1.1\r\nHost: {operator}\r\nX-Token: {token}\r\n\
-         X-Format: {FORMAT_VERSION}\r\n{ACCEPTED_FRAMES_HEADER}: {LIST_LINE_FRAME}\r\nContent-Length: 0\r\n\r\n"
+         X-Format: {FORMAT_VERSION}\r\n{ACCEPTED_FRAMES_HEADER}: {LIST_LINE_FRAME}, {READ_ENDS_FRAMES}\r\nContent-Length: 0\r\n\r\n"
     );
     connection.write(request.as_bytes()).await.map_err(HttpError::Socket)?;
     match connection.read_response().await?.status {
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -2,6 +2,7 @@
 
 use super::call::{Call, CallCompletion};
 use super::endpoint::connection::EndpointConnection;
+use super::handover::frames::AcceptedFrames;
 use super::http::{HttpConnection, HttpError};
 use super::in_flight::Request;
 use crate::journal::ReportedEnd;
@@ -40,6 +41,8 @@
     CallAnswered(CallCompletion),
     /// A call that this process or its predecessor made is complete.
     CallCompleted(CallCompletion),
+    /// A response says that messages of a call in flight at the predecessor have ended, but it may be a copy of an earlier one.
+    EndRead(CallCompletion),
     /// Messages that have ended unconfirmed are settled.
     EndSettled {
         /// The messages.
@@ -270,6 +273,6 @@
     pub connection: HttpConnection,
     /// The endpoint list; the endpoint list actor does not change it any more.
     pub list: MembershipSnapshot,
-    /// Whether the successor accepts the lines that this process's watches still receive.
-    pub accepts_list_lines: bool,
+    /// The optional frames that the successor accepts.
+    pub accepted_frames: AcceptedFrames,
 }
--- a/src/net/operator/handover.rs
+++ b/src/net/operator/handover.rs
@@ -3,7 +3,7 @@
 use super::admin_request::{AdminRequest, RequestSummary, ADMIN_REQUEST_TIMEOUT, HAND_OVER_TARGET};
 use crate::membership::MembershipSnapshot;
 use crate::net::client::Response;
-use crate::net::handover::frames::{ACCEPTED_FRAMES_HEADER, FORMAT_VERSION, LIST_LINE_FRAME};
+use crate::net::handover::frames::{AcceptedFrames, ACCEPTED_FRAMES_HEADER, FORMAT_VERSION};
 use crate::net::http::RequestHead;
 use crate::net::messages::{DeliveryMessage, EndpointListMessage, Successor};
 use crate::net::runtime::lifecycle::HandOverPhase;
@@ -14,10 +14,8 @@
     pub(super) async fn serve_hand_over(mut self, head: &RequestHead) -> RequestSummary {
         let reason = match self.begin_hand_over(head).await {
             Ok(list) => {
-                let accepted_frames = head.headers.get(ACCEPTED_FRAMES_HEADER).unwrap_or_default();
-                let accepts_list_lines =
-                    accepted_frames.split(',').any(|frame| frame.trim() == LIST_LINE_FRAME);
-                self.hand_over(list, accepts_list_lines).await
+                let header = head.headers.get(ACCEPTED_FRAMES_HEADER).unwrap_or_default();
+                self.hand_over(list, AcceptedFrames::parse(header)).await
             }
             Err(response) => {
                 let bytes = response.bytes(false);
@@ -68,13 +66,13 @@
 
     /// Accepts the request and passes the connection to the delivery actor, which hands over on it. Returns the reason's
     /// code for the log.
-    async fn hand_over(self, list: MembershipSnapshot, accepts_list_lines: bool) -> &'static str {
+    async fn hand_over(self, list: MembershipSnapshot, accepted_frames: AcceptedFrames) -> &'static str {
         let AdminRequest { context, endpoint_list, mut connection, .. } = self;
         let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         let is_written =
             within(ADMIN_REQUEST_TIMEOUT, connection.write(response)).await.is_some_and(|w| w.is_ok());
         if is_written {
-            let successor = Successor { connection, list, accepts_list_lines };
+            let successor = Successor { connection, list, accepted_frames };
             if context.delivery.send(DeliveryMessage::HandOver(successor)).await.is_ok() {
                 return "handed-over";
             }
