Read the end in a response that comes after its call's time is over

Callers saw a second call for a message 1.3 s after its 410: the 410 came while the message waited to be sent again, since its call had timed out 0.2 s before.

Cause: late responses of abandoned calls were read for their retry-after only.

Now they are attributed as those in a call are. A proven end ends the message, with a call that waits refused at once; one that may be a copy is reported, and a further late response may correct it. A successor learns of late ends by the optional frame LateEnd. Each is logged ("late response received").

--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -184,6 +184,7 @@
             DeliveryMessage::CallAnswered(completion) => self.call_answered(&completion),
             DeliveryMessage::CallCompleted(completion) => self.call_completed(completion),
             DeliveryMessage::EndRead(completion) => self.end_read_at_predecessor(&completion),
+            DeliveryMessage::LateEnd(completion) => self.end_late(&completion).await,
             DeliveryMessage::EndSettled { messages, settlement } => {
                 self.settle_ends(messages, settlement).await
             }
--- a/src/net/delivery/attempts.rs
+++ b/src/net/delivery/attempts.rs
@@ -210,7 +210,7 @@
     }
 
     /// Ends a message that its endpoint has accepted or reported as expired. Returns false if it had ended before.
-    fn end_by_response(
+    pub(super) fn end_by_response(
         &mut self,
         id: MessageId,
         outcome: Outcome,
--- a/src/net/delivery/unconfirmed_ends.rs
+++ b/src/net/delivery/unconfirmed_ends.rs
@@ -1,4 +1,4 @@
-//! Messages that have ended by a response that may be a copy of an earlier one. They are not called again.
+//! Messages that have ended by a response that may be a copy of an earlier one, or that came late. They are not called again.
 //! Until their ends are confirmed they stay in the journal, and an end that is not confirmed is reported to the platform: if the
 //! message was delivered, the report does no harm, and if it was not, the report is its end.
 
@@ -8,7 +8,7 @@
 use crate::net::in_flight::InFlightMessage;
 use crate::net::message_end::MessageEnd;
 use crate::net::messages::{DeliveryReport, EndSettlement};
-use crate::{MessageId, Micros};
+use crate::{Event, MessageId, Micros};
 use slog::info;
 
 /// A message whose end is unconfirmed.
@@ -62,6 +62,33 @@
         }
     }
 
+    /// Ends messages by a response that came after its call was complete. Nothing confirms it if it may be a copy, so the end
+    /// is reported at once then.
+    pub(super) async fn end_late(&mut self, late: &CallCompletion) {
+        let ended_at = self.context.clock.now();
+        for (attempt, result) in late.attempts.iter().zip(&late.result.attempts) {
+            let AttemptId { message: id, number } = *attempt;
+            let Some(message) = self.messages.get(&id).map(|open| open.message.clone()) else { continue };
+            if !result.completes_message {
+                if !late.result.unconfirmed {
+                    message.refute_end_read(number);
+                    self.context.ledger.borrow_mut().end_refuted(id, number);
+                }
+                continue;
+            }
+            message.record_end_read(number);
+            if !self.end_by_response(id, result.outcome, Some(&message), ended_at) {
+                continue;
+            }
+            match late.result.unconfirmed {
+                true => self.report_unconfirmed_end(id, &UnconfirmedEnd::from(&*message)).await,
+                false => self.context.journal.record_completed(id),
+            }
+            self.events.push(Event::Withdrawn { id });
+            self.remove_if_ended(id);
+        }
+    }
+
     /// Reports all messages that may have ended, because nothing can confirm their ends any more: the process exits.
     pub(super) async fn report_unsettled_ends(&mut self) {
         let is_answered = |open: &OpenMessage| {
--- a/src/net/endpoint/failed_call.rs
+++ b/src/net/endpoint/failed_call.rs
@@ -5,7 +5,7 @@
 use super::connection_end::{CallFailure, ConnectionEnd};
 use super::ended_call::EndedCall;
 use super::exchange::{CallEnd, Stage};
-use super::late_response;
+use super::late_response::{self, LateCall};
 use super::observation::observe_in_background;
 use super::received::OwnResponse;
 use crate::net::call::{AttemptResult, CallResult};
@@ -22,7 +22,9 @@
         let unanswered = self.progress.received.borrow().own().is_none();
         match connection {
             Some(connection) if abandoned && unanswered => {
-                late_response::read_in_background(self.context, self.call.endpoint, connection.http);
+                let earlier = self.progress.received.borrow().facts().earlier().clone();
+                let late_call = LateCall::new(self.context, self.unreported_call(), earlier);
+                late_response::read_in_background(late_call, connection.http);
             }
             // Nothing of this call was written.
             Some(connection) if self.progress.stage.get() == Stage::Connecting => {
--- a/src/net/endpoint/late_response.rs
+++ b/src/net/endpoint/late_response.rs
@@ -1,14 +1,18 @@
-//! Reads late responses on the connection of an abandoned call. The call's own may contain a retry-after, which applies
-//! from the moment the endpoint wrote it; if it were not read, calls would be sent during that time. It may come behind a
-//! copy of an earlier response, so all that come in time are read.
+//! Reads late responses on the connection of an abandoned call. The call's own may say that a message has ended, which must not
+//! be called again then. It may also contain a retry-after, which applies from the moment the endpoint wrote it; if it were not
+//! read, calls would be sent during that time. It may come behind a copy of an earlier response, so all that come in time are
+//! read.
 
-use super::response::{parse_retry_after, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
-use crate::net::call::{AttemptResult, CallCompletion, CallResult};
-use crate::net::http::HttpConnection;
+use super::end_read;
+use super::received::ReceivedResponses;
+use super::response::{parse_retry_after, read_result, Response, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
+use crate::invariants::{Attribution, EarlierResponses};
+use crate::net::call::{AttemptResult, Call, CallCompletion, CallResult};
+use crate::net::http::{status_line_code, HttpConnection, ResponseHead};
 use crate::net::messages::DeliveryMessage;
 use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::{within, Context};
-use crate::{EndpointId, Micros, Outcome};
+use crate::{Micros, Outcome};
 use slog::info;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,13 +21,17 @@
 /// response.
 const LATE_RESPONSE_TIMEOUT: Duration = RESPONSE_STALL_TIMEOUT;
 
+/// An abandoned call, with the responses that have come since.
+pub(super) struct LateCall {
+    context: Rc<Context>,
+    call: Call,
+    received: ReceivedResponses,
+}
+
 /// Waits in the background for late responses, then closes the connection. Closes it at once if too many connections wait
 /// for them already.
-pub(super) fn read_in_background(
-    context: &Rc<Context>,
-    endpoint: EndpointId,
-    mut connection: HttpConnection,
-) {
+pub(super) fn read_in_background(mut late_call: LateCall, mut connection: HttpConnection) {
+    let context = late_call.context.clone();
     let readers = &context.gauges.late_response_readers;
     // This limit is enough even if every call made within half a second is abandoned.
     if readers.get() >= context.config().max_concurrent_calls {
@@ -32,54 +40,112 @@
     connection.shutdown_write();
     readers.increment();
     let executor = context.executor.clone();
-    let context = context.clone();
     let read_responses = async move {
-        within(LATE_RESPONSE_TIMEOUT, read_until_end(&context, endpoint, &mut connection)).await;
-        context.gauges.late_response_readers.decrement();
+        within(LATE_RESPONSE_TIMEOUT, late_call.read_until_end(&mut connection)).await;
+        drop(connection);
+        late_call.report_end().await;
+        late_call.context.gauges.late_response_readers.decrement();
     };
     executor.spawn(read_responses).detach();
 }
 
-/// Reads responses until the connection ends, and obeys the retry-after of each.
-async fn read_until_end(context: &Context, endpoint: EndpointId, connection: &mut HttpConnection) {
-    let mut is_first = true;
-    while let Ok(head) = connection.read_response().await {
-        if !std::mem::replace(&mut is_first, false) {
-            record_stray(context, endpoint, head.status);
+impl LateCall {
+    /// A call without a late response so far. `earlier` is what its connection had carried before it.
+    pub fn new(context: &Rc<Context>, call: Call, earlier: EarlierResponses) -> Self {
+        LateCall { context: context.clone(), call, received: ReceivedResponses::new(earlier) }
+    }
+
+    /// Reads responses until the connection ends, and obeys the retry-after of each.
+    async fn read_until_end(&mut self, connection: &mut HttpConnection) {
+        while let Ok(head) = connection.read_response().await {
+            if !self.received.is_empty() {
+                self.record_stray(head.status);
+            }
+            self.received.add_head(&self.call, &head, 0);
+            self.record_unproven_end();
+            if let Some(retry_after) = parse_retry_after(&head) {
+                self.obey_retry_after(retry_after).await;
+            }
+            if self.read_body(connection, head).await.is_none() {
+                return;
+            }
         }
-        if let Some(retry_after) = parse_retry_after(&head) {
-            info!(context.log, "late retry_after received"; "endpoint" => endpoint.0, "ms" => retry_after / 1000);
-            context.endpoint_table.record_retry_after(endpoint, retry_after);
-            report_retry_after(context, endpoint, retry_after).await;
+        if let Some(status) = status_line_code(connection.buffer.bytes()) {
+            self.received.add_status(&self.call, status, 0);
+            self.record_unproven_end();
         }
-        if connection.response_body(&head, MAX_RESPONSE_BYTES).await.is_err() {
-            return;
+    }
+
+    /// Reads the body of a response; `None` if it is not complete.
+    async fn read_body(&mut self, connection: &mut HttpConnection, head: ResponseHead) -> Option<()> {
+        let Ok(body) = connection.response_body(&head, MAX_RESPONSE_BYTES).await else {
+            self.received.add_partial_body(connection.buffer.bytes());
+            return None;
+        };
+        self.received.complete_last(&self.call, Response { head, body });
+        self.record_unproven_end();
+        Some(())
+    }
+
+    /// Records at once that messages may have ended. A further response may still prove the contrary.
+    fn record_unproven_end(&self) {
+        if let Some(result) = self.received.unproven_end(&self.call, Outcome::TimedOut) {
+            end_read::record(&self.context, &self.call, &result);
         }
     }
-}
 
-/// Records that one of two late responses is a stray, although it is not known which.
-fn record_stray(context: &Context, endpoint: EndpointId, status: u16) {
-    let stray = StrayResponse {
-        endpoint: Some(endpoint),
-        place: StrayPlace::LateResponse,
-        status: Some(status),
-        received_at: context.clock.now(),
-        previous_response_at: None,
-        request_written_at: None,
-    };
-    stray.record(context);
-}
+    /// Notifies the delivery actor of the messages that have ended, or of those that have not although a copy said so.
+    async fn report_end(&self) {
+        let Some(result) = self.result() else { return };
+        for (attempt, result) in self.call.attempts.iter().zip(&result.attempts) {
+            info!(self.context.log, "late response received"; "id" => &attempt.message.request.request_id,
+                "attempt" => attempt.number, "endpoint" => self.call.endpoint.0, "outcome" => ?result.outcome,
+                "ends_message" => result.completes_message);
+        }
+        end_read::record(&self.context, &self.call, &result);
+        let late_end = DeliveryMessage::LateEnd(self.call.completion(result));
+        // Sending fails only as the process ends, with no delivery actor left to notify.
+        let _ = self.context.delivery.send(late_end).await;
+    }
 
-/// Notifies the delivery actor of the retry-after by a completion without attempts: the attempts were completed when
-/// the call was abandoned.
-async fn report_retry_after(context: &Context, endpoint: EndpointId, retry_after: Micros) {
-    let result = CallResult {
-        retry_after: Some(retry_after),
-        ..CallResult::same_for_all(0, AttemptResult::from_outcome(Outcome::NotSent))
-    };
-    let completion =
-        CallCompletion { endpoint, decided_at: context.clock.now(), attempts: Vec::new(), result };
-    // Sending fails only as the process ends, with no delivery actor left to notify.
-    let _ = context.delivery.send(DeliveryMessage::CallCompleted(completion)).await;
+    /// The result of the call by its late responses; `None` if they say nothing of it.
+    fn result(&self) -> Option<CallResult> {
+        let proven = match self.received.facts().attribution() {
+            Attribution::Proven(index) => self.received.response(index),
+            _ => None,
+        };
+        match proven {
+            Some(response) => Some(read_result(&self.context.log, &self.call, response, None, true)),
+            None => self.received.unproven_end(&self.call, Outcome::TimedOut),
+        }
+    }
+
+    /// Records that one of two late responses is a stray, although it is not known which.
+    fn record_stray(&self, status: u16) {
+        let stray = StrayResponse {
+            endpoint: Some(self.call.endpoint),
+            place: StrayPlace::LateResponse,
+            status: Some(status),
+            received_at: self.context.clock.now(),
+            previous_response_at: None,
+            request_written_at: None,
+        };
+        stray.record(&self.context);
+    }
+
+    /// Applies a retry-after. The delivery actor learns of it by a completion without attempts: the attempts were completed when
+    /// the call was abandoned.
+    async fn obey_retry_after(&self, retry_after: Micros) {
+        let endpoint = self.call.endpoint;
+        info!(self.context.log, "late retry_after received"; "endpoint" => endpoint.0, "ms" => retry_after / 1000);
+        self.context.endpoint_table.record_retry_after(endpoint, retry_after);
+        let result = CallResult {
+            retry_after: Some(retry_after),
+            ..CallResult::same_for_all(0, AttemptResult::from_outcome(Outcome::NotSent))
+        };
+        let decided_at = self.context.clock.now();
+        let completion = CallCompletion { endpoint, decided_at, attempts: Vec::new(), result };
+        // Sending fails only as the process ends, with no delivery actor left to notify.
+        let _ = self.context.delivery.send(DeliveryMessage::CallCompleted(completion)).await;
+    }
 }
--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -21,7 +21,7 @@
 pub const ACCEPTED_FRAMES_HEADER: &str = "X-Accept-Frames";
 /// The value in [`ACCEPTED_FRAMES_HEADER`] that stands for [`PredecessorFrame::ListLine`].
 pub const LIST_LINE_FRAME: &str = "list-line";
-/// The value in [`ACCEPTED_FRAMES_HEADER`] that stands for [`PredecessorFrame::EndRead`].
+/// The value in [`ACCEPTED_FRAMES_HEADER`] that stands for [`PredecessorFrame::EndRead`] and [`PredecessorFrame::LateEnd`].
 pub const READ_ENDS_FRAMES: &str = "read-ends";
 
 /// The optional frames that a successor accepts.
@@ -29,7 +29,7 @@
 pub struct AcceptedFrames {
     /// Whether it accepts [`PredecessorFrame::ListLine`].
     pub list_lines: bool,
-    /// Whether it accepts [`PredecessorFrame::EndRead`].
+    /// Whether it accepts [`PredecessorFrame::EndRead`] and [`PredecessorFrame::LateEnd`].
     pub read_ends: bool,
 }
 
@@ -150,6 +150,9 @@
     /// A response says that messages of a call in flight at the predecessor have ended, but it may be a copy of an earlier one. The
     /// call is not complete. It is sent only to a successor that accepts [`READ_ENDS_FRAMES`].
     EndRead(CallCompletion),
+    /// A response came after its call was complete, and says that messages of the call have ended. It is sent only to a
+    /// successor that accepts [`READ_ENDS_FRAMES`].
+    LateEnd(CallCompletion),
     /// A watch of the predecessor received a line of the endpoint list, which is the frame's body. It is sent only to a
     /// successor that accepts [`LIST_LINE_FRAME`].
     ListLine {
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -102,6 +102,9 @@
             DeliveryMessage::EndRead(completion) if self.accepted_frames.read_ends => {
                 frames.send(&PredecessorFrame::EndRead(completion)).await
             }
+            DeliveryMessage::LateEnd(completion) if self.accepted_frames.read_ends => {
+                frames.send(&PredecessorFrame::LateEnd(completion)).await
+            }
             // This process's own predecessor is gone, and with it the calls that were in flight there.
             DeliveryMessage::PredecessorGone => {
                 let mut sent = Ok(());
@@ -116,6 +119,7 @@
             // The successor has reported a message that ended unconfirmed, as it cannot wait for a confirmation.
             DeliveryMessage::CallAnswered(_)
             | DeliveryMessage::EndRead(_)
+            | DeliveryMessage::LateEnd(_)
             | DeliveryMessage::EndSettled { .. }
             | DeliveryMessage::ListLine(_)
             | DeliveryMessage::ClientHalfClosed { .. }
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -90,6 +90,9 @@
             PredecessorFrame::EndRead(completion) => {
                 delivery.send(DeliveryMessage::EndRead(completion)).await
             }
+            PredecessorFrame::LateEnd(completion) => {
+                delivery.send(DeliveryMessage::LateEnd(completion)).await
+            }
             PredecessorFrame::ListLine { available_since, address } => {
                 let line = ListLine { line: body, available_since, address };
                 let line = EndpointListMessage::PredecessorLine(line);
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -43,6 +43,8 @@
     CallCompleted(CallCompletion),
     /// A response says that messages of a call in flight at the predecessor have ended, but it may be a copy of an earlier one.
     EndRead(CallCompletion),
+    /// A response came after its call was complete, and says that messages of the call have ended.
+    LateEnd(CallCompletion),
     /// Messages that have ended unconfirmed are settled.
     EndSettled {
         /// The messages.
--- a/tests/called_after_its_end.rs
+++ b/tests/called_after_its_end.rs
@@ -301,3 +301,34 @@
          wait open=0 delivered=1 attempts=3",
     );
 }
+
+/// Guards against a second call for a message whose late 410 is equal to an earlier one, so that it may be a copy.
+#[test]
+fn a_message_that_a_late_and_repeated_410_has_ended_is_reported_and_not_called_again() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m0
+         u1 expect 202
+         e1 expect m0
+         e1 send m0 410
+         wait open=0
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         sleep 5000
+         u2 send m2
+         u2 expect 202
+         e1 expect m2
+         e1 send m2 429 X-RateLimit-Wait-Ms:2500
+         wait timed_out=1
+         e1 send m1 410
+         platform expect m1 failed
+         e1 expect m2
+         e1 send m2 200
+         e1 expect-no-call 1500
+
+         wait open=0 delivered=1 attempts=4",
+    );
+}
