Let a refusal that may be a copy keep the time of its call near its message's deadline

In its last 0.25 s a message whose refusal may be a copy was settled at once and called again, until its attempts were used up.

Cause: the time at which an end is reported (250 ms before the deadline) settled also the calls whose responses say that their message has not ended. It holds for the others only now; these have the time of the call. The new test of tests/confirmation.rs fails without this.

--- a/src/invariants/confirmation.rs
+++ b/src/invariants/confirmation.rs
@@ -60,6 +60,22 @@
         Settled { call: self.call, settlement }
     }
 
+    /// When it is settled without proof: its end is reported, or there is none by the time of the call.
+    fn due_at(&self) -> Micros {
+        match self.call.responses().may_have_ended() {
+            true => self.call.report_at(),
+            false => self.call.times_out_at(),
+        }
+    }
+
+    /// When its messages end or it is settled.
+    fn next_change_at(&self) -> Micros {
+        match self.has_ended {
+            true => self.due_at(),
+            false => self.due_at().min(self.call.times_out_at()),
+        }
+    }
+
     fn settled_without_proof(self) -> Settled<C> {
         let settlement = match self.call.responses().may_have_ended() {
             true => Settlement::Unsettled,
@@ -174,19 +190,12 @@
 
     /// The earliest time at which a call ends or is settled, in microseconds of the monotonic clock; `None` without calls.
     pub fn next_change_at(&self) -> Option<Micros> {
-        let change_at = |entry: &Entry<C>| match entry.has_ended {
-            true => entry.call.report_at(),
-            false => entry.call.times_out_at().min(entry.call.report_at()),
-        };
-        self.entries.iter().map(change_at).min()
+        self.entries.iter().map(Entry::next_change_at).min()
     }
 
     /// Settles the calls whose end is to be reported now, and those whose time is over without an end.
     pub fn settle_due(&mut self, now: Micros) -> Vec<Settled<C>> {
-        self.settle_if(|entry| {
-            let is_over = entry.call.times_out_at() <= now && !entry.call.responses().may_have_ended();
-            is_over || entry.call.report_at() <= now
-        })
+        self.settle_if(|entry| entry.due_at() <= now)
     }
 
     fn settle_if(&mut self, is_due: impl Fn(&Entry<C>) -> bool) -> Vec<Settled<C>> {
--- a/tests/confirmation.rs
+++ b/tests/confirmation.rs
@@ -15,6 +15,27 @@
 /// An unconfirmed call, named by its place on the connection.
 struct TestCall(CallResponses);
 
+/// A call so late that the end of its message would be reported before the call's own time is over.
+struct LateCall(CallResponses);
+
+impl Unconfirmed for LateCall {
+    fn responses(&self) -> &CallResponses {
+        &self.0
+    }
+
+    fn is_batch(&self) -> bool {
+        false
+    }
+
+    fn times_out_at(&self) -> Micros {
+        TIMES_OUT_AT
+    }
+
+    fn report_at(&self) -> Micros {
+        TIMES_OUT_AT / 2
+    }
+}
+
 impl Unconfirmed for TestCall {
     fn responses(&self) -> &CallResponses {
         &self.0
@@ -126,6 +147,23 @@
     assert_eq!(settlements(queue.settle_due(TIMES_OUT_AT)), [(3, MayHaveRun)]);
 }
 
+/// Guards against call after call for a message shortly before its deadline, because each refusal counted as out of time at once.
+#[test]
+fn a_refusal_near_the_deadline_of_its_message_keeps_the_time_of_its_call() {
+    let late = |status: u16| {
+        let mut call = CallResponses::new(after(&[response(status, "")]));
+        call.push(response(status, ""));
+        let mut queue = UnconfirmedQueue::default();
+        queue.push(LateCall(call));
+        queue
+    };
+    assert_eq!(late(504).next_change_at(), Some(TIMES_OUT_AT));
+    assert!(late(504).settle_due(TIMES_OUT_AT - 1).is_empty());
+    assert_eq!(late(504).settle_due(TIMES_OUT_AT)[0].settlement, MayHaveRun);
+    assert_eq!(late(410).next_change_at(), Some(TIMES_OUT_AT / 2));
+    assert_eq!(late(410).settle_due(TIMES_OUT_AT / 2)[0].settlement, Unsettled);
+}
+
 #[test]
 fn as_many_calls_are_confirmed_as_different_responses_have_arrived() {
     let mut queue = queue(&[response(200, ""), response(200, "b"), response(200, "")]);
