Tell the ledger of a successor which attempts its predecessor has read an end of

Found by reading: the run-time check of a successor did not know ends that were read before the hand-over, so that a call after one would have been refused and not counted.

--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -95,38 +95,33 @@
             message.first_possible_effect = None;
         }
         message.received_at = handed_over.received_at;
-        if let Some(attempt) = handed_over.in_flight.filter(|_| progress.may_have_ended) {
-            message.record_end_read(attempt.number);
-        }
         let attempt = handed_over.in_flight.map(|HandOverAttempt { number, endpoint }| {
             let cancel = predecessor.cancel_on_close(&self.context.executor, handed_over.id, number);
             AttemptInFlight { number, endpoint, answered_at: None, cancel }
         });
         self.open_message(message, attempt, None);
+        if let Some(attempt) = handed_over.in_flight.filter(|_| progress.may_have_ended) {
+            self.record_end_read(AttemptId { message: handed_over.id, number: attempt.number });
+        }
         self.context.counters.inherited.increment();
     }
 
     /// Returns a completion for each attempt that was in flight at a predecessor that is gone, and forgets these
     /// attempts. If the predecessor had read an end of the message, the message ends unconfirmed. Otherwise the outcome says
-    /// that the attempt may have run. It blames the connection instead of the endpoint,
-    /// because the failure must not contribute to an ejection.
+    /// that the attempt may have run. It blames the connection instead of the endpoint, because the failure must not
+    /// contribute to an ejection.
     pub fn take_lost_calls(&mut self) -> Vec<CallCompletion> {
         let decided_at = self.context.clock.now();
-        let may_have_ended = |attempt: AttemptId| {
-            self.messages.get(&attempt.message).is_some_and(|open| open.message.is_end_read())
-        };
-        let lost_completion = |(attempt, endpoint): (AttemptId, EndpointId)| {
-            let result = match may_have_ended(attempt) {
+        let lost = std::mem::take(&mut self.predecessor_attempts);
+        let completion = |(attempt, endpoint): (AttemptId, EndpointId)| {
+            let open = self.messages.get(&attempt.message);
+            let result = match open.is_some_and(|open| open.message.is_end_read()) {
                 true => CallResult::ended_unconfirmed(1, Outcome::Ok),
                 false => CallResult::same_for_all(1, AttemptResult::from_outcome(Outcome::StaleConnection)),
             };
             CallCompletion { endpoint, decided_at, attempts: vec![attempt], result }
         };
-        let lost: Vec<_> =
-            self.predecessor_attempts.iter().map(|(attempt, endpoint)| (*attempt, *endpoint)).collect();
-        let completions = lost.into_iter().map(lost_completion).collect();
-        self.predecessor_attempts.clear();
-        completions
+        lost.into_iter().map(completion).collect()
     }
 
     /// Stops making decisions, since a successor makes them from here on. Calls in flight are still completed by this
--- a/src/net/delivery/unconfirmed_ends.rs
+++ b/src/net/delivery/unconfirmed_ends.rs
@@ -54,11 +54,18 @@
     /// Records that a message of a call in flight at the predecessor may have ended, so that it is not called again if the
     /// predecessor is lost.
     pub(super) fn end_read_at_predecessor(&mut self, answered: &CallCompletion) {
-        for AttemptId { message: id, number } in answered.ended_attempts() {
-            let Some(open) = self.messages.get(&id) else { continue };
+        for attempt in answered.ended_attempts() {
+            self.record_end_read(attempt);
+            self.context.journal.record_may_have_ended(attempt.message, attempt.number);
+        }
+    }
+
+    /// Records that a response to an attempt at the predecessor says that the message has ended.
+    pub(super) fn record_end_read(&self, attempt: AttemptId) {
+        let AttemptId { message: id, number } = attempt;
+        if let Some(open) = self.messages.get(&id) {
             open.message.record_end_read(number);
             self.context.ledger.borrow_mut().end_read(id, number);
-            self.context.journal.record_may_have_ended(id, number);
         }
     }
 
