Soak: honest equal responses, messages that are over, closes behind an end, and hangs behind a copy

The soak could not see a call after an end that the forwarder had read: its endpoints ended messages by 200 only and kept the connection. One message in 25 is over now (410, or `over` in a batch), one connection in twenty ends or hangs behind an end that was read, and three requests in twenty behind a copy hang for 1 s and are reset. The rule after-end covers a call after a response that ended the message was certainly read, also across kills, exits and hand-overs; storage that fails is left out, as no record can be written then. What is observed of one message is a module of its own.

--- a/crates/soak-test/src/checker.rs
+++ b/crates/soak-test/src/checker.rs
@@ -4,7 +4,7 @@
 //! The rules that a violation names:
 //! - `strays`: something was received that no client submitted, or that was addressed to another destination.
 //! - `attempts`: a message had more than `MAX_ATTEMPTS` attempts.
-//! - `after-end`: a message was attempted after its report.
+//! - `after-end`: a message was attempted after its report, or after the forwarder had read a response that ended it.
 //! - `repeats`: a message was retried, or returned to its client, though its class forbids it.
 //! - `one-out`: a message had two attempts in flight at once.
 //! - `drains`: a draining endpoint got an attempt later than `DRAIN_GRACE` after the forwarder was notified.
@@ -26,6 +26,7 @@
 //! - `reports`: the platform's agent got a malformed delivery report.
 
 use crate::deployment::{DRAIN_GRACE, MAX_ATTEMPTS};
+use crate::message::{Attempt, Message};
 use crate::observation::{AttemptOutcome, Idempotency, Report, Violation};
 use crate::slow_start::SlowStartMonitor;
 use std::collections::{BTreeMap, HashMap};
@@ -33,42 +34,19 @@
 
 /// Slack for delays of sockets and scheduling. It is added to the time limits, except to that after a report and to the
 /// end of a `retry_after`.
-const SOCKET_SLACK: Duration = Duration::from_millis(50);
+pub const SOCKET_SLACK: Duration = Duration::from_millis(50);
 /// A message's delivery or report may come this long after its deadline.
 const END_SLACK: Duration = Duration::from_millis(300);
 /// Calls that arrive within this time after a `retry_after` or a report are taken as already in flight and are no
 /// violations.
-const IN_FLIGHT_SLACK: Duration = Duration::from_millis(100);
+pub const IN_FLIGHT_SLACK: Duration = Duration::from_millis(100);
 /// A forwarder need not meet deadlines until this long after it is available again.
 const RECOVERY_TIME: Duration = Duration::from_millis(1_500);
+/// How long after a fault of its storage a forwarder may still have journal records to write.
+const JOURNAL_RECOVERY_TIME: Duration = Duration::from_millis(2_000);
 /// The longest allowed delay between a process's reading of the clock and its write. An attempt may come this much after the
 /// end of a deduplication window.
-const WRITE_DELAY: Duration = Duration::from_millis(150);
-
-/// An attempt as its endpoint observed it.
-struct Attempt {
-    /// When the endpoint had received all of it.
-    started_at: Instant,
-    endpoint: usize,
-    zone: usize,
-    ended: Option<(Instant, AttemptOutcome)>,
-}
-
-/// A message and all that was observed of it.
-struct Message {
-    forwarder: usize,
-    destination: usize,
-    idempotency: Idempotency,
-    /// The time from its submission to its deadline, as the client stated it.
-    time_limit: Duration,
-    deadline: Instant,
-    accepted_at: Option<Instant>,
-    /// A process that was not killed has closed the client's connection without a response.
-    closed_unanswered: bool,
-    attempts: Vec<Attempt>,
-    delivered_at: Option<Instant>,
-    report: Option<(Instant, Report)>,
-}
+pub const WRITE_DELAY: Duration = Duration::from_millis(150);
 
 /// Where an attempt was received: the numbers of the endpoint, its destination and its zone.
 #[derive(Clone, Copy, Debug)]
@@ -102,6 +80,8 @@
     retry_after: HashMap<(usize, usize), RetryAfterPause>,
     /// For each forwarder, the times when it was unavailable.
     unavailable_periods: Vec<Vec<UnavailablePeriod>>,
+    /// For each forwarder, until when its storage last failed by a fault.
+    storage_faults: Vec<Option<Instant>>,
     /// For each destination, the check of its slow start.
     slow_start_monitors: Vec<SlowStartMonitor>,
     /// The violations found so far.
@@ -119,6 +99,7 @@
             draining_since: HashMap::new(),
             retry_after: HashMap::new(),
             unavailable_periods: vec![Vec::new(); forwarders],
+            storage_faults: vec![None; forwarders],
             slow_start_monitors: (0..destinations).map(|_| SlowStartMonitor::new()).collect(),
             violations: Vec::new(),
             counts: BTreeMap::new(),
@@ -158,7 +139,8 @@
             accepted_at: None,
             closed_unanswered: false,
             attempts: Vec::new(),
-            delivered_at: None,
+            ended_at: None,
+            end_read_at: None,
             report: None,
         };
         self.messages.insert(id.to_owned(), message);
@@ -207,28 +189,8 @@
         if message.attempts.len() >= MAX_ATTEMPTS {
             violations.push(("attempts", format!("{id}: attempt number {}", message.attempts.len() + 1)));
         }
-        if let Some((at, report)) = message.report.filter(|r| now > r.0 + IN_FLIGHT_SLACK) {
-            violations
-                .push(("after-end", format!("{id}: called {:?} after its report as {report:?}", now - at)));
-        }
-        let may_have_run = |attempt: &&Attempt| !matches!(attempt.ended, Some((_, AttemptOutcome::Rejected)));
-        if let Some(first_attempt) = message.attempts.iter().find(may_have_run) {
-            match message.idempotency {
-                Idempotency::Idempotent => {}
-                Idempotency::NonIdempotent => violations
-                    .push(("repeats", format!("{id}: attempted again though it must not run twice"))),
-                Idempotency::WithKey { window, by_zone } => {
-                    if first_byte > first_attempt.started_at + window + WRITE_DELAY + SOCKET_SLACK {
-                        let after = first_byte - first_attempt.started_at;
-                        violations
-                            .push(("repeats", format!("{id}: repeated after {after:?}, window {window:?}")));
-                    }
-                    if by_zone && first_attempt.zone != zone {
-                        violations.push(("repeats", format!("{id}: attempted again in another zone")));
-                    }
-                }
-            }
-        }
+        violations.extend(message.check_ends(id, now, first_byte));
+        violations.extend(message.check_repeat(id, first_byte, zone));
         let forwarder = message.forwarder;
         message.attempts.push(Attempt { started_at: now, endpoint, zone, ended: None });
         let number = message.attempts.len() - 1;
@@ -265,9 +227,34 @@
             self.slow_start_monitors[message.destination].record_failure(message.forwarder);
         }
         message.attempts[number].ended.get_or_insert((now, outcome));
-        if outcome == AttemptOutcome::Delivered {
-            message.delivered_at.get_or_insert(now);
+        if outcome.ends_message() {
+            message.ended_at.get_or_insert(now);
         }
+        if outcome == AttemptOutcome::Over {
+            self.count("over");
+        }
+    }
+
+    /// A response that ends a message was written at `written_at`, and its connection has been open since. The forwarder has read
+    /// and journaled the end, unless it was unavailable or its storage failed meanwhile.
+    pub fn record_end_read(&mut self, id: &str, written_at: Instant) {
+        let now = Instant::now();
+        let Some(forwarder) = self.messages.get(id).map(|message| message.forwarder) else { return };
+        let storage_failed =
+            self.storage_faults[forwarder].is_some_and(|fault| fault + JOURNAL_RECOVERY_TIME > now);
+        if storage_failed || self.was_unavailable(forwarder, written_at) {
+            return;
+        }
+        self.count("ends read");
+        if let Some(message) = self.messages.get_mut(id) {
+            message.end_read_at.get_or_insert(now);
+        }
+    }
+
+    /// A fault makes the storage of a forwarder fail until this time.
+    pub fn record_storage_fault(&mut self, forwarder: usize, until: Instant) {
+        let latest = &mut self.storage_faults[forwarder];
+        *latest = (*latest).max(Some(until));
     }
 
     /// An endpoint has sent a `retry_after` with a rejection.
@@ -294,7 +281,7 @@
         let may_have_run = message
             .attempts
             .iter()
-            .any(|attempt| !matches!(attempt.ended, Some((_, AttemptOutcome::Rejected))));
+            .any(|attempt| !attempt.ended.is_some_and(|(_, outcome)| outcome.never_ran()));
         let repeat_forbidden = match message.idempotency {
             Idempotency::Idempotent => false,
             Idempotency::WithKey { by_zone, .. } => by_zone,
@@ -415,7 +402,7 @@
     /// The number of accepted messages that are neither delivered nor reported, and may still be in time.
     pub fn open_messages(&self) -> usize {
         let is_open = |message: &&Message| {
-            message.accepted_at.is_some() && message.delivered_at.is_none() && message.report.is_none()
+            message.accepted_at.is_some() && message.ended_at.is_none() && message.report.is_none()
         };
         let now = Instant::now();
         self.messages.values().filter(is_open).filter(|message| self.end_due_at(message) > now).count()
@@ -441,7 +428,7 @@
                 }
                 continue;
             }
-            let end = [message.delivered_at, message.report.map(|r| r.0)].into_iter().flatten().min();
+            let end = [message.ended_at, message.report.map(|r| r.0)].into_iter().flatten().min();
             match end {
                 None => {
                     violations.push(("lost", format!("{id}: accepted, but neither delivered nor reported")))
@@ -453,8 +440,8 @@
                 Some(_) => {}
             }
         }
-        let delivered = self.messages.values().filter(|m| m.delivered_at.is_some()).count() as u64;
-        self.counts.insert("delivered", delivered);
+        let ended = self.messages.values().filter(|m| m.ended_at.is_some()).count() as u64;
+        self.counts.insert("delivered or over", ended);
         let peak =
             self.slow_start_monitors.iter().map(SlowStartMonitor::peak_percent).max().unwrap_or_default();
         // The peak over all destinations, in percent of the calls that a slow start allows.
--- a/crates/soak-test/src/copies.rs
+++ b/crates/soak-test/src/copies.rs
@@ -13,6 +13,19 @@
 /// The probability that a request behind a copy is refused without being run: the copy then says the opposite of the
 /// response.
 const REFUSAL_PROBABILITY: f64 = 0.5;
+/// The probability that a request behind a copy gets no response before its connection is reset.
+const HANG_PROBABILITY: f64 = 0.15;
+
+/// What happens to a request that may follow a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestFate {
+    /// It is processed as the endpoint's behaviour demands.
+    Processed,
+    /// It is refused without being run.
+    Refused,
+    /// It gets no response for a while, then its connection is reset.
+    Unanswered,
+}
 
 /// What sets off the copy of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,9 +56,16 @@
         self.is_behind_copy = true;
     }
 
-    /// Whether the present request is refused without being run, as the fault wants it.
-    pub fn refuses_request(&mut self, environment: &Environment) -> bool {
-        std::mem::take(&mut self.is_behind_copy) && environment.random_bool(REFUSAL_PROBABILITY)
+    /// Draws what happens to the present request.
+    pub fn draw_fate(&mut self, environment: &Environment) -> RequestFate {
+        if !std::mem::take(&mut self.is_behind_copy) {
+            return RequestFate::Processed;
+        }
+        match environment.random.borrow_mut().f64() {
+            draw if draw < REFUSAL_PROBABILITY => RequestFate::Refused,
+            draw if draw < REFUSAL_PROBABILITY + HANG_PROBABILITY => RequestFate::Unanswered,
+            _ => RequestFate::Processed,
+        }
     }
 
     /// A response was written. Draws whether it is copied, and when.
--- a/crates/soak-test/src/endpoint.rs
+++ b/crates/soak-test/src/endpoint.rs
@@ -1,7 +1,7 @@
 //! The destinations' endpoints. Each has one listener for all forwarders; a message's id tells which forwarder sent it.
 
 use crate::checker::CallTarget;
-use crate::copies::ResponseCopies;
+use crate::copies::{RequestFate, ResponseCopies};
 use crate::environment::{sleep, Behaviour, Endpoint, Environment};
 use crate::observation::AttemptOutcome;
 use async_io::{Async, Timer};
@@ -21,6 +21,14 @@
 pub const BACKLOG: i32 = 16;
 /// How often a connection checks whether its endpoint resets idle connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The probability that an endpoint answers that a message is over.
+const OVER_PROBABILITY: f64 = 0.04;
+/// How long a connection stays open after a response that ends a message, until the forwarder has certainly read it.
+const READ_TIME: Duration = Duration::from_millis(100);
+/// The probability that an endpoint gives up a connection once the forwarder has read such a response on it.
+const GIVE_UP_PROBABILITY: f64 = 0.05;
+/// How long an endpoint reads nothing before it resets a connection that it has given up, or whose request it leaves unanswered.
+const SILENCE: Duration = Duration::from_millis(1_000);
 
 /// Starts an endpoint of a destination and adds it to the endpoint list.
 ///
@@ -93,7 +101,10 @@
     let reset_count = endpoint.reset_count.get();
     loop {
         // Between calls, a fault may make the endpoint reset the connection.
-        let readable = async { Some(connection.fill().await) };
+        let readable = async {
+            connection.until_received().await;
+            Some(!connection.buffer.bytes().is_empty())
+        };
         let reset_requested = async {
             while endpoint.reset_count.get() == reset_count {
                 sleep(POLL_INTERVAL).await;
@@ -101,8 +112,8 @@
             None
         };
         match future::or(readable, reset_requested).await {
-            Some(Ok(read)) if read > 0 => {}
-            Some(_) => return,
+            Some(true) => {}
+            Some(false) => return,
             None => return reset_connection(&connection),
         }
         let first_byte = Instant::now();
@@ -125,19 +136,56 @@
         let call = ReceivedCall {
             attempts,
             is_batch: head.target.ends_with(":batch"),
-            is_refused: copies.refuses_request(&environment),
+            fate: copies.draw_fate(&environment),
         };
         let end = process_call(&environment, &endpoint, &call, &mut connection).await;
-        for (id, attempt) in &call.attempts {
-            environment.checker.borrow_mut().record_attempt_end(id, *attempt, end.outcome);
+        for ended in &end.attempts {
+            let mut checker = environment.checker.borrow_mut();
+            checker.record_attempt_end(&ended.id, ended.number, ended.outcome);
         }
-        match end.response {
-            Some(response) => copies.response_written(&environment, &connection, response.as_bytes()),
-            None => return,
+        let Some(response) = end.response else { return };
+        copies.response_written(&environment, &connection, response.as_bytes());
+        let ending = end.attempts.into_iter().filter(|ended| ended.outcome.ends_message());
+        let ended: Vec<String> = ending.map(|ended| ended.id).collect();
+        if !ended.is_empty() && record_read_ends(&environment, &mut connection, &ended).await {
+            return;
         }
     }
 }
 
+/// Tells the checker of messages whose end the forwarder has certainly read: its connection is still open after a while, or
+/// carries the next request. Returns whether the endpoint has given up the connection.
+async fn record_read_ends(
+    environment: &Environment,
+    connection: &mut HttpConnection,
+    ended: &[String],
+) -> bool {
+    let written_at = Instant::now();
+    let is_open = async {
+        connection.until_received().await;
+        !connection.buffer.bytes().is_empty()
+    };
+    let has_time = async {
+        sleep(READ_TIME).await;
+        true
+    };
+    if !future::or(is_open, has_time).await {
+        return false;
+    }
+    for id in ended {
+        environment.checker.borrow_mut().record_end_read(id, written_at);
+    }
+    if environment.faults_ended.get() || !environment.random_bool(GIVE_UP_PROBABILITY) {
+        return false;
+    }
+    environment.checker.borrow_mut().count("connections given up behind an end");
+    if environment.random_bool(0.5) {
+        sleep(SILENCE).await;
+        reset_connection(connection);
+    }
+    true
+}
+
 /// How an endpoint behaves at present: its own behaviour, or resets while its destination is down.
 fn current_behaviour(environment: &Environment, endpoint: &Endpoint) -> Behaviour {
     if environment.destinations_down.borrow()[endpoint.destination] {
@@ -157,20 +205,38 @@
     attempts: Vec<(String, usize)>,
     /// Whether it was sent as a batch.
     is_batch: bool,
-    /// Whether it is refused without being run, whatever the endpoint's behaviour is.
-    is_refused: bool,
+    /// What happens to it, whatever the endpoint's behaviour is.
+    fate: RequestFate,
+}
+
+impl ReceivedCall {
+    /// The attempts, each with the same outcome.
+    fn ended_as(&self, outcome: AttemptOutcome) -> Vec<EndedAttempt> {
+        let ended =
+            |(id, number): &(String, usize)| EndedAttempt { id: id.clone(), number: *number, outcome };
+        self.attempts.iter().map(ended).collect()
+    }
+}
+
+/// How an attempt ended at its endpoint.
+struct EndedAttempt {
+    /// The id of the message.
+    id: String,
+    /// The number of the attempt.
+    number: usize,
+    outcome: AttemptOutcome,
 }
 
 /// How a call ended at its endpoint.
 struct CallEnd {
-    outcome: AttemptOutcome,
+    attempts: Vec<EndedAttempt>,
     /// The response, if it is complete and the connection is kept alive.
     response: Option<String>,
 }
 
 impl CallEnd {
-    fn without_response(outcome: AttemptOutcome) -> Self {
-        CallEnd { outcome, response: None }
+    fn without_response(call: &ReceivedCall) -> Self {
+        CallEnd { attempts: call.ended_as(AttemptOutcome::MayHaveRun), response: None }
     }
 }
 
@@ -186,6 +252,7 @@
         match behaviour {
             Behaviour::Hangs => future::pending().await,
             Behaviour::Rejects(_) => {}
+            _ if call.fate == RequestFate::Unanswered => sleep(SILENCE).await,
             _ => drop(Timer::after(environment.random_duration(MIN_WORK_MS, MAX_WORK_MS)).await),
         }
         true
@@ -196,50 +263,75 @@
         false
     };
     if !future::or(work_done, abandoned).await {
-        return CallEnd::without_response(AttemptOutcome::MayHaveRun);
+        return CallEnd::without_response(call);
     }
-    let Some((response, outcome)) = response_to(call, behaviour) else {
+    let Some(Answer { response, attempts }) = answer_to(environment, call, behaviour) else {
         reset_connection(connection);
-        return CallEnd::without_response(AttemptOutcome::MayHaveRun);
+        return CallEnd::without_response(call);
     };
     if connection.write(response.as_bytes()).await.is_err() {
-        return CallEnd::without_response(AttemptOutcome::MayHaveRun);
+        return CallEnd::without_response(call);
     }
     match behaviour {
-        _ if call.is_refused => {}
+        _ if call.fate == RequestFate::Refused => {}
         Behaviour::Rejects(retry_after_ms) => record_retry_after(environment, endpoint, call, retry_after_ms),
         Behaviour::TruncatesAnswers => {
             let closed = async {
                 let _ = connection.fill().await;
             };
             future::or(closed, sleep(environment.random_duration(50, 400))).await;
-            return CallEnd::without_response(outcome);
+            return CallEnd { attempts, response: None };
         }
         _ => {}
     }
-    CallEnd { outcome, response: Some(response) }
+    CallEnd { attempts, response: Some(response) }
+}
+
+/// A response to a call, and what it says about its attempts.
+struct Answer {
+    response: String,
+    attempts: Vec<EndedAttempt>,
 }
 
-/// The response to a call and what it says about its attempts; `None` if the connection is reset instead.
-fn response_to(call: &ReceivedCall, behaviour: Behaviour) -> Option<(String, AttemptOutcome)> {
+/// The answer to a call; `None` if the connection is reset instead.
+fn answer_to(environment: &Environment, call: &ReceivedCall, behaviour: Behaviour) -> Option<Answer> {
     let empty = |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
-    Some(match behaviour {
+    let (response, outcome) = match behaviour {
         Behaviour::Resets => return None,
-        _ if call.is_refused => (empty("503 Busy"), AttemptOutcome::Rejected),
+        _ if call.fate == RequestFate::Unanswered => return None,
+        _ if call.fate == RequestFate::Refused => (empty("503 Busy"), AttemptOutcome::Rejected),
         Behaviour::Fails => (empty("500 Failed"), AttemptOutcome::MayHaveRun),
         Behaviour::TruncatesAnswers => ("HTTP/1.1 2".to_owned(), AttemptOutcome::MayHaveRun),
         Behaviour::Rejects(retry_after_ms) => {
             let status = format!("429 Wait\r\nX-RateLimit-Wait-Ms: {retry_after_ms}");
             (empty(&status), AttemptOutcome::Rejected)
         }
-        _ => {
-            let result_line = |(id, _): &(String, usize)| format!("{id} delivered\r\n");
-            let results = call.attempts.iter().filter(|_| call.is_batch).map(result_line);
-            let body: String = results.collect();
-            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            (response, AttemptOutcome::Delivered)
+        _ if call.is_batch => return Some(answer_to_batch(environment, call)),
+        _ if is_over(environment) => (empty("410 Gone"), AttemptOutcome::Over),
+        _ => (empty("200 OK"), AttemptOutcome::Delivered),
+    };
+    Some(Answer { response, attempts: call.ended_as(outcome) })
+}
+
+/// The answer to a batch, which names what became of each message.
+fn answer_to_batch(environment: &Environment, call: &ReceivedCall) -> Answer {
+    let mut attempts = call.ended_as(AttemptOutcome::Delivered);
+    let mut body = String::new();
+    for attempt in &mut attempts {
+        let is_over = is_over(environment);
+        if is_over {
+            attempt.outcome = AttemptOutcome::Over;
         }
-    })
+        let result = if is_over { "over" } else { "delivered" };
+        body.push_str(&format!("{} {result}\r\n", attempt.id));
+    }
+    let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    Answer { response, attempts }
+}
+
+/// Draws whether an endpoint answers that a message is over.
+fn is_over(environment: &Environment) -> bool {
+    !environment.faults_ended.get() && environment.random_bool(OVER_PROBABILITY)
 }
 
 fn record_retry_after(
--- a/crates/soak-test/src/faults.rs
+++ b/crates/soak-test/src/faults.rs
@@ -27,6 +27,8 @@
 /// Length of an injected stall before a write, in milliseconds. The platform's terms allow 0.15 s between a process's
 /// reading of its clock and its write; the remaining 10 ms are for everything else in between.
 const WRITE_STALL_MS: u64 = 140;
+/// The longest time for which fault rules are in force at a forwarder.
+const LONGEST_FAULT: Duration = Duration::from_millis(1_500);
 /// How often it is checked whether the forwarders can ask for the list.
 const REACHABILITY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// An hour in microseconds.
@@ -205,7 +207,7 @@
         .map(|_| forwarders[environment.random_below(forwarders.len())].clone())
         .collect();
     let rule_ids: Vec<u64> = chosen.iter().map(|forwarder| forwarder.add_fault_rules(rules)).collect();
-    sleep(environment.random_duration(200, 1_500)).await;
+    sleep(environment.random_duration(200, LONGEST_FAULT.as_millis() as u64)).await;
     chosen.iter().zip(rule_ids).for_each(|(forwarder, id)| forwarder.remove_fault_rules(id));
 }
 
@@ -221,6 +223,10 @@
     ];
     let rules = rules[environment.random_below(rules.len())];
     environment.log(&format!("storage: {}", rules.replace('\n', "; ")));
+    let until = Instant::now() + LONGEST_FAULT;
+    for forwarder in forwarders {
+        environment.checker.borrow_mut().record_storage_fault(forwarder.number, until);
+    }
     inject_for_a_while(environment, forwarders, rules).await;
 }
 
--- a/crates/soak-test/src/main.rs
+++ b/crates/soak-test/src/main.rs
@@ -10,6 +10,7 @@
 mod environment;
 mod faults;
 mod forwarder;
+mod message;
 mod observation;
 mod platform;
 mod process;
--- a/crates/soak-test/src/observation.rs
+++ b/crates/soak-test/src/observation.rs
@@ -20,12 +20,26 @@
 pub enum AttemptOutcome {
     /// The endpoint answered with 200.
     Delivered,
+    /// The endpoint answered that the message is over, without running it.
+    Over,
     /// The endpoint rejected the attempt without running it.
     Rejected,
     /// The attempt failed or was cut off, and may have run.
     MayHaveRun,
 }
 
+impl AttemptOutcome {
+    /// Whether the endpoint's answer ends the message.
+    pub fn ends_message(self) -> bool {
+        matches!(self, AttemptOutcome::Delivered | AttemptOutcome::Over)
+    }
+
+    /// Whether the endpoint's answer says that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, AttemptOutcome::Rejected | AttemptOutcome::Over)
+    }
+}
+
 /// The state of a message in its delivery report.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Report {
--- a/crates/soak-test/src/platform.rs
+++ b/crates/soak-test/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's agent for each forwarder: it pushes the endpoint list and receives delivery reports.
 
-use crate::copies::ResponseCopies;
+use crate::copies::{RequestFate, ResponseCopies};
 use crate::deployment::{endpoint_kind, CAPACITY_PER_S, ZONES};
 use crate::environment::{sleep, Environment, Refusal};
 use crate::observation::Report;
@@ -56,7 +56,7 @@
         if head.method == "POST" {
             let text = String::from_utf8_lossy(&body).into_owned();
             copies.request_received(&environment, &mut connection).await;
-            let response = if copies.refuses_request(&environment) {
+            let response = if copies.draw_fate(&environment) == RequestFate::Refused {
                 REPORTS_REJECTED
             } else {
                 text.lines().for_each(|line| record_report(&environment, line));
