--- a/crates/soak-test/src/endpoint.rs
+++ b/crates/soak-test/src/endpoint.rs
@@ -23,8 +23,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The probability that an endpoint answers that a message is over.
 const OVER_PROBABILITY: f64 = 0.04;
-/// How long a connection stays open after a response that ends a message, until the forwarder has certainly read it.
-const READ_TIME: Duration = Duration::from_millis(100);
+/// How long a connection stays open after a response that ends a message, until the forwarder has certainly read it, also if its
+/// writes are held up meanwhile.
+const READ_TIME: Duration = Duration::from_millis(500);
 /// The probability that an endpoint gives up a connection once the forwarder has read such a response on it.
 const GIVE_UP_PROBABILITY: f64 = 0.05;
 /// How long an endpoint reads nothing before it resets a connection that it has given up, or whose request it leaves unanswered.
