Obey the retry-after of a response that comes as one too many

The retry-after of every surplus response is obeyed now, whichever call it belongs to, by the same function as that of a late response. Evidence: a_retry_after_in_a_surplus_response_is_obeyed fails without this, and passes; 18 of 18 in stray_responses.

--- a/src/net/endpoint/late_response.rs
+++ b/src/net/endpoint/late_response.rs
@@ -4,15 +4,16 @@
 //! read.
 
 use super::end_read;
+use super::late_retry_after;
 use super::received::ReceivedResponses;
 use super::response::{parse_retry_after, read_result, Response, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
 use crate::invariants::{Attribution, EarlierResponses};
-use crate::net::call::{AttemptResult, Call, CallCompletion, CallResult};
+use crate::net::call::{Call, CallResult};
 use crate::net::http::{status_line_code, HttpConnection, ResponseHead};
 use crate::net::messages::DeliveryMessage;
 use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::{within, Context};
-use crate::{Micros, Outcome};
+use crate::Outcome;
 use slog::info;
 use std::rc::Rc;
 use std::time::Duration;
@@ -71,7 +72,7 @@
             self.received.add_head(&self.call, &head, 0);
             self.record_unproven_end();
             if let Some(retry_after) = parse_retry_after(&head) {
-                self.obey_retry_after(retry_after).await;
+                late_retry_after::obey(&self.context, self.call.endpoint, retry_after).await;
             }
             if self.read_body(connection, head).await.is_none() {
                 return;
@@ -143,20 +144,4 @@
         };
         stray.record(&self.context);
     }
-
-    /// Applies a retry-after. The delivery actor learns of it by a completion without attempts: the attempts were completed when
-    /// the call was abandoned.
-    async fn obey_retry_after(&self, retry_after: Micros) {
-        let endpoint = self.call.endpoint;
-        info!(self.context.log, "late retry_after received"; "endpoint" => endpoint.0, "ms" => retry_after / 1000);
-        self.context.endpoint_table.record_retry_after(endpoint, retry_after);
-        let result = CallResult {
-            retry_after: Some(retry_after),
-            ..CallResult::same_for_all(0, AttemptResult::from_outcome(Outcome::NotSent))
-        };
-        let decided_at = self.context.clock.now();
-        let completion = CallCompletion { endpoint, decided_at, attempts: Vec::new(), result };
-        // Sending fails only as the process ends, with no delivery actor left to notify.
-        let _ = self.context.delivery.send(DeliveryMessage::CallCompleted(completion)).await;
-    }
 }
--- a/src/net/endpoint/mod.rs
+++ b/src/net/endpoint/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod failed_call;
 mod late_response;
+mod late_retry_after;
 mod observation;
 mod pool;
 mod receive;
--- a/src/net/endpoint/observation.rs
+++ b/src/net/endpoint/observation.rs
@@ -3,7 +3,9 @@
 
 use super::connection::EndpointConnection;
 use super::connection_end::ConnectionEnd;
+use super::late_retry_after;
 use super::receive::read_response;
+use super::response::parse_retry_after;
 use crate::net::messages::{EndedCallReport, EndpointMessage};
 use crate::net::stray_response::REQUEST_TIMEOUT;
 use crate::net::Context;
@@ -72,6 +74,9 @@
                     context.counters.connections_given_up.increment();
                     ConnectionEnd::StrayResponse.log(&context.log, endpoint);
                 }
+                if let Some(retry_after) = parse_retry_after(&response.head) {
+                    late_retry_after::obey(context, endpoint, retry_after).await;
+                }
                 let answered_calls = connection.history.min_answered_calls();
                 connection.unconfirmed.add_surplus(response, answered_calls);
             }
--- a/src/net/endpoint/unconfirmed.rs
+++ b/src/net/endpoint/unconfirmed.rs
@@ -236,11 +236,7 @@
         let (log, retry_after) = (&self.context.log, self.responses.retry_after());
         let Some(response) = self.responses.response(index) else { return self.ended_result() };
         // An unconfirmed response is always on a reused connection.
-        let result = response::read_result(log, &self.call, response, retry_after, true);
-        if let Some(retry_after) = result.retry_after {
-            self.context.endpoint_table.record_retry_after(self.call.endpoint, retry_after);
-        }
-        result
+        response::read_result(log, &self.call, response, retry_after, true)
     }
 
     /// Sends the message once the time of the call is over: an endpoint that has lost all its connections must not get all their
--- a/tests/stray_responses.rs
+++ b/tests/stray_responses.rs
@@ -452,3 +452,39 @@
          platform expect-no-report"
     ));
 }
+
+/// Guards against a retry-after that is not obeyed because its response comes as one too many, behind two calls whose responses
+/// may be copies.
+#[test]
+fn a_retry_after_in_a_surplus_response_is_obeyed() {
+    run_scenario(
+        "with e1=1
+         start
+
+         u1 send m1
+         u1 expect 202
+         e1 expect m1
+         e1 send m1 200
+         wait delivered=1
+         u1 send m2
+         u1 expect 202
+         e1 expect m2
+         e1 send m2 200
+         sleep 150
+         u1 send m3
+         u1 expect 202
+         e1 expect m3
+         e1 send m1 200
+         sleep 20
+         e1 send m3 429 X-RateLimit-Wait-Ms:2500
+         platform expect-all m2 m3 failed
+         u1 send m4
+         u1 expect 202
+         e1 expect-no-call 1500
+         e1 expect m4
+         e1 send m4 200
+
+         log late retry_after received
+         wait open=0 attempts=4",
+    );
+}
