Scenarios: keep a watch before its request, its list and the script meet

The forwarder was ready by then, so that the script's next step came first.

The connection is kept before the script learns of the request, and the list is written and marked as sent while the watches are locked: a step that closes watches finds it, and a change of the list is either in the list or sent after it (a change between the two was lost before).

--- a/tests/scenario/platform.rs
+++ b/tests/scenario/platform.rs
@@ -36,8 +36,10 @@
     watch_rejection: Mutex<Option<String>>,
     /// The version of the list, which each change increments.
     generation: AtomicU32,
-    /// The open watches, each with the number of the address at which it was opened.
-    watches: Mutex<Vec<(u32, TcpStream)>>,
+    /// The open watches.
+    watches: Mutex<Vec<OpenWatch>>,
+    /// The number of the watch that was opened last.
+    last_watch: AtomicU32,
     /// Whether delivery reports are answered with a 500.
     rejects_reports: AtomicBool,
     /// The delay of answers to delivery reports, in milliseconds.
@@ -51,6 +53,17 @@
     sends_no_heartbeats: AtomicBool,
 }
 
+/// A watch whose connection is open.
+struct OpenWatch {
+    /// Distinguishes the watches of a scenario.
+    id: u32,
+    /// The number of the address at which it was opened.
+    address_number: u32,
+    stream: TcpStream,
+    /// Whether the complete list was sent on it. Nothing else may come before that.
+    has_list: bool,
+}
+
 /// The platform of a scenario.
 pub struct Platform {
     shared: Arc<SharedState>,
@@ -113,9 +126,9 @@
         self.increment_generation();
         let line = self.shared.event(false, entries);
         let present_number = self.shared.address_number.load(Ordering::SeqCst);
-        for (number, stream) in self.shared.watches.lock().expect("unpoisoned").iter_mut() {
-            if *number != present_number {
-                write(stream, http_chunk(&line).as_bytes()).expect("written");
+        for watch in self.shared.watches.lock().expect("unpoisoned").iter_mut() {
+            if watch.address_number != present_number {
+                write(&mut watch.stream, http_chunk(&line).as_bytes()).expect("written");
             }
         }
     }
@@ -215,11 +228,11 @@
         self.event(true, entries)
     }
 
-    /// Sends a line on all watches, and removes those that the forwarder has closed.
+    /// Sends a line on all watches that have the list, and removes those that the forwarder has closed.
     fn send_on_watches(&self, line: &str) {
         let chunk = http_chunk(line);
         let mut watches = self.watches.lock().expect("unpoisoned");
-        watches.retain_mut(|(_, stream)| write(stream, chunk.as_bytes()).is_ok());
+        watches.retain_mut(|watch| !watch.has_list || write(&mut watch.stream, chunk.as_bytes()).is_ok());
     }
 
     /// Answers requests for watches with a 503 from here on, with these headers.
@@ -231,18 +244,19 @@
 
     /// Closes all watches.
     fn close_watches(&self) {
-        for (_, stream) in self.watches.lock().expect("unpoisoned").drain(..) {
+        for watch in self.watches.lock().expect("unpoisoned").drain(..) {
             // Fails if the forwarder has closed the watch.
-            let _ = stream.shutdown(Shutdown::Both);
+            let _ = watch.stream.shutdown(Shutdown::Both);
         }
     }
 
     /// Closes the watches at former addresses.
     fn close_old_watches(&self) {
         let present_number = self.address_number.load(Ordering::SeqCst);
-        let mut watches = self.watches.lock().expect("unpoisoned");
-        watches
-            .retain(|(number, stream)| *number == present_number || stream.shutdown(Shutdown::Both).is_err());
+        let is_kept = |watch: &OpenWatch| {
+            watch.address_number == present_number || watch.stream.shutdown(Shutdown::Both).is_err()
+        };
+        self.watches.lock().expect("unpoisoned").retain(is_kept);
     }
 
     /// Serves a connection at the address of the given number.
@@ -273,24 +287,44 @@
         }
     }
 
-    /// Responds to a watch request with the complete list and keeps its connection for later events.
+    /// Responds to a watch request with the complete list and keeps its connection for later events. The script learns of the
+    /// request only once the connection is kept, as its next step may close all watches.
     fn open_watch(&self, number: u32, mut stream: TcpStream, head: &str, request_sender: &RequestSender) {
         let after = head.split("after=").nth(1).and_then(|a| a.split(' ').next()).unwrap_or("-");
         // Read before the script learns of the request, which may then change it.
         let rejection = self.watch_rejection.lock().expect("unpoisoned").clone();
+        let watch_id = rejection.is_none().then(|| self.keep_watch(number, &stream));
         // Sending fails if the scenario has ended, writing if the forwarder has; neither is an error here.
         let _ = request_sender.watch_requests.send(after.to_owned());
         if let Some(rejection) = rejection {
             let _ = stream.write_all(rejection.as_bytes());
-            return;
         }
+        let Some(watch_id) = watch_id else { return };
         while self.delays_list.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(2));
         }
-        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        let line = self.complete_list();
-        let _ = stream.write_all(http_chunk(&line).as_bytes());
-        self.watches.lock().expect("unpoisoned").push((number, stream));
+        self.send_complete_list(watch_id);
+    }
+
+    /// Keeps the connection of a watch, on which the list is still to be sent. Returns the id of the watch.
+    fn keep_watch(&self, address_number: u32, stream: &TcpStream) -> u32 {
+        let id = self.last_watch.fetch_add(1, Ordering::SeqCst) + 1;
+        let stream = stream.try_clone().expect("a handle");
+        let watch = OpenWatch { id, address_number, stream, has_list: false };
+        self.watches.lock().expect("unpoisoned").push(watch);
+        id
+    }
+
+    /// Sends the complete list on a watch, unless the script has closed it. The watches stay locked meanwhile, so that a
+    /// change is either in the list or sent after it.
+    fn send_complete_list(&self, watch_id: u32) {
+        let mut watches = self.watches.lock().expect("unpoisoned");
+        let Some(watch) = watches.iter_mut().find(|watch| watch.id == watch_id) else { return };
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        // Writing fails if the forwarder has ended.
+        let _ = watch.stream.write_all(head.as_bytes());
+        let _ = watch.stream.write_all(http_chunk(&self.complete_list()).as_bytes());
+        watch.has_list = true;
     }
 
     /// Passes the delivery reports of a request to the script, unless they are rejected. Returns the status of the response.
