Soak: count an end as read after 0.1 s again, without the time of injected hold-ups

READ_TIME had been widened from 0.1 to 0.5 s without a trace.

So the time is 0.1 s again, counted from the end of the last hold-up, if one ran into it: as strict as before wherever nothing is held up, and stricter than 0.5 s where something is.

--- a/crates/faultshim/src/lib.rs
+++ b/crates/faultshim/src/lib.rs
@@ -6,8 +6,8 @@
 //! the path of a folder: rules for `open`, `read`, `write`, `ftruncate`, `fsync`, `unlink`, `rename` and `opendir` apply
 //! only to files whose path begins with it. Rules for `accept`, `socket`, `connect`, `recv` and `send` apply to all
 //! sockets, and `wall` shifts the wall clock. For each call that a rule applies to, a line is appended to the file whose
-//! path is that of the plan with the suffix `.struck`. That includes the effect `short` on functions without a size, which
-//! changes nothing.
+//! path is that of the plan with the suffix `.struck`: the call, the effect and the monotonic time in microseconds. That
+//! includes the effect `short` on functions without a size, which changes nothing.
 //!
 //! This is the only crate of the project with `unsafe` code, as replacing the C library's functions requires it. It is
 //! never part of the forwarder.
@@ -129,7 +129,7 @@
     fn log_fault(&self, call: &str, effect: Effect) {
         let mut path = self.path.to_bytes().to_vec();
         path.extend_from_slice(b".struck\0");
-        let line = format!("{call} {effect:?}\n");
+        let line = format!("{call} {effect:?} {}\n", monotonic_micros());
         // SAFETY: the path ends with a zero byte and the line has the given length.
         unsafe {
             let flags = libc::O_WRONLY | libc::O_APPEND | libc::O_CREAT | libc::O_CLOEXEC;
@@ -142,6 +142,14 @@
     }
 }
 
+/// The time of the monotonic clock, in microseconds.
+fn monotonic_micros() -> i64 {
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the pointer lives through the call.
+    unsafe { libc::syscall(libc::SYS_clock_gettime, libc::CLOCK_MONOTONIC, &raw mut time) };
+    time.tv_sec * 1_000_000 + time.tv_nsec / 1_000
+}
+
 /// Calls a function with the plan in force and returns its result. `None` also if this thread is already inside the library
 /// or there is no plan.
 fn with_active_plan<T>(run: impl FnOnce(&mut ActivePlan) -> Option<T>) -> Option<T> {
--- a/crates/soak-test/src/checker.rs
+++ b/crates/soak-test/src/checker.rs
@@ -235,11 +235,16 @@
         }
     }
 
+    /// The forwarder that was sent a message; `None` if nobody submitted it.
+    pub fn forwarder_of(&self, id: &str) -> Option<usize> {
+        self.messages.get(id).map(|message| message.forwarder)
+    }
+
     /// A response that ends a message was written at `written_at`, and its connection has been open since. The forwarder has read
     /// and journaled the end, unless it was unavailable or its storage failed meanwhile.
     pub fn record_end_read(&mut self, id: &str, written_at: Instant) {
         let now = Instant::now();
-        let Some(forwarder) = self.messages.get(id).map(|message| message.forwarder) else { return };
+        let Some(forwarder) = self.forwarder_of(id) else { return };
         let storage_failed =
             self.storage_faults[forwarder].is_some_and(|fault| fault + JOURNAL_RECOVERY_TIME > now);
         if storage_failed || self.was_unavailable(forwarder, written_at) {
@@ -259,7 +264,7 @@
 
     /// An endpoint has sent a `retry_after` with a rejection.
     pub fn record_retry_after(&mut self, id: &str, destination: usize, duration: Duration) {
-        let Some(forwarder) = self.messages.get(id).map(|m| m.forwarder) else { return };
+        let Some(forwarder) = self.forwarder_of(id) else { return };
         let now = Instant::now();
         let new_pause = RetryAfterPause { since: now, until: now };
         let pause = self.retry_after.entry((forwarder, destination)).or_insert(new_pause);
@@ -338,7 +343,7 @@
 
     /// A destination has received a call of one or more messages, of which `id` is the first.
     pub fn record_call(&mut self, id: &str, destination: usize) {
-        let Some(forwarder) = self.messages.get(id).map(|m| m.forwarder) else { return };
+        let Some(forwarder) = self.forwarder_of(id) else { return };
         if let Some(description) = self.slow_start_monitors[destination].check_call(Instant::now(), forwarder)
         {
             self.record_violation("slow-start", format!("destination {destination}: {description}"));
--- a/crates/soak-test/src/endpoint.rs
+++ b/crates/soak-test/src/endpoint.rs
@@ -23,9 +23,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The probability that an endpoint answers that a message is over.
 const OVER_PROBABILITY: f64 = 0.04;
-/// How long a connection stays open after a response that ends a message, until the forwarder has certainly read it, also if its
-/// writes are held up meanwhile.
-const READ_TIME: Duration = Duration::from_millis(500);
+/// How long a connection stays open after a response that ends a message, until the forwarder has certainly read it. Time in
+/// which an injected fault holds up a write of the forwarder does not count.
+const READ_TIME: Duration = Duration::from_millis(100);
 /// The probability that an endpoint gives up a connection once the forwarder has read such a response on it.
 const GIVE_UP_PROBABILITY: f64 = 0.05;
 /// How long an endpoint reads nothing before it resets a connection that it has given up, or whose request it leaves unanswered.
@@ -167,7 +167,7 @@
         !connection.buffer.bytes().is_empty()
     };
     let has_time = async {
-        sleep(READ_TIME).await;
+        until_read(environment, ended, written_at).await;
         true
     };
     if !future::or(is_open, has_time).await {
@@ -187,6 +187,19 @@
     true
 }
 
+/// Returns once the forwarder of these messages has had [`READ_TIME`] without an injected hold-up since a response was written.
+async fn until_read(environment: &Environment, ended: &[String], written_at: Instant) {
+    let mut counted_from = written_at;
+    loop {
+        Timer::at(counted_from + READ_TIME).await;
+        let last_hold_up = ended.first().and_then(|id| environment.last_hold_up_end(id));
+        match last_hold_up.filter(|end| *end > counted_from) {
+            Some(end) => counted_from = end,
+            None => return,
+        }
+    }
+}
+
 /// How an endpoint behaves at present: its own behaviour, or resets while its destination is down.
 fn current_behaviour(environment: &Environment, endpoint: &Endpoint) -> Behaviour {
     if environment.destinations_down.borrow()[endpoint.destination] {
--- a/crates/soak-test/src/environment.rs
+++ b/crates/soak-test/src/environment.rs
@@ -2,6 +2,7 @@
 
 use crate::checker::InvariantChecker;
 use crate::deployment::{Class, BUSY_DESTINATION, DESTINATION_COUNT};
+use crate::hold_ups::HoldUps;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
@@ -106,6 +107,8 @@
     /// The random generator that all tasks draw from.
     pub random: RefCell<fastrand::Rng>,
     pub checker: RefCell<InvariantChecker>,
+    /// For each forwarder, the hold-ups of its writes.
+    pub hold_ups: RefCell<Vec<HoldUps>>,
     /// All endpoints ever started, by number.
     pub endpoints: RefCell<Vec<Rc<Endpoint>>>,
     /// Incremented with each change of the endpoint list.
@@ -135,6 +138,12 @@
         self.options.copied_responses && !self.faults_ended.get()
     }
 
+    /// When the last injected hold-up of the forwarder that was sent this message ends; `None` without any.
+    pub fn last_hold_up_end(&self, message_id: &str) -> Option<Instant> {
+        let forwarder = self.checker.borrow().forwarder_of(message_id)?;
+        self.hold_ups.borrow_mut().get_mut(forwarder)?.last_end()
+    }
+
     /// Draws a number below `bound`; 0 if the bound is 0.
     pub fn random_below(&self, bound: usize) -> usize {
         self.random.borrow_mut().usize(0..bound.max(1))
--- a/crates/soak-test/src/forwarder.rs
+++ b/crates/soak-test/src/forwarder.rs
@@ -2,6 +2,7 @@
 //! soak test ends in any way.
 
 use crate::environment::{sleep, Environment, NOTIFIED_AT_LATEST};
+use crate::hold_ups::HoldUps;
 use crate::process::{fault_library, forwarder_command, free_address, http_get, send_signal};
 use crate::{deployment, platform};
 use rustix::process::Signal;
@@ -102,6 +103,7 @@
         };
         forwarder.write_configuration(environment)?;
         forwarder.write_fault_plan();
+        environment.hold_ups.borrow_mut().push(HoldUps::new(&forwarder.folder.join("faults")));
         Ok(forwarder)
     }
 
--- a/crates/soak-test/src/main.rs
+++ b/crates/soak-test/src/main.rs
@@ -10,6 +10,7 @@
 mod environment;
 mod faults;
 mod forwarder;
+mod hold_ups;
 mod message;
 mod observation;
 mod platform;
@@ -130,6 +131,7 @@
         seed,
         random: fastrand::Rng::with_seed(seed).into(),
         checker: InvariantChecker::new(options.forwarders, deployment::DESTINATION_COUNT).into(),
+        hold_ups: Vec::new().into(),
         endpoints: Vec::new().into(),
         list_generation: 1.into(),
         discovery: Default::default(),
