Log and count what a process takes in memory and which connections it evicts

New: memory (resident and peak) and evicted (by the connection's state) in /_counters; a line whenever the peak has grown by 4 MB, with clients, messages and reports at that time; the bytes of an unfinished request in the line of its connection's end.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -5,7 +5,7 @@
 use super::response::Response;
 use crate::invariants::Rejection;
 use crate::net::config::MAX_BODY_BYTES;
-use crate::net::connection_registry::{ConnectionRegistry, EvictionPriority};
+use crate::net::connection_registry::{ConnectionRegistry, EvictionPriority, Registration};
 use crate::net::http::{HttpConnection, HttpError, RequestHead};
 use crate::net::in_flight::Request;
 use crate::net::messages::{DeliveryMessage, DEFAULT_RETRY_AFTER};
@@ -90,6 +90,7 @@
     let mut client =
         ClientConnection { context: context.clone(), names, registry, connection, waiting_since };
     let Err(end) = client.serve_requests().await;
+    let unfinished_bytes = client.connection.buffer.bytes().len();
     let reason = match end {
         ConnectionEnd::Disconnected(reason) => reason,
         ConnectionEnd::Closed(reason) => {
@@ -98,7 +99,8 @@
         }
     };
     context.gauges.client_connections.decrement();
-    info!(context.log, "connection ended"; "side" => "client", "address" => %address, "reason" => reason.code());
+    info!(context.log, "connection ended"; "unfinished_bytes" => unfinished_bytes, "side" => "client",
+        "address" => %address, "reason" => reason.code());
 }
 
 impl ClientConnection {
@@ -153,7 +155,7 @@
             Err(ConnectionEnd::Closed(if is_new { CloseReason::Silent } else { CloseReason::Idle }))
         };
         let evicted = async {
-            registration.evicted().await;
+            until_evicted(&self.context, &registration, priority).await;
             Err(ConnectionEnd::Closed(CloseReason::Evicted))
         };
         let quiesced = async {
@@ -215,7 +217,8 @@
             None
         };
         let ended = async {
-            future::or(registration.evicted(), self.context.lifecycle.until_delivery_stopped()).await;
+            let evicted = until_evicted(&self.context, &registration, EvictionPriority::Reading);
+            future::or(evicted, self.context.lifecycle.until_delivery_stopped()).await;
             None
         };
         let read = async { Some(read_request(&mut self.connection).await) };
@@ -376,11 +379,18 @@
         let expired = async {
             Timer::after(LINGER_TIMEOUT).await;
         };
-        let ended = future::or(expired, registration.evicted());
+        let evicted = until_evicted(&self.context, &registration, EvictionPriority::Lingering);
+        let ended = future::or(expired, evicted);
         future::or(ended, self.connection.discard_until_end()).await;
     }
 }
 
+/// Returns once a connection in this state is evicted, and counts it.
+async fn until_evicted(context: &Context, registration: &Registration, priority: EvictionPriority) {
+    registration.evicted().await;
+    context.counters.count_eviction(priority);
+}
+
 /// Returns when a connection on which no request has begun must be closed because of the shutdown. `is_new`: its client has
 /// not sent a request yet.
 async fn until_shutdown_grace_ends(lifecycle: &Lifecycle, is_new: bool) {
--- a/src/net/connection_registry.rs
+++ b/src/net/connection_registry.rs
@@ -19,6 +19,18 @@
     Reading,
 }
 
+impl EvictionPriority {
+    /// The name of the state in counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            EvictionPriority::Lingering => "lingering",
+            EvictionPriority::NoRequestYet => "no-request-yet",
+            EvictionPriority::Idle => "idle",
+            EvictionPriority::Reading => "reading",
+        }
+    }
+}
+
 /// A connection's position in the eviction order. Among connections of equal priority, the earliest registered is
 /// evicted first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/net/context.rs
+++ b/src/net/context.rs
@@ -14,12 +14,13 @@
 use super::route_stats::RouteStatsTable;
 use super::runtime::clock::Clock;
 use super::runtime::lifecycle::Lifecycle;
+use super::runtime::process_memory::ProcessMemory;
 use super::runtime::stall_detector::StallDetector;
 use crate::invariants::{Ledger, Rejection, Violation};
 use crate::EndpointId;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use serde_json::Value;
+use serde_json::{json, Value};
 use slog::{error, info, Logger};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -165,6 +166,8 @@
         report["journal_bytes"] = usage.disk_bytes.into();
         report["journal_owed"] = usage.unwritten_records.into();
         report["journal_writable"] = self.journal.is_writable().into();
+        let memory = ProcessMemory::read();
+        report["memory"] = json!({"resident_bytes": memory.resident_bytes, "peak_bytes": memory.peak_bytes});
         report
     }
 
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of events since the start of the process, as `/_counters` reports them.
 
 use crate::invariants::{Rejection, SendRefusal, Violation};
+use crate::net::connection_registry::EvictionPriority;
 use crate::net::stray_response::StrayPlace;
 use crate::{AbandonReason, Outcome};
 use serde_json::{Map, Value};
@@ -22,7 +23,7 @@
             pub fn report(&self) -> Value {
                 let mut report = Map::new();
                 $(report.insert($key.into(), self.$name.0.get().into());)*
-                for group in [NOT_SENT, REJECTED, ABANDONED, VIOLATIONS, STRAY_RESPONSES] {
+                for group in [NOT_SENT, REJECTED, ABANDONED, EVICTED, VIOLATIONS, STRAY_RESPONSES] {
                     report.insert(group.into(), self.report_of(group));
                 }
                 Value::Object(report)
@@ -127,6 +128,8 @@
 const REJECTED: &str = "rejected";
 /// The report's key for messages abandoned by the delivery policy.
 const ABANDONED: &str = "given_up";
+/// The report's key for clients' connections that were evicted, by their state.
+const EVICTED: &str = "evicted";
 /// The report's key for violations of invariants.
 const VIOLATIONS: &str = "invariant_violations";
 /// The report's key for responses that belong to no call in flight.
@@ -160,6 +163,11 @@
         self.count(ABANDONED, reason.name());
     }
 
+    /// Counts a client's connection that was evicted.
+    pub fn count_eviction(&self, priority: EvictionPriority) {
+        self.count(EVICTED, priority.name());
+    }
+
     /// Counts a stray response.
     pub fn count_stray_response(&self, place: StrayPlace) {
         self.count(STRAY_RESPONSES, place.name());
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -7,6 +7,7 @@
 pub mod lifecycle;
 pub mod load;
 pub mod phase;
+pub mod process_memory;
 pub mod reload;
 pub mod shutdown;
 pub mod signals;
--- a/src/net/runtime/start.rs
+++ b/src/net/runtime/start.rs
@@ -4,6 +4,7 @@
 use super::clock::Clock;
 use super::deadline::within;
 use super::load::{ConfigLoader, LoadError, LoadOccasion};
+use super::process_memory;
 use super::reload;
 use super::shutdown;
 use super::signals::{Signal, Signals};
@@ -221,6 +222,7 @@
     let watching = background::watch_for_stalls(stall_detector, context.clock, context.log.clone());
     context.executor.spawn(watching).detach();
     context.executor.spawn(background::retry_journal(context.clone())).detach();
+    context.executor.spawn(process_memory::watch(context.clone())).detach();
     reports
 }
 
