--- a/tests/scenario/endpoint.rs
+++ b/tests/scenario/endpoint.rs
@@ -43,12 +43,20 @@
     automatic_responses: Arc<AutomaticResponses>,
 }
 
-/// Whether an endpoint responds to each call with a 200 without a line of the script, and what calls got such a response.
+/// The beginning of a response whose body does not end.
+const ENDLESS_RESPONSE: &[u8] = b"HTTP/1.1 500 No\r\n\r\n";
+/// What is written of such a body at a time, in bytes.
+const ENDLESS_RESPONSE_PART: usize = 16 * 1024;
+
+/// Whether an endpoint responds to each call without a line of the script, and what calls got such a response.
 #[derive(Default)]
 struct AutomaticResponses {
+    /// Each call gets a 200.
     enabled: AtomicBool,
-    /// The request ids of the messages in these calls.
-    ids: Mutex<BTreeSet<String>>,
+    /// Each call gets a response that does not end.
+    endless: AtomicBool,
+    /// How many of these calls had a message, by its request id.
+    calls: Mutex<BTreeMap<String, usize>>,
 }
 
 /// The sockets of an endpoint that accepts no connections yet.
@@ -108,8 +116,13 @@
                 };
                 trace(format_args!("call at {address} with {ids:?}"));
                 let mut stream = stream.try_clone().expect("a handle");
+                if automatic_responses.endless.load(Ordering::SeqCst) {
+                    return write_without_end(&mut stream);
+                }
                 if automatic_responses.enabled.load(Ordering::SeqCst) {
-                    automatic_responses.ids.lock().expect("unpoisoned").extend(ids);
+                    let mut calls = automatic_responses.calls.lock().expect("unpoisoned");
+                    ids.into_iter().for_each(|id| *calls.entry(id).or_default() += 1);
+                    drop(calls);
                     // The write fails if the forwarder has closed the connection; it then retries the call.
                     let _ = write(&mut stream, DELIVERED_RESPONSE);
                     continue;
@@ -151,6 +164,7 @@
                 self.call_connection(id).write_all(text.as_bytes()).expect("written");
             }
             ["answers-all"] => self.automatic_responses.enabled.store(true, Ordering::SeqCst),
+            ["answers-all-without-end"] => self.automatic_responses.endless.store(true, Ordering::SeqCst),
             ["close", id] => {
                 let stream = self.call_connections.remove(*id).expect("the call was expected before");
                 stream.shutdown(Shutdown::Both).expect("open");
@@ -165,7 +179,12 @@
 
     /// Whether the endpoint has responded to a call of this message automatically.
     pub fn has_responded_automatically(&self, id: &str) -> bool {
-        self.automatic_responses.ids.lock().expect("unpoisoned").contains(id)
+        self.automatic_calls(id) > 0
+    }
+
+    /// The number of calls of this message to which the endpoint has responded automatically.
+    pub fn automatic_calls(&self, id: &str) -> usize {
+        self.automatic_responses.calls.lock().expect("unpoisoned").get(id).copied().unwrap_or_default()
     }
 
     fn next_call(&self) -> Call {
@@ -205,6 +224,14 @@
     }
 }
 
+/// Writes a response that does not end, until the forwarder has closed the connection.
+fn write_without_end(stream: &mut TcpStream) {
+    let mut written = stream.write_all(ENDLESS_RESPONSE);
+    while written.is_ok() {
+        written = stream.write_all(&[b'x'; ENDLESS_RESPONSE_PART]);
+    }
+}
+
 /// Returns the request ids in the body of a call with several messages.
 fn batch_ids(mut body: &[u8]) -> Vec<String> {
     let mut ids = Vec::new();
--- a/tests/scenario/environment.rs
+++ b/tests/scenario/environment.rs
@@ -3,10 +3,11 @@
 
 use super::admin;
 use super::client::{send_until_accepted, Client};
+use super::crowd::{Clients, MemoryWatch};
 use super::endpoint::Endpoint;
 use super::handover::{Predecessor, Successor};
 use super::platform::Platform;
-use super::process::{fault_library_path, forwarder_command, Process};
+use super::process::{fault_library_path, forwarder_command, BusyProcess, Process};
 use super::registry::Registry;
 use super::script::{expand_ids, text_after, unescape};
 use super::settings::{Locations, Options};
@@ -45,12 +46,21 @@
     predecessor: Predecessor,
     /// The address at which `process` listens for clients; `None` before the first start.
     listen: Option<SocketAddr>,
+    /// Whether each process listens at the address of the first one.
+    keeps_address: bool,
     /// Whether the forwarder is started with the fault injection library.
     injects_faults: bool,
     /// When the scenario last ran `start-timer`.
     timer_started_at: Instant,
     /// The ids of the accepted messages of `sends-until-accepted`.
     accepted: BTreeSet<String>,
+    /// The crowds and the load of honest clients.
+    many_clients: Clients,
+    memory: MemoryWatch,
+    /// A process that uses the rest of the forwarder's processor, if it has only a part of one.
+    busy_process: Option<BusyProcess>,
+    /// The ids of the messages that were reported to the platform, as far as a step has asked for them.
+    reported: BTreeSet<String>,
 }
 
 fn parse_milliseconds(text: &str) -> Duration {
@@ -80,9 +90,14 @@
             successor: Successor::default(),
             predecessor: Predecessor::default(),
             listen: None,
+            keeps_address: false,
             injects_faults: false,
             timer_started_at: Instant::now(),
             accepted: BTreeSet::new(),
+            many_clients: Clients::default(),
+            memory: MemoryWatch::start(),
+            busy_process: None,
+            reported: BTreeSet::new(),
         }
     }
 
@@ -107,6 +122,7 @@
             _ if self.setup_step(name, more, rest)
                 || self.process_step(name, more, rest)
                 || self.folder_step(name, more, rest)
+                || self.crowd_step(name, more)
                 || self.observation_step(name, more, rest) => {}
             _ => self.client_step(name, more, rest),
         }
@@ -214,6 +230,41 @@
         true
     }
 
+    /// Runs a line about crowds, the load of honest clients, or memory. Returns false if the line is no such line.
+    fn crowd_step(&mut self, name: &str, words: &[&str]) -> bool {
+        let megabytes = || words[0].parse().expect("a number of megabytes");
+        match name {
+            "crowd" => self.many_clients.start_crowd(self.listen.expect("started"), words),
+            "crowds-answered" => self.many_clients.expect_crowds_answered(),
+            "honest-load" => self.many_clients.start_load(self.listen.expect("started"), words[0], words[1]),
+            "honest-load-answered" => self.many_clients.expect_load_answered(),
+            "forwarder-unavailable" => self.many_clients.set_available(false),
+            "forwarder-available" => self.many_clients.set_available(true),
+            "all-ended-once" => self.expect_all_ended_once(),
+            "share-core" => self.busy_process = Some(BusyProcess::beside(self.process.id())),
+            "log-unread" => self.process.set_log_unread(true),
+            "log-read" => self.process.set_log_unread(false),
+            "peak-memory-at-most" => self.memory.expect_peak_at_most(megabytes()),
+            "memory-falls-to" => self.memory.wait_until_at_most(megabytes()),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Expects that each message that was accepted from a crowd or the honest load was called once or reported, and that none
+    /// was called twice.
+    fn expect_all_ended_once(&mut self) {
+        let calls = |id: &String| -> usize { self.endpoints.values().map(|e| e.automatic_calls(id)).sum() };
+        let accepted = &self.many_clients.accepted;
+        let called_twice: Vec<&String> = accepted.iter().filter(|id| calls(id) > 1).collect();
+        assert!(called_twice.is_empty(), "called twice: {called_twice:?}");
+        let reported = &mut self.reported;
+        poll_until("the end of each accepted message", || {
+            reported.extend(self.platform.take_reported_ids());
+            accepted.iter().all(|id| calls(id) == 1 || reported.contains(id)).then_some(())
+        });
+    }
+
     /// Runs a line that waits for something or checks it. Returns false if the line is no such line.
     fn observation_step(&mut self, name: &str, words: &[&str], rest: &str) -> bool {
         match name {
@@ -249,6 +300,10 @@
         let (name, value) = word.split_once('=').expect("name=value");
         if name == "faults" {
             self.injects_faults = value == "on";
+        } else if name == "address" {
+            self.keeps_address = value == "kept";
+        } else if name == "destinations" {
+            self.list_more_destinations(value.parse().expect("`destinations` is a number"));
         } else if !self.options.set(name, value) {
             self.add_endpoint(name, value);
         }
@@ -272,6 +327,18 @@
         }
     }
 
+    /// Lists more destinations, from number 1000 on, with one endpoint each at which nothing listens.
+    fn list_more_destinations(&self, count: usize) {
+        for number in 1_000..1_000 + count {
+            let name = format!("more{number}");
+            let entry = json!({
+                "instanceId": name, "hostPort": "127.0.0.2:1", "zone": "east", "machineType": "one",
+                "cell": number, "lifecycle": "active", "weight": 50.0, "startedAtMs": 0,
+            });
+            self.platform.set_entry(&name, entry);
+        }
+    }
+
     /// Sets an endpoint's entry in the platform's list and returns it. The lifecycle `moved` stands for `active`.
     fn set_list_entry(&self, name: &str, lifecycle: &str) -> Value {
         let endpoint = &self.endpoints[name];
@@ -342,9 +409,8 @@
 
     /// Writes the configuration file.
     fn write_configuration(&self) {
-        let predecessor_listen = self.listen.filter(|_| self.old.is_started());
-        let locations =
-            Locations { folder: &self.folder, platform: self.platform.address, predecessor_listen };
+        let kept_listen = self.listen.filter(|_| self.keeps_address || self.old.is_started());
+        let locations = Locations { folder: &self.folder, platform: self.platform.address, kept_listen };
         fs::write(self.folder.join("config.json"), self.options.configuration(&locations))
             .expect("the configuration is written");
     }
@@ -378,6 +444,7 @@
             command.arg("--site").arg(site);
         }
         self.process = Process::spawn(command);
+        self.memory.add(self.process.id());
     }
 
     /// Starts the forwarder and waits until it serves.
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -14,7 +14,9 @@
 //! | `with e1=1`, `with e2=9:one:leaving` | adds an endpoint; the next table explains its description |
 //! | `with open=8 disk=1` | limits: open messages, and megabytes of the state folder; the values here are the defaults |
 //! | `with grace=250 tick=5` | the drain grace and the shortest time between two decision steps, in ms; the defaults |
+//! | `with address=kept` | each process listens at the address of the first one |
 //! | `with me=0` | the forwarder's index among all forwarders, as JSON; the default |
+//! | `with destinations=400` | lists 400 more destinations, with an endpoint each at which nothing listens |
 //! | `with window=2000` | adds class `zoned`, deduplicated by zone, and class `brief`, deduplicated for 2000 ms only |
 //! | `with operator=on`, `with faults=on` | starts the forwarder with an admin listener; with fault injection |
 //! | `config settings/rules/drain-grace 500` | sets a configuration value, from the next start or reload on |
@@ -65,6 +67,22 @@
 //! | `u1 end-sending`, `u1 close` | shuts down the sending side; closes the connection |
 //! | `connect-idle 300` | opens 300 more connections, which send nothing and stay open |
 //!
+//! # Crowds
+//!
+//! | line | effect |
+//! | --- | --- |
+//! | `crowd stops-in-middle 900 waves=2` | 900 clients of a shape (see `crates/crowd`) connect at once, twice |
+//! | `crowd flood-small 1 time=3000` | one client sends request after request for 3000 ms |
+//! | `crowds-answered` | waits for all crowds; each client got an error or the end of its connection within 3 s |
+//! | `honest-load 40 notice` | 40 small requests of class `notice` a second, on new and kept connections |
+//! | `honest-load-answered` | ends the load; each request was answered within 0.4 s, most were accepted |
+//! | `forwarder-unavailable`, `forwarder-available` | requests of the load may fail from here on; must not any more |
+//! | `all-ended-once` | each message accepted from these was called once, or not at all and reported |
+//! | `share-core` | the forwarder shares one processor with a busy process from here on |
+//! | `log-unread`, `log-read` | nobody reads the forwarder's log from here on; it is read again |
+//! | `peak-memory-at-most 32` | the forwarder's processes have never taken more than 32 MB together |
+//! | `memory-falls-to 16` | waits until they take at most 16 MB together |
+//!
 //! # Endpoints
 //!
 //! | line | effect |
@@ -76,6 +94,7 @@
 //! | `e1 send-raw m1 TEXT`, `e1 close m1` | writes the text to the connection of that call; closes the connection |
 //! | `e1 open` | lets a closed or stalled endpoint accept connections |
 //! | `e1 answers-all` | from here on the endpoint itself responds to each call with a 200 |
+//! | `e1 answers-all-without-end` | it responds to each call with a 500 whose body does not end |
 //! | `all-delivered` | waits until such endpoints have received all messages of `sends-until-accepted` |
 //!
 //! # Platform
@@ -195,6 +214,7 @@
 
 mod admin;
 mod client;
+mod crowd;
 mod endpoint;
 mod environment;
 mod handover;
--- a/tests/scenario/platform.rs
+++ b/tests/scenario/platform.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// The ids of the messages in the delivery reports that the script has not expected yet.
+    pub fn take_reported_ids(&self) -> impl Iterator<Item = String> + '_ {
+        self.reports.try_iter().filter_map(|report| report["id"].as_str().map(str::to_owned))
+    }
+
     /// Increments the generation of the list.
     pub fn increment_generation(&self) {
         self.shared.generation.fetch_add(1, Ordering::SeqCst);
--- a/tests/scenario/process.rs
+++ b/tests/scenario/process.rs
@@ -5,8 +5,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
+
+/// The interval at which it is checked whether the log is to be read again.
+const LOG_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Returns a command that starts the forwarder without the environment variables that it reads.
 pub fn forwarder_command() -> Command {
@@ -26,10 +31,33 @@
     library
 }
 
+/// A process that uses all the time of a processor that it gets. It shares the processor with another process.
+pub struct BusyProcess(Child);
+
+impl BusyProcess {
+    /// Moves a process to one processor and starts a busy one beside it.
+    pub fn beside(process_id: u32) -> Self {
+        let moved = Command::new("taskset").args(["-a", "-c", "-p", "0", &process_id.to_string()]).output();
+        assert!(moved.expect("taskset runs").status.success());
+        let busy = Command::new("taskset").args(["-c", "0", "sh", "-c", "while :; do :; done"]).spawn();
+        BusyProcess(busy.expect("taskset runs"))
+    }
+}
+
+impl Drop for BusyProcess {
+    fn drop(&mut self) {
+        // Both calls fail if the process has ended, as by a signal to the whole group.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// A process of the forwarder that was started, or none.
 #[derive(Default)]
 pub struct Process {
     child: Option<Child>,
+    /// Whether nobody reads the log any more.
+    log_is_unread: Arc<AtomicBool>,
     /// The address of the admin listener; `None` if there is none or the process does not serve yet.
     pub admin_address: Option<SocketAddr>,
     /// The lines of standard error so far.
@@ -42,16 +70,30 @@
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the process starts");
         let lines = BufReader::new(child.stderr.take().expect("a pipe for standard error")).lines();
         let log = Arc::<Mutex<Vec<String>>>::default();
-        let process = Process { child: Some(child), admin_address: None, log: log.clone() };
+        let log_is_unread = Arc::<AtomicBool>::default();
+        let process = Process {
+            child: Some(child),
+            log_is_unread: log_is_unread.clone(),
+            admin_address: None,
+            log: log.clone(),
+        };
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 eprintln!("  {line}");
                 log.lock().expect("unpoisoned").push(line);
+                while log_is_unread.load(Ordering::SeqCst) {
+                    thread::sleep(LOG_POLL_INTERVAL);
+                }
             }
         });
         process
     }
 
+    /// Reads no more of the log, whose pipe then fills, or reads on.
+    pub fn set_log_unread(&self, is_unread: bool) {
+        self.log_is_unread.store(is_unread, Ordering::SeqCst);
+    }
+
     /// Whether a process was started and its exit was not awaited yet.
     pub fn is_started(&self) -> bool {
         self.child.is_some()
@@ -61,6 +103,11 @@
         self.child.as_mut().expect("the process was started")
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("the process was started").id()
+    }
+
     /// Sends a signal by its name without `SIG`.
     pub fn signal(&mut self, name: &str) {
         let process_id = self.child().id();
@@ -107,6 +154,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        self.set_log_unread(false);
         if let Some(mut child) = self.child.take() {
             // Both calls fail if the process has just ended.
             let _ = child.kill();
--- a/tests/scenario/settings.rs
+++ b/tests/scenario/settings.rs
@@ -48,8 +48,8 @@
     pub folder: &'a Path,
     /// The platform's address.
     pub platform: SocketAddr,
-    /// The address at which the predecessor listens for clients; `None` if no process is replaced.
-    pub predecessor_listen: Option<SocketAddr>,
+    /// The address at which an earlier process listened for clients, if this one is to listen there too.
+    pub kept_listen: Option<SocketAddr>,
 }
 
 impl Options {
@@ -110,11 +110,11 @@
         if let Some(list) = &self.cached_list {
             config["known"] = list.clone();
         }
+        if let Some(listen) = locations.kept_listen {
+            config["listen"] = listen.to_string().into();
+        }
         if self.has_admin_listener {
             config["operator"] = "127.0.0.1:0".into();
-            if let Some(listen) = locations.predecessor_listen {
-                config["listen"] = listen.to_string().into();
-            }
         }
         for (path, value) in &self.overrides {
             set_at_path(&mut config, path, value.clone());
