Write the log in a thread of its own, from a queue that drops and counts what doesn't fit

Callers saw nothing at all: with a log pipe that nobody reads, 603 of 800 honest requests had no answer, and the process did not exit after SIGTERM. Cause: each line was written to standard error by the only thread, which blocks once the pipe is full (64 KB).

slog-async writes the lines now, in order, from a queue of 1,024; what doesn't fit is dropped, and slog-async logs the count once there is room. At the exit the queue has 0.2 s to be written, as has the line of a failed command, so that neither holds up the exit.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod explain;
+mod log;
 mod registry;
 mod run;
 
@@ -100,7 +101,7 @@
     /// Prints the error unless it was already printed, and returns its exit code.
     fn report(self) -> ExitCode {
         if !matches!(self, CommandError::AlreadyPrinted) {
-            eprintln!("cedarbridge: {self}");
+            log::print_error(format!("cedarbridge: {self}"));
         }
         match self {
             CommandError::Usage(_) => ExitCode::from(2),
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,5 +1,6 @@
 //! The `run` command: loads the settings and runs the forwarder.
 
+use super::log::{Log, LogFormat, LogLevel};
 use super::CommandError;
 use crate::net::config::Config;
 use crate::net::runtime::load::LoadError;
@@ -7,8 +8,7 @@
 use crate::routes::NamedSettings;
 use crate::site::Site;
 use crate::Settings;
-use clap::{Args, ValueEnum};
-use slog::{o, Drain, Level, LevelFilter, Logger};
+use clap::Args;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -27,55 +27,11 @@
     log_level: LogLevel,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
-enum LogFormat {
-    /// One line of text per entry
-    Text,
-    /// One JSON object per line
-    Json,
-}
-
-#[derive(Clone, Copy, ValueEnum)]
-enum LogLevel {
-    /// Failures that end the program
-    Critical,
-    /// All failures
-    Error,
-    /// Failures and unusual conditions
-    Warning,
-    /// Failures, unusual conditions and normal events
-    Info,
-    /// All entries, including details
-    Debug,
-}
-
 /// An environment variable; `None` if it is unset, empty or not Unicode.
 fn environment_variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
 
-fn logger(format: LogFormat, level: LogLevel) -> Logger {
-    let level = match level {
-        LogLevel::Critical => Level::Critical,
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-    };
-    match format {
-        LogFormat::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
-            let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().ignore_res();
-            Logger::root(LevelFilter::new(drain, level).ignore_res(), o!())
-        }
-        LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).ignore_res();
-            let drain = std::sync::Mutex::new(drain).ignore_res();
-            Logger::root(LevelFilter::new(drain, level).ignore_res(), o!())
-        }
-    }
-}
-
 fn read_file(file: &Path) -> Result<String, LoadError> {
     std::fs::read_to_string(file).map_err(|error| LoadError::Unreadable { file: file.to_owned(), error })
 }
@@ -111,7 +67,8 @@
             }
             Ok((config, settings))
         };
-        net::run(Arc::new(load), logger(self.log_format, self.log_level))
+        let log = Log::start(self.log_format, self.log_level);
+        net::run(Arc::new(load), log.logger.clone())
             .map_err(|error| CommandError::Rejected(error.to_string()))
     }
 }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -288,3 +288,18 @@
          exit-within 3700",
     );
 }
+
+/// Guards against log lines that are dropped without a trace.
+#[test]
+fn log_lines_that_were_dropped_are_counted_once_the_log_is_read_again() {
+    run_at(
+        LEAST_MEMORY,
+        "",
+        "log-unread
+         honest-load 200 notice
+         sleep 4000
+         honest-load-answered
+         log-read
+         log logger dropped messages due to channel overflow, count:",
+    );
+}
