Reject an id that comes again after its message has ended

A response that may be a copy hid it mostly, as it keeps the id in use.

Cause: an id was in use only while its message was open or its report pending. It is remembered now for the class's time limit or its deduplication window, unless the message was returned, or neither accepted nor sent. The ids hold memory of the budget; the oldest are forgotten first.

--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -37,7 +37,7 @@
 pub mod storage;
 
 pub use record::{AttemptStart, JournaledMessage, Progress, ReportedEnd, UnknownAttempt};
-pub use recovery::{RestoredJournal, UnreadableSegmentPolicy};
+pub use recovery::{CompletedMessage, RestoredJournal, UnreadableSegmentPolicy};
 pub use segment::ClockReading;
 
 use record::{JournalRecord, ProgressStep};
--- a/src/journal/recovery.rs
+++ b/src/journal/recovery.rs
@@ -25,11 +25,31 @@
     pub damage: Vec<String>,
     /// The highest message id in any record, also of a completed message.
     pub highest_id: u64,
+    /// The completed messages whose receipt records are still there, in the order of their completion.
+    pub completed: Vec<CompletedMessage>,
+}
+
+/// A message that the journal knows to be completed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletedMessage {
+    /// The id that its client gave it.
+    pub request_id: String,
+    /// The name of its class.
+    pub class: String,
+    /// The latest time at which it could be delivered, in microseconds of the program's clock.
+    pub deadline: u64,
+}
+
+impl From<JournaledMessage> for CompletedMessage {
+    fn from(message: JournaledMessage) -> Self {
+        CompletedMessage { request_id: message.request_id, class: message.class, deadline: message.deadline }
+    }
 }
 
 /// What was restored from the segments read so far.
 #[derive(Default)]
 struct Recovery {
+    completed: Vec<CompletedMessage>,
     messages: BTreeMap<u64, JournaledMessage>,
     damage: Vec<String>,
     highest_id: u64,
@@ -57,8 +77,8 @@
             }
         }
         self.remove_empty_segments();
-        let Recovery { messages, damage, highest_id } = recovery;
-        Ok(RestoredJournal { messages: messages.into_iter().collect(), damage, highest_id })
+        let Recovery { completed, messages, damage, highest_id } = recovery;
+        Ok(RestoredJournal { messages: messages.into_iter().collect(), damage, highest_id, completed })
     }
 
     /// Lists the number and the size in bytes of each segment, oldest first. The sizes of other files are added up.
@@ -109,7 +129,7 @@
             }
             JournalRecord::Completed => {
                 self.remove_live(id);
-                recovery.messages.remove(&id);
+                recovery.completed.extend(recovery.messages.remove(&id).map(CompletedMessage::from));
             }
             JournalRecord::Probe => {}
         }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -23,12 +23,19 @@
     Messages,
     /// Lists of endpoints while they are received.
     EndpointLists,
+    /// The ids of messages that have ended.
+    EndedIds,
 }
 
 impl MemoryUser {
     /// All users.
-    pub const ALL: [MemoryUser; 4] =
-        [MemoryUser::Requests, MemoryUser::Responses, MemoryUser::Messages, MemoryUser::EndpointLists];
+    pub const ALL: [MemoryUser; 5] = [
+        MemoryUser::Requests,
+        MemoryUser::Responses,
+        MemoryUser::Messages,
+        MemoryUser::EndpointLists,
+        MemoryUser::EndedIds,
+    ];
 
     /// The name of the user in counters and logs.
     pub fn name(self) -> &'static str {
@@ -37,6 +44,7 @@
             MemoryUser::Responses => "responses",
             MemoryUser::Messages => "messages",
             MemoryUser::EndpointLists => "endpoint-lists",
+            MemoryUser::EndedIds => "ended-ids",
         }
     }
 }
--- a/src/memory/plan.rs
+++ b/src/memory/plan.rs
@@ -46,6 +46,9 @@
 /// Large responses to clients: a thirty-second. Responses of endpoints as much.
 const RESPONSES_DIVISOR: usize = 32;
 
+/// The ids of ended messages: a thirty-second.
+const ENDED_IDS_DIVISOR: usize = 32;
+
 /// The limits in the configuration from which a plan is derived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
@@ -86,6 +89,7 @@
     response_bytes: usize,
     message_bytes: usize,
     list_bytes: usize,
+    ended_id_bytes: usize,
 }
 
 impl MemoryPlan {
@@ -119,8 +123,11 @@
         let message_bytes = shares / MESSAGES_DIVISOR;
         let list_bytes = shares / LISTS_DIVISOR;
         let response_bytes = shares / RESPONSES_DIVISOR;
+        let ended_id_bytes = shares / ENDED_IDS_DIVISOR;
         let connection_bytes = connections * CONNECTION_BYTES;
-        let reserved = kernel_bytes + connection_bytes + message_bytes + list_bytes + 2 * response_bytes;
+        let responses = 2 * response_bytes;
+        let reserved =
+            kernel_bytes + connection_bytes + message_bytes + list_bytes + responses + ended_id_bytes;
         Some(MemoryPlan {
             client_connections: connections,
             receive_buffer_bytes: socket_buffer.clamp(MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES),
@@ -131,6 +138,7 @@
             response_bytes,
             message_bytes,
             list_bytes,
+            ended_id_bytes,
         })
     }
 
@@ -141,6 +149,7 @@
             MemoryUser::Responses => self.response_bytes,
             MemoryUser::Messages => self.message_bytes,
             MemoryUser::EndpointLists => self.list_bytes,
+            MemoryUser::EndedIds => self.ended_id_bytes,
         }
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -8,7 +8,7 @@
     bytes_from_mb, decode_settings, forwarder_index, micros_from_ms, optional_field, required,
     required_field, string, unsigned, DecodeError, Names,
 };
-use crate::{Class, Idempotency, Kind, Micros, Settings, SettingsError};
+use crate::{Class, ClassId, Idempotency, Kind, Micros, Settings, SettingsError};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -310,6 +310,12 @@
         folder_bytes.saturating_sub(snapshot_bytes + operator_files_bytes)
     }
 
+    /// How long the id of a message is remembered after its end, in microseconds: as long as its client may hand it in, and as
+    /// long as repeats of it are dropped.
+    pub fn id_memory(&self, class: ClassId) -> Micros {
+        self.deadlines[class.0].max(self.repeat_policies[class.0].dedup_window)
+    }
+
     /// The maximum number of open client connections.
     pub fn max_client_connections(&self) -> usize {
         self.memory_plan.client_connections
--- a/src/net/context.rs
+++ b/src/net/context.rs
@@ -18,7 +18,7 @@
 use super::runtime::process_memory::ProcessMemory;
 use super::runtime::stall_detector::StallDetector;
 use crate::invariants::{Ledger, Rejection, Violation};
-use crate::memory::MemoryBudget;
+use crate::memory::{MemoryBudget, MemoryUser};
 use crate::EndpointId;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -97,6 +97,7 @@
     pub fn new(parts: ContextParts) -> Self {
         let ContextParts { log, clock, executor, delivery, journal, config, listen_address } = parts;
         let memory = MemoryBudget::new(&config.memory_plan);
+        let request_ids = RequestIds::new(memory.empty_permit(MemoryUser::EndedIds));
         Context {
             request_memory: RequestMemory::new(memory.clone()).into(),
             memory,
@@ -114,7 +115,7 @@
             folder_ownership: Rc::default(),
             counters: Counters::default(),
             gauges: Gauges::default(),
-            request_ids: RequestIds::default(),
+            request_ids,
             ledger: RefCell::default(),
             response_times: SharedResponseTimes::default(),
             route_stats: RouteStatsTable::default(),
--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -27,6 +27,10 @@
     /// The channel for the reply to the client; `None` once the reply was sent, or if an earlier process accepted the
     /// message.
     pub reply: Option<Sender<SubmitReply>>,
+    /// Whether its client was replied that it is accepted.
+    pub accepted: bool,
+    /// Whether it was returned to its client, which may send it again.
+    pub returned: bool,
 }
 
 /// The attempt in flight of a message, made by this process or by its predecessor.
--- a/src/net/delivery/admission.rs
+++ b/src/net/delivery/admission.rs
@@ -42,7 +42,7 @@
         let gauges = &self.context.gauges;
         may_admit(&AdmissionFacts {
             draining: self.stopped,
-            id_in_use: self.context.request_ids.in_use(&request.request_id),
+            id_in_use: self.context.request_ids.in_use(&request.request_id, self.context.clock.now()),
             open_messages: gauges.open_messages.get().saturating_sub(gauges.answered_messages.get()),
             max_open_messages: self.context.config().max_open_messages,
             journal_writable: self.context.journal.is_writable(),
@@ -133,7 +133,10 @@
             in_flight: attempt.as_ref().map(|attempt| attempt.number),
         };
         self.context.ledger.borrow_mut().track(message.id, tracked);
-        self.messages.insert(message.id, OpenMessage { message: Rc::new(message), attempt, reply });
+        // Without a client that waits for a reply, an earlier process has accepted it.
+        let accepted = reply.is_none();
+        let message = Rc::new(message);
+        self.messages.insert(message.id, OpenMessage { message, attempt, reply, accepted, returned: false });
         self.context.gauges.open_messages.increment();
     }
 
@@ -149,6 +152,7 @@
         self.stopped = true;
         for (id, open) in &mut self.messages {
             if let Some(reply) = open.reply.take() {
+                open.accepted = true;
                 self.context.counters.messages_accepted.increment();
                 // Sending fails if the client has disconnected; the journaled message must be delivered all the same.
                 let _ = reply.try_send(SubmitReply::Accepted(*id));
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -42,6 +42,7 @@
             received_by_tenant: self.received_by_tenant.clone(),
             client_connections: self.context.gauges.client_connections.get(),
             list,
+            ended_ids: self.context.request_ids.ended(),
         }
     }
 
@@ -59,6 +60,8 @@
         if state.received_by_tenant.len() == self.received_by_tenant.len() {
             self.received_by_tenant = state.received_by_tenant;
         }
+        let now = self.context.clock.now();
+        state.ended_ids.into_iter().for_each(|ended| self.context.request_ids.remember(ended, now));
         let mut journaled: BTreeMap<u64, JournaledMessage> = journaled.into_iter().collect();
         for message in &state.messages {
             if let Some(HandOverAttempt { number, endpoint }) = message.in_flight {
--- a/src/net/delivery/message_end.rs
+++ b/src/net/delivery/message_end.rs
@@ -4,9 +4,10 @@
 use super::actor::{DeliveryActor, OpenMessage};
 use crate::journal::ReportedEnd;
 use crate::memory::{MemoryPermit, MemoryUser};
-use crate::net::in_flight::REPORT_BYTES;
+use crate::net::in_flight::{Request, REPORT_BYTES};
 use crate::net::message_end::MessageEnd;
 use crate::net::messages::{DeliveryReport, SubmitReply, DEFAULT_RETRY_AFTER};
+use crate::net::request_ids::EndedId;
 use crate::{AbandonReason, Event, MessageId, Micros};
 use async_channel::Sender;
 use slog::info;
@@ -84,11 +85,13 @@
         }
         self.context.counters.count_abandonment(reason);
         let Some(open) = self.messages.get_mut(&id) else { return };
+        open.returned = matches!(abandonment, Abandonment::Returned(_));
         let request = &open.message.request;
         let (request_id, deadline) = (request.request_id.clone(), request.deadline);
         info!(self.context.log, "message"; "state" => "abandoned", "id" => &request_id, "reason" => reason.name());
         let replied = open.reply.take().is_some_and(|reply| self.reply_end(id, abandonment, &reply));
         if !replied {
+            self.messages.entry(id).and_modify(|open| open.accepted = true);
             let end = abandonment.reported_end();
             self.report_end(DeliveryReport { id, request_id, end, deadline, memory: None }).await;
         }
@@ -136,10 +139,25 @@
         }
         self.context.ledger.borrow_mut().forget(id);
         if let Some(open) = self.messages.remove(&id) {
+            // A message that was neither accepted nor sent, or was returned, may come again under its id.
+            if !open.returned && (open.accepted || open.message.attempts() > 0) {
+                self.remember_id(&open.message.request);
+            }
             self.context.request_ids.release(&open.message.request.request_id);
         }
     }
 
+    /// Remembers the id of a message that ends, for as long as its client may send it again by mistake or repeats of it are
+    /// dropped by its endpoints.
+    fn remember_id(&self, request: &Request) {
+        let now = self.context.clock.now();
+        let config = self.context.config();
+        let until = now + config.id_memory(request.class);
+        self.context
+            .request_ids
+            .remember(EndedId { request_id: request.request_id.as_str().into(), until }, now);
+    }
+
     /// Journals the end of a message and queues its delivery report.
     pub(super) async fn report_end(&mut self, report: DeliveryReport) {
         self.context.journal.record_undelivered(report.id, report.end);
--- a/src/net/delivery/restore.rs
+++ b/src/net/delivery/restore.rs
@@ -2,9 +2,10 @@
 
 use super::actor::DeliveryActor;
 use super::unconfirmed_ends::UnconfirmedEnd;
-use crate::journal::{JournaledMessage, Progress, ReportedEnd};
+use crate::journal::{CompletedMessage, JournaledMessage, Progress, ReportedEnd};
 use crate::net::in_flight::{InFlightMessage, Request};
 use crate::net::messages::DeliveryReport;
+use crate::net::request_ids::EndedId;
 use crate::{ClassId, DestinationId, MessageId, TenantId, ZoneId};
 
 impl DeliveryActor {
@@ -35,6 +36,16 @@
         }
     }
 
+    /// Remembers the ids of messages that an earlier process has completed.
+    pub fn restore_ended_ids(&self, completed: Vec<CompletedMessage>) {
+        let (now, config) = (self.context.clock.now(), self.context.config());
+        for message in completed {
+            let class = self.names.classes.iter().position(|class| *class == message.class).map(ClassId);
+            let until = message.deadline + class.map_or(0, |class| config.id_memory(class));
+            self.context.request_ids.remember(EndedId { request_id: message.request_id.into(), until }, now);
+        }
+    }
+
     /// How a message ends that must not be sent again; `None` if it may be sent. A non-idempotent message that may
     /// have run fails. A message whose class was removed from the settings fails if it may have run, and is returned
     /// otherwise.
--- a/src/net/delivery/step.rs
+++ b/src/net/delivery/step.rs
@@ -123,6 +123,7 @@
         if reply.try_send(SubmitReply::Accepted(message.id)).is_err() {
             return self.withdraw(message.id);
         }
+        open.accepted = true;
         self.context.counters.messages_accepted.increment();
         let request_id = open.message.request.request_id.as_str();
         info!(self.context.log, "message"; "state" => "accepted", "id" => request_id, "class" => message.class.0,
--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -6,6 +6,7 @@
 use crate::net::call::CallCompletion;
 use crate::net::in_flight::Request;
 use crate::net::messages::{AdminCommand, AdminError, SubmitReply};
+use crate::net::request_ids::EndedId;
 use crate::{EndpointId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -120,6 +121,9 @@
     pub client_connections: usize,
     /// The endpoint list of the predecessor.
     pub list: MembershipSnapshot,
+    /// The ids of messages that have ended; none from a predecessor of a release that does not remember them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended_ids: Vec<EndedId>,
 }
 
 /// A frame from the predecessor to its successor.
--- a/src/net/runtime/start.rs
+++ b/src/net/runtime/start.rs
@@ -202,6 +202,7 @@
     let (endpoint_list, endpoint_list_mailbox) = async_channel::bounded(ENDPOINT_LIST_MAILBOX_CAPACITY);
     let mut delivery_actor =
         DeliveryActor::new(context.clone(), policy, reports, endpoint_list.clone(), restored.highest_id);
+    delivery_actor.restore_ended_ids(restored.completed);
     let mut endpoint_list_actor = EndpointListActor::new(context.clone(), endpoint_list.clone());
     let inherited = state.zip(predecessor);
     restore(&mut delivery_actor, &mut endpoint_list_actor, inherited, restored.messages, settings).await;
