Hand over without copies, and with half of the memory for requests in each process

The policy is serialized straight into the frame and received as text; a frame is received into its own memory; a body in the queue of frames is shared with its message. Before the predecessor sends its state it ends half-received requests until they fit into half of their share, the successor begins with the other half and has all of it once the predecessor is gone. A forwarded body reserves memory at the successor. Names and form of the frames are as before (stored_data reads the stored ones; it reads the policy from the text now).

--- a/src/net/context.rs
+++ b/src/net/context.rs
@@ -24,7 +24,7 @@
 use async_executor::LocalExecutor;
 use serde_json::{json, Value};
 use slog::{error, info, Logger};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -71,6 +71,8 @@
     /// Counts of the requests to the registry; written by the registry poller.
     pub registry_counts: RegistryCounts,
     config: RefCell<Rc<Config>>,
+    /// Whether another process of this forwarder takes a part of the memory.
+    memory_shared: Cell<bool>,
     listen_address: SocketAddr,
 }
 
@@ -110,6 +112,7 @@
             journal,
             listen_address,
             config: RefCell::new(Rc::new(config)),
+            memory_shared: Cell::new(false),
             lifecycle: Lifecycle::default(),
             endpoint_list: EndpointListStatus::default(),
             folder_ownership: Rc::default(),
@@ -130,8 +133,24 @@
 
     /// Replaces the configuration. Users of the previous one keep it until they ask again.
     pub fn set_config(&self, config: Config) {
-        self.memory.set_shares(&config.memory_plan);
         *self.config.borrow_mut() = Rc::new(config);
+        self.apply_memory_plan();
+    }
+
+    /// Sets whether another process of this forwarder takes a part of the memory, as in a hand-over. Each then has half of what
+    /// both receive requests into.
+    pub fn set_memory_shared(&self, shared: bool) {
+        self.memory_shared.set(shared);
+        self.apply_memory_plan();
+    }
+
+    fn apply_memory_plan(&self) {
+        let plan = self.config().memory_plan;
+        self.memory.set_shares(&plan);
+        if self.memory_shared.get() {
+            let request_bytes = plan.share_bytes(MemoryUser::Requests);
+            self.memory.set_share(MemoryUser::Requests, request_bytes / 2);
+        }
     }
 
     /// The address on which clients connect, with the port that the system assigned.
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -8,13 +8,13 @@
 use crate::net::handover::frames::{HandOverAttempt, HandOverMessage, HandOverState};
 use crate::net::handover::FrameSender;
 use crate::net::in_flight::InFlightMessage;
-use crate::{EndpointId, Event, Outcome, Settings};
+use crate::{DeliveryPolicy, EndpointId, Event, Outcome, Settings};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 impl DeliveryActor {
     /// The state that is sent to a successor. Must be called just after a step, when no events wait for the policy.
-    pub fn hand_over_state(&self, list: MembershipSnapshot) -> HandOverState {
+    pub fn hand_over_state(&self, list: MembershipSnapshot) -> HandOverState<&DeliveryPolicy> {
         let open_messages = self.messages.iter().map(|(id, open)| HandOverMessage {
             id: *id,
             attempts: open.message.attempts(),
@@ -34,8 +34,7 @@
             in_flight: Some(HandOverAttempt { number: attempt.number, endpoint: *endpoint }),
         });
         HandOverState {
-            // If the policy cannot be serialized, the successor rejects the state and this process goes on serving.
-            policy: serde_json::to_value(&self.policy).unwrap_or_default(),
+            policy: &self.policy,
             last_id: self.last_id,
             messages: open_messages.chain(ended_messages).collect(),
             timers: self.timers.iter().map(|timer| timer.0).collect(),
--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -7,9 +7,9 @@
 use crate::net::in_flight::Request;
 use crate::net::messages::{AdminCommand, AdminError, SubmitReply};
 use crate::net::request_ids::EndedId;
-use crate::{EndpointId, MessageId, Micros};
+use crate::{DeliveryPolicy, EndpointId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
 /// The version of the frames. A successor that uses another version than its predecessor waits until the predecessor has
@@ -101,12 +101,13 @@
     pub in_flight: Option<HandOverAttempt>,
 }
 
-/// The predecessor's state at the moment of the hand-over, except for what is in the state folder.
+/// The predecessor's state at the moment of the hand-over, except for what is in the state folder. The predecessor serializes its
+/// delivery policy straight into the frame; the successor receives it as text, which is far smaller than a tree of values.
 #[derive(Serialize, Deserialize)]
-pub struct HandOverState {
-    /// The serialized state of the delivery policy.
+pub struct HandOverState<Policy = Box<RawValue>> {
+    /// The state of the delivery policy.
     #[serde(rename = "module")]
-    pub policy: Value,
+    pub policy: Policy,
     /// The last id that was assigned to a message.
     pub last_id: u64,
     /// The open messages, and the ended messages that still have an attempt in flight.
@@ -126,6 +127,13 @@
     pub ended_ids: Vec<EndedId>,
 }
 
+/// [`PredecessorFrame::State`] as the predecessor sends it.
+#[derive(Serialize)]
+pub enum StateFrame<'a> {
+    /// The predecessor's state.
+    State(&'a HandOverState<&'a DeliveryPolicy>),
+}
+
 /// A frame from the predecessor to its successor.
 #[derive(Serialize, Deserialize)]
 pub enum PredecessorFrame {
--- a/src/net/handover/link.rs
+++ b/src/net/handover/link.rs
@@ -1,7 +1,8 @@
 //! The connection between predecessor and successor, and the framing on it.
 
 use super::frames::SuccessorFrame;
-use crate::net::http::{encode_frame, write_all, Frame, HttpConnection, HttpError};
+use crate::net::http::{frame_front, write_all, Frame, HttpConnection, HttpError, PartialFrame};
+use crate::net::message_body::MessageBody;
 use crate::MessageId;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -71,10 +72,17 @@
     }
 }
 
+/// A frame that is to be written.
+struct QueuedFrame {
+    front: Vec<u8>,
+    /// Shared with the message, so that a frame in the queue holds no copy of it.
+    body: MessageBody,
+}
+
 /// Queues frames that a task writes to the connection. Clones share the connection.
 #[derive(Clone)]
 pub struct FrameSender {
-    frames: Sender<Vec<u8>>,
+    frames: Sender<QueuedFrame>,
 }
 
 impl FrameSender {
@@ -84,7 +92,7 @@
     ///
     /// Returns an error if the frame cannot be serialized or the connection can no longer be written.
     pub(super) async fn send(&self, head: &impl Serialize) -> Result<(), HandOverError> {
-        self.send_with_body(head, &[]).await
+        self.send_with_body(head, MessageBody::default()).await
     }
 
     /// Queues a frame with a body.
@@ -95,10 +103,11 @@
     pub(super) async fn send_with_body(
         &self,
         head: &impl Serialize,
-        body: &[u8],
+        body: MessageBody,
     ) -> Result<(), HandOverError> {
-        let head = serde_json::to_vec(head).map_err(|_| HandOverError::FrameNotSerialized)?;
-        self.frames.send(encode_frame(&head, body)).await.map_err(|_| HttpError::UnexpectedEnd.into())
+        let front = frame_front(head, body.len()).map_err(|_| HandOverError::FrameNotSerialized)?;
+        let frame = QueuedFrame { front, body };
+        self.frames.send(frame).await.map_err(|_| HttpError::UnexpectedEnd.into())
     }
 
     /// Returns a channel end that, when closed or dropped, has the predecessor cancel an attempt that is in flight there.
@@ -125,6 +134,8 @@
 /// One process's end of the connection.
 pub(super) struct Link {
     connection: HttpConnection,
+    /// What was received of the next frame.
+    partial: PartialFrame,
     pub frames: FrameSender,
 }
 
@@ -138,7 +149,7 @@
         let (frames, queue) = async_channel::bounded(FRAME_QUEUE_CAPACITY);
         let stream = connection.writer().map_err(HttpError::Socket)?;
         executor.spawn(write_frames(stream, queue)).detach();
-        Ok(Link { connection, frames: FrameSender { frames } })
+        Ok(Link { connection, partial: PartialFrame::default(), frames: FrameSender { frames } })
     }
 
     /// Reads the next frame. A frame that is only partly received is kept if this future is dropped.
@@ -147,7 +158,7 @@
     ///
     /// Returns an error if the connection ends or fails, or the frame is too large or cannot be parsed.
     pub async fn read<T: DeserializeOwned>(&mut self) -> Result<ReceivedFrame<T>, HandOverError> {
-        let Frame { head, body } = self.connection.read_frame(MAX_FRAME_BYTES).await?;
+        let Frame { head, body } = self.connection.read_frame(&mut self.partial, MAX_FRAME_BYTES).await?;
         let head = serde_json::from_slice(&head).map_err(|_| HandOverError::FrameNotParsed)?;
         Ok(ReceivedFrame { head, body })
     }
@@ -161,9 +172,11 @@
 
 /// Writes the queued frames until the connection fails. It runs beside the task that reads, so that two processes that write
 /// to each other at once do not deadlock.
-async fn write_frames(mut stream: Async<TcpStream>, queue: Receiver<Vec<u8>>) {
-    while let Ok(frame) = queue.recv().await {
-        if write_all(&mut stream, &frame).await.is_err() {
+async fn write_frames(mut stream: Async<TcpStream>, queue: Receiver<QueuedFrame>) {
+    while let Ok(QueuedFrame { front, body }) = queue.recv().await {
+        let front_written = write_all(&mut stream, &front).await;
+        drop(front);
+        if front_written.is_err() || write_all(&mut stream, &body).await.is_err() {
             return;
         }
     }
--- a/src/net/handover/predecessor.rs
+++ b/src/net/handover/predecessor.rs
@@ -1,6 +1,6 @@
 //! The predecessor's side of a hand-over.
 
-use super::frames::{PredecessorFrame, SuccessorFrame};
+use super::frames::{PredecessorFrame, StateFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use super::relay::Relay;
 use crate::net::delivery::DeliveryActor;
@@ -35,6 +35,7 @@
         Err(error) => {
             warn!(context.log, "hand-over failed, continuing to serve"; "reason" => error.code(), "error" => %error);
             context.journal.resume();
+            context.set_memory_shared(false);
             context.lifecycle.enter_hand_over(HandOverPhase::Owner);
             // Sending fails only if the endpoint list actor has ended, and it ends only with the process.
             let _ = actor.endpoint_list().send(EndpointListMessage::HandOverAborted).await;
@@ -75,8 +76,9 @@
     // A record that could not be written would be missing in the state folder that the successor reads.
     context.journal.pause().map_err(|_| HandOverError::JournalNotWritable)?;
     let mut link = Link::new(successor.connection, &context.executor)?;
-    let state = Box::new(actor.hand_over_state(successor.list));
-    link.frames.send(&PredecessorFrame::State(state)).await?;
+    let state = actor.hand_over_state(successor.list);
+    link.frames.send(&StateFrame::State(&state)).await?;
+    drop(state);
     match link.read().await?.head {
         SuccessorFrame::ReadyToOwn => Ok(link),
         _ => Err(HandOverError::OwnershipNotConfirmed),
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -80,7 +80,7 @@
             DeliveryMessage::Submit { request, reply } => {
                 self.replies.insert(number, reply);
                 let body = request.body.clone();
-                frames.send_with_body(&PredecessorFrame::Submit { number, request }, &body).await
+                frames.send_with_body(&PredecessorFrame::Submit { number, request }, body).await
             }
             DeliveryMessage::Withdrawn { id } => frames.send(&PredecessorFrame::Withdrawn { id }).await,
             DeliveryMessage::CallCompleted(completion) => {
@@ -92,7 +92,8 @@
             }
             DeliveryMessage::ListLine(line) if self.accepted_frames.list_lines => {
                 let ListLine { line, available_since, address } = line;
-                frames.send_with_body(&PredecessorFrame::ListLine { available_since, address }, &line).await
+                let head = PredecessorFrame::ListLine { available_since, address };
+                frames.send_with_body(&head, line.into()).await
             }
             DeliveryMessage::CallAnswered(answered)
                 if self.accepted_frames.read_ends && answered.ends_messages() =>
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -2,7 +2,10 @@
 
 use super::frames::{PredecessorFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
+use crate::invariants::Rejection;
+use crate::memory::MemoryUser;
 use crate::net::in_flight::Request;
+use crate::net::message_body::MessageBody;
 use crate::net::messages::{
     AdminCommand, DeliveryMessage, EndSettlement, EndpointListMessage, ListLine, SubmitReply,
     DEFAULT_RETRY_AFTER,
@@ -19,6 +22,7 @@
     let Err(end) = server.serve_frames().await;
     info!(context.log, "connection ended"; "side" => "predecessor", "reason" => end.code());
     context.gauges.predecessor_connections.set(0);
+    context.set_memory_shared(false);
     // Sending fails only if the delivery actor has ended, and it ends only with the process.
     let _ = context.delivery.send(DeliveryMessage::PredecessorGone).await;
 }
@@ -73,7 +77,10 @@
         let delivery = &self.context.delivery;
         match frame {
             PredecessorFrame::Submit { number, mut request } => {
-                request.body = body.into();
+                match self.context.memory.reserve(MemoryUser::Requests, body.len()) {
+                    Ok(permit) => request.body = MessageBody::received(body, permit),
+                    Err(_) => return self.reject(number, &request).await,
+                }
                 self.submit(number, request).await
             }
             PredecessorFrame::Withdrawn { id } => delivery.send(DeliveryMessage::Withdrawn { id }).await,
@@ -108,6 +115,16 @@
         }
     }
 
+    /// Rejects a forwarded message for which there is no memory.
+    async fn reject(&self, number: u64, request: &Request) -> Result<(), SendError<DeliveryMessage>> {
+        self.context.counters.unavailable.increment();
+        self.context.record_rejection(&request.request_id, Rejection::MemoryFull);
+        let reply = SubmitReply::Unavailable(DEFAULT_RETRY_AFTER);
+        // Sending fails if the predecessor is gone, and then its client has lost its connection as well.
+        let _ = self.link.frames.send(&SuccessorFrame::Reply { number, reply }).await;
+        Ok(())
+    }
+
     /// Submits a forwarded message to the delivery actor, and starts a task that sends the reply back.
     async fn submit(&self, number: u64, request: Request) -> Result<(), SendError<DeliveryMessage>> {
         let (reply, replied) = async_channel::bounded(1);
--- a/src/net/handover/successor.rs
+++ b/src/net/handover/successor.rs
@@ -15,6 +15,7 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use serde_json::value::RawValue;
 use slog::{info, warn, Logger};
 use std::io;
 use std::path::Path;
@@ -128,7 +129,8 @@
         return Err(HandOverError::StateNotFirst);
     };
     // On an error the link is dropped, and the predecessor continues to serve.
-    let policy = serde_json::from_value(state.policy.take()).map_err(|_| HandOverError::PolicyNotParsed)?;
+    let policy = serde_json::from_str(state.policy.get()).map_err(|_| HandOverError::PolicyNotParsed)?;
+    state.policy = RawValue::NULL.to_owned();
     Ok((InheritedState { state, policy }, link))
 }
 
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -11,5 +11,5 @@
 pub use buffer::Buffer;
 pub use connection::{write_all, HttpConnection};
 pub use error::HttpError;
-pub use frame::{encode_frame, Frame};
+pub use frame::{frame_front, Frame, PartialFrame};
 pub use head::{status_line_code, Headers, RequestHead, ResponseHead, MAX_HEAD_BYTES};
--- a/src/net/operator/handover.rs
+++ b/src/net/operator/handover.rs
@@ -45,9 +45,12 @@
             return Err(Response::text(409, "not now\n"));
         }
         lifecycle.enter_hand_over(HandOverPhase::HandingOver);
+        self.context.set_memory_shared(true);
+        self.context.request_memory.until_within_share().await;
         match within(ADMIN_REQUEST_TIMEOUT, self.request_list()).await.flatten() {
             Some(list) => Ok(list),
             None => {
+                self.context.set_memory_shared(false);
                 lifecycle.enter_hand_over(HandOverPhase::Owner);
                 // Sending fails if the mailbox is full, and then the request for the list has not been received either.
                 let _ = self.endpoint_list.try_send(EndpointListMessage::HandOverAborted);
@@ -77,6 +80,7 @@
                 return "handed-over";
             }
         }
+        context.set_memory_shared(false);
         context.lifecycle.enter_hand_over(HandOverPhase::Owner);
         // Sending fails only if the endpoint list actor has ended, and it ends only with the process.
         let _ = endpoint_list.send(EndpointListMessage::HandOverAborted).await;
--- a/src/net/receive_bounds.rs
+++ b/src/net/receive_bounds.rs
@@ -7,6 +7,7 @@
 use crate::memory::plan::SMALL_REQUEST_BYTES;
 use crate::memory::{MemoryBudget, MemoryPermit, MemoryUser};
 use async_io::Timer;
+use futures_lite::future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,9 @@
 /// The longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(40);
 
+/// How long it may take until the requests fit into a smaller share.
+const SHRINK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What all connections of clients share for their requests.
 pub struct RequestMemory {
     /// The budget of the process.
@@ -35,6 +39,17 @@
         RequestMemory { budget, registry: Rc::default(), turns: Turns::default() }
     }
 
+    /// Ends the largest and slowest requests until the others fit into a share that has become smaller. Returns after a short
+    /// time in any case, as complete requests are not ended.
+    pub async fn until_within_share(&self) {
+        let (budget, started_at) = (&self.budget, Instant::now());
+        let is_over = || budget.used_bytes(MemoryUser::Requests) > budget.share_bytes(MemoryUser::Requests);
+        while is_over() && started_at.elapsed() < SHRINK_TIMEOUT {
+            self.registry.evict_largest_and_slowest_request(Instant::now());
+            future::yield_now().await;
+        }
+    }
+
     /// Ends the largest and slowest request if less than a quarter of the memory for requests is left.
     fn keep_reserve(&self) {
         let share = self.budget.share_bytes(MemoryUser::Requests);
--- a/src/net/runtime/start.rs
+++ b/src/net/runtime/start.rs
@@ -198,6 +198,7 @@
     };
     let context = Rc::new(Context::new(parts));
     context.gauges.predecessor_connections.set(state.as_ref().map_or(0, |state| state.client_connections));
+    context.set_memory_shared(state.is_some());
     context.route_stats.set_route_table(routes);
     reload::warn_without_index(&context);
     let reports = start_background(&context);
--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -211,7 +211,7 @@
         (state.messages[0].id, state.messages[0].in_flight),
         (MessageId(1), Some((0, EndpointId(1)).into()))
     );
-    let policy: DeliveryPolicy = serde_json::from_value(state.policy.clone()).expect("read");
+    let policy: DeliveryPolicy = serde_json::from_str(state.policy.get()).expect("read");
     assert_eq!(serde_json::to_value(&policy).expect("written"), frame["State"]["module"]);
     assert_eq!(serde_json::to_value(&state).expect("written"), frame["State"]);
     assert_eq!(FORMAT_VERSION, 4);
