Stop reading an endpoint's responses once there are far more than calls, and bound their bodies

Bodies and heads beyond 2 KB hold a permit of the endpoint responses' share, and without one the response fails (reason memory). A body that names no messages is dropped once its digest is known. The scenario's endpoint has its spoilt responses in a module of their own.

--- a/src/invariants/mod.rs
+++ b/src/invariants/mod.rs
@@ -24,6 +24,8 @@
 };
 pub use connection::{may_reuse, CloseReason, IdleFacts};
 pub use ledger::{Ledger, RepeatPolicy, TrackedAttempt, TrackedMessage, Violation};
-pub use response_history::{is_refusal, ResponseDigest, ResponseHistory, ResponseIdentity};
+pub use response_history::{
+    is_refusal, ResponseDigest, ResponseHistory, ResponseIdentity, MAX_SURPLUS_RESPONSES,
+};
 pub use response_times::{ResponseTimes, ResponseTiming};
 pub use send::{may_send, EndpointFacts, SendFacts, SendPermit, SendRefusal};
--- a/src/invariants/response_history.rs
+++ b/src/invariants/response_history.rs
@@ -8,6 +8,10 @@
 /// A connection whose history holds this many different responses, or messages, is not reused, so that its memory is bounded.
 const MAX_HISTORY_ENTRIES: usize = 256;
 
+/// A connection that carries so many more responses than calls is given up, so that neither its memory nor the time for it
+/// grows with what the endpoint sends.
+pub const MAX_SURPLUS_RESPONSES: usize = 16;
+
 /// A digest of a head or of a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ResponseDigest(u64);
@@ -51,6 +55,8 @@
 /// The identities of the responses that a connection has carried.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHistory {
+    /// The number of responses whose head was received.
+    received: usize,
     statuses: BTreeSet<u16>,
     heads: BTreeSet<ResponseDigest>,
     complete: BTreeMap<ResponseDigest, ResponseCount>,
@@ -60,10 +66,16 @@
 impl ResponseHistory {
     /// Adds the head of a response, whose body may still follow.
     pub fn record_head(&mut self, status: u16, head: ResponseDigest) {
+        self.received += 1;
         self.statuses.insert(status);
         self.heads.insert(head);
     }
 
+    /// Whether the connection has carried so many more responses than calls that it is given up.
+    pub fn has_excess(&self, calls: usize) -> bool {
+        self.received > calls + MAX_SURPLUS_RESPONSES
+    }
+
     /// Adds a complete response.
     pub fn record_complete(&mut self, response: ResponseDigest) {
         self.complete.entry(response).or_default().received += 1;
--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -135,6 +135,12 @@
         self.user
     }
 
+    /// Moves all bytes into a permit of their own, which is returned.
+    pub fn take(&mut self) -> MemoryPermit {
+        let empty = self.budget.empty_permit(self.user);
+        std::mem::replace(self, empty)
+    }
+
     /// Reserves more bytes.
     ///
     /// # Errors
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -19,6 +19,8 @@
     Requests,
     /// Responses to clients that are larger than a few lines, until they are written.
     Responses,
+    /// Responses of endpoints and of the platform that are larger than a few lines, until they were evaluated.
+    EndpointResponses,
     /// Messages that were accepted, until they have ended and their delivery report is confirmed.
     Messages,
     /// Lists of endpoints while they are received.
@@ -29,9 +31,10 @@
 
 impl MemoryUser {
     /// All users.
-    pub const ALL: [MemoryUser; 5] = [
+    pub const ALL: [MemoryUser; 6] = [
         MemoryUser::Requests,
         MemoryUser::Responses,
+        MemoryUser::EndpointResponses,
         MemoryUser::Messages,
         MemoryUser::EndpointLists,
         MemoryUser::EndedIds,
@@ -42,6 +45,7 @@
         match self {
             MemoryUser::Requests => "requests",
             MemoryUser::Responses => "responses",
+            MemoryUser::EndpointResponses => "endpoint-responses",
             MemoryUser::Messages => "messages",
             MemoryUser::EndpointLists => "endpoint-lists",
             MemoryUser::EndedIds => "ended-ids",
--- a/src/memory/plan.rs
+++ b/src/memory/plan.rs
@@ -30,8 +30,6 @@
 const MAX_SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// The kernel charges for a buffer up to this many times what the socket option sets.
 const SOCKET_BUFFER_CHARGE: usize = 2;
-/// The least response of an endpoint that is read, in bytes.
-const MIN_RESPONSE_BYTES: usize = 8 * 1024;
 
 /// What the files of the state folder may take of the memory: a quarter.
 const FILES_DIVISOR: usize = 4;
@@ -60,8 +58,6 @@
     pub descriptors: usize,
     /// The maximum size of the state folder, in bytes.
     pub disk_bytes: u64,
-    /// The maximum number of calls in flight.
-    pub concurrent_calls: usize,
     /// Whether a successor may take over, so that two processes run meanwhile.
     pub hands_over: bool,
 }
@@ -85,10 +81,9 @@
     pub socket_buffer_bytes: usize,
     /// What the journal and the other files of the state folder may take, in bytes.
     pub file_bytes: u64,
-    /// The largest response of an endpoint that is read, in bytes.
-    pub endpoint_response_bytes: usize,
     request_bytes: usize,
     response_bytes: usize,
+    endpoint_response_bytes: usize,
     message_bytes: usize,
     list_bytes: usize,
     ended_id_bytes: usize,
@@ -127,18 +122,17 @@
         let response_bytes = shares / RESPONSES_DIVISOR;
         let ended_id_bytes = shares / ENDED_IDS_DIVISOR;
         let connection_bytes = connections * CONNECTION_BYTES;
-        let endpoint_responses = shares / ENDPOINT_RESPONSES_DIVISOR;
-        let responses = response_bytes + endpoint_responses;
+        let endpoint_response_bytes = shares / ENDPOINT_RESPONSES_DIVISOR;
+        let responses = response_bytes + endpoint_response_bytes;
         let reserved =
             kernel_bytes + connection_bytes + message_bytes + list_bytes + responses + ended_id_bytes;
         Some(MemoryPlan {
             client_connections: connections,
             socket_buffer_bytes: socket_buffer.clamp(MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES),
             file_bytes: file_bytes as u64,
-            endpoint_response_bytes: (endpoint_responses / limits.concurrent_calls.max(1))
-                .max(MIN_RESPONSE_BYTES),
             request_bytes: shares - reserved,
             response_bytes,
+            endpoint_response_bytes,
             message_bytes,
             list_bytes,
             ended_id_bytes,
@@ -150,6 +144,7 @@
         match user {
             MemoryUser::Requests => self.request_bytes,
             MemoryUser::Responses => self.response_bytes,
+            MemoryUser::EndpointResponses => self.endpoint_response_bytes,
             MemoryUser::Messages => self.message_bytes,
             MemoryUser::EndpointLists => self.list_bytes,
             MemoryUser::EndedIds => self.ended_id_bytes,
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -383,7 +383,9 @@
             HttpError::Closed | HttpError::UnexpectedEnd | HttpError::TimedOut => {
                 (400, CloseReason::TornRequest)
             }
-            HttpError::Socket(_) => return ConnectionEnd::Disconnected(CloseReason::TornRequest),
+            HttpError::Socket(_) | HttpError::OutOfMemory | HttpError::TooManyResponses => {
+                return ConnectionEnd::Disconnected(CloseReason::TornRequest)
+            }
         };
         self.reject(status, &error.to_string(), reason).await
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -262,7 +262,6 @@
             memory_bytes: read_memory_limit(limits)?,
             descriptors: max_descriptors,
             disk_bytes: max_disk_bytes,
-            concurrent_calls: settings.max_concurrent_calls,
             hands_over: operator.is_some(),
         };
         let config = Config {
--- a/src/net/endpoint/exchange.rs
+++ b/src/net/endpoint/exchange.rs
@@ -9,9 +9,11 @@
 use super::unconfirmed::{RequestTiming, UnconfirmedCalls};
 use crate::invariants::{may_send, CloseReason, SendFacts, SendPermit, SendRefusal, Violation};
 use crate::journal::AttemptStart;
+use crate::memory::MemoryUser;
 use crate::net::call::Call;
 use crate::net::dial::connect_within;
 use crate::net::http::{HttpConnection, HttpError};
+use crate::net::response_memory::ResponseMemory;
 use crate::net::stray_response::{StrayPlace, StrayResponse};
 use crate::net::Context;
 use crate::{EndpointId, Micros, ZoneId};
@@ -182,7 +184,9 @@
     };
     context.counters.connections_opened.increment();
     let timeout = Duration::from_micros(context.config().dial_timeout);
-    Ok(EndpointConnection::new(HttpConnection::new(connect_within(state.address, timeout).await?)))
+    let mut connection = HttpConnection::new(connect_within(state.address, timeout).await?);
+    connection.response_memory = Some(ResponseMemory::new(&context.memory, MemoryUser::EndpointResponses));
+    Ok(EndpointConnection::new(connection))
 }
 
 /// Checks whether the first byte may be written now. A refusal is counted and logged.
--- a/src/net/endpoint/late_response.rs
+++ b/src/net/endpoint/late_response.rs
@@ -7,7 +7,7 @@
 use super::late_retry_after;
 use super::received::ReceivedResponses;
 use super::response::{parse_retry_after, read_result, Response, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT};
-use crate::invariants::{Attribution, EarlierResponses};
+use crate::invariants::{Attribution, EarlierResponses, MAX_SURPLUS_RESPONSES};
 use crate::net::call::{Call, CallResult};
 use crate::net::http::{status_line_code, HttpConnection, ResponseHead};
 use crate::net::messages::DeliveryMessage;
@@ -65,7 +65,8 @@
 
     /// Reads responses until the connection ends, and obeys the retry-after of each.
     async fn read_until_end(&mut self, connection: &mut HttpConnection) {
-        while let Ok(head) = connection.read_response().await {
+        while self.received.len() <= MAX_SURPLUS_RESPONSES {
+            let Ok(head) = connection.read_response().await else { break };
             if !self.received.is_empty() {
                 self.record_stray(head.status);
             }
@@ -91,7 +92,7 @@
             self.received.add_partial_body(connection.buffer.bytes());
             return None;
         };
-        self.received.complete_last(&self.call, Response { head, body });
+        self.received.complete_last(&self.call, Response { head, body, memory: connection.end_response() });
         self.record_unproven_end();
         Some(())
     }
--- a/src/net/endpoint/receive.rs
+++ b/src/net/endpoint/receive.rs
@@ -79,6 +79,9 @@
     context: &Context,
     connection: &mut EndpointConnection,
 ) -> Result<ResponseHead, HttpError> {
+    if connection.history.has_excess(connection.calls) {
+        return Err(HttpError::TooManyResponses);
+    }
     connection.http.stall_timeout = Some(RESPONSE_STALL_TIMEOUT);
     let head = connection.http.read_response().await?;
     connection.history.record_head(head.status, head_digest(&head));
@@ -88,7 +91,7 @@
 
 async fn read_body(connection: &mut EndpointConnection, head: ResponseHead) -> Result<Response, HttpError> {
     let body = connection.http.response_body(&head, MAX_RESPONSE_BYTES).await?;
-    let response = Response { head, body };
+    let response = Response { head, body, memory: connection.http.end_response() };
     connection.history.record_complete(response_digest(&response));
     Ok(response)
 }
--- a/src/net/endpoint/received.rs
+++ b/src/net/endpoint/received.rs
@@ -104,11 +104,14 @@
     }
 
     /// Completes the response that was added last.
-    pub fn complete_last(&mut self, call: &Call, response: Response) {
+    pub fn complete_last(&mut self, call: &Call, mut response: Response) {
         let named = named_messages(call, &response, self.facts.earlier());
         if let Some((facts, received)) = self.facts.last_mut().zip(self.received.last_mut()) {
             facts.identity = ResponseIdentity::Complete(response_digest(&response));
             facts.named_messages = named;
+            if !names_messages(call, response.head.status) {
+                response.drop_body();
+            }
             received.response = Some(response);
         }
     }
@@ -163,6 +166,11 @@
         self.received.iter().filter_map(|received| received.retry_after).max()
     }
 
+    /// How many heads of responses were read.
+    pub fn len(&self) -> usize {
+        self.received.len()
+    }
+
     /// Whether no head of a response was read.
     pub fn is_empty(&self) -> bool {
         self.received.is_empty()
--- a/src/net/endpoint/response.rs
+++ b/src/net/endpoint/response.rs
@@ -1,5 +1,6 @@
 //! Reads an endpoint's response: the result of each attempt, the load report and the retry-after.
 
+use crate::memory::MemoryPermit;
 use crate::net::call::{AttemptResult, Call, CallResult};
 use crate::net::http::ResponseHead;
 use crate::{LoadReport, Micros, Outcome};
@@ -24,6 +25,15 @@
 pub(super) struct Response {
     pub head: ResponseHead,
     pub body: Vec<u8>,
+    /// The memory that the body holds; `None` if it is not bounded.
+    pub memory: Option<MemoryPermit>,
+}
+
+impl Response {
+    /// Drops the body, which says nothing about the messages of a call.
+    pub fn drop_body(&mut self) {
+        (self.body, self.memory) = (Vec::new(), None);
+    }
 }
 
 /// The retry-after in the head of a response, in microseconds. Values that are not finite or not positive are ignored.
--- a/src/net/http/body.rs
+++ b/src/net/http/body.rs
@@ -60,6 +60,7 @@
 
     async fn buffer_exactly(&mut self, length: usize) -> Result<Vec<u8>, HttpError> {
         if self.buffer.bytes().len() < length {
+            self.until_room_for(length).await?;
             self.buffer.reserve(length);
             self.receive_up_to(length).await?;
         }
@@ -68,9 +69,7 @@
 
     async fn receive_exactly(&mut self, length: usize) -> Result<Vec<u8>, HttpError> {
         self.receive_up_to(length.min(FIRST_PART_BYTES)).await?;
-        if let Some(bounds) = &mut self.bounds {
-            bounds.until_room_for(length).await;
-        }
+        self.until_room_for(length).await?;
         let mut body = Vec::with_capacity(length);
         let buffered = length.min(self.buffer.bytes().len());
         body.extend_from_slice(&self.buffer.bytes()[..buffered]);
@@ -106,22 +105,26 @@
                 return Ok(());
             }
             let end = body.len() + data_bytes as usize;
-            self.reserve_chunked(body, end, limit).await;
+            self.reserve_chunked(body, end, limit).await?;
             self.receive_chunk_data(body, end).await?;
         }
     }
 
     /// Makes room in a chunked body, whose length is not known, for `length` bytes: once for all that it may have, unless it is
     /// small.
-    async fn reserve_chunked(&mut self, body: &mut Vec<u8>, length: usize, limit: usize) {
+    async fn reserve_chunked(
+        &mut self,
+        body: &mut Vec<u8>,
+        length: usize,
+        limit: usize,
+    ) -> Result<(), HttpError> {
         if length <= body.capacity() {
-            return;
+            return Ok(());
         }
         let capacity = if length <= FIRST_PART_BYTES { FIRST_PART_BYTES.min(limit) } else { limit };
-        if let Some(bounds) = &mut self.bounds {
-            bounds.until_room_for(capacity).await;
-        }
+        self.until_room_for(capacity).await?;
         body.reserve_exact(capacity - body.len());
+        Ok(())
     }
 
     /// Receives the data of a chunk, up to the given length of the body, and the line end behind it.
@@ -149,7 +152,7 @@
                 return Err(HttpError::TooLarge);
             }
             match self.receive_body().await {
-                Err(HttpError::UnexpectedEnd) => return Ok(self.buffer.bytes().to_vec()),
+                Err(HttpError::UnexpectedEnd) => return Ok(self.buffer.take(self.buffer.bytes().len())),
                 received => received?,
             }
         }
--- a/src/net/http/connection.rs
+++ b/src/net/http/connection.rs
@@ -1,7 +1,9 @@
 //! A TCP connection with its receive buffer: receiving, writing, and detecting how the connection ends.
 
 use super::{Buffer, HttpError};
+use crate::memory::MemoryPermit;
 use crate::net::receive_bounds::ReceiveBounds;
+use crate::net::response_memory::ResponseMemory;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncRead, AsyncWriteExt};
 use std::io;
@@ -40,6 +42,8 @@
     pub stall_timeout: Option<Duration>,
     /// Bounds what is received from others that may send without measure; `None` for no bounds but those of each message.
     pub bounds: Option<Box<ReceiveBounds>>,
+    /// The memory of the responses that are received; `None` for no bounds but those of each response.
+    pub response_memory: Option<ResponseMemory>,
     /// When the socket was last found to have nothing to read.
     last_empty: Option<Instant>,
 }
@@ -51,7 +55,14 @@
         // slower.
         let _ = stream.get_ref().set_nodelay(true);
         let buffer = Buffer::default();
-        HttpConnection { stream, buffer, stall_timeout: None, bounds: None, last_empty: None }
+        HttpConnection {
+            stream,
+            buffer,
+            stall_timeout: None,
+            bounds: None,
+            response_memory: None,
+            last_empty: None,
+        }
     }
 
     /// The address of the other side; `None` if the socket is no longer connected.
@@ -99,16 +110,40 @@
     ///
     /// # Errors
     ///
-    /// Returns the socket's error.
+    /// Returns the socket's error, or [`io::ErrorKind::OutOfMemory`] if there is no memory for more of a response.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let held = self.buffer.bytes().len();
-        let room = match &mut self.bounds {
-            Some(bounds) => bounds.until_room_behind(held).await,
-            None => RECEIVE_BYTES,
-        };
+        let room = self.until_room().await?;
         self.receive(room, None).await
     }
 
+    /// Waits for the bounds of the connection until more may be received into the buffer; returns how many bytes.
+    async fn until_room(&mut self) -> io::Result<usize> {
+        let held = self.buffer.bytes().len();
+        if let Some(bounds) = &mut self.bounds {
+            return Ok(bounds.until_room_behind(held).await);
+        }
+        match &mut self.response_memory {
+            Some(memory) => memory.room_behind(held).map_err(|_| io::ErrorKind::OutOfMemory.into()),
+            None => Ok(RECEIVE_BYTES),
+        }
+    }
+
+    /// Waits for the bounds of the connection until a body may have `length` bytes.
+    pub(super) async fn until_room_for(&mut self, length: usize) -> Result<(), HttpError> {
+        if let Some(bounds) = &mut self.bounds {
+            bounds.until_room_for(length).await;
+        }
+        match &mut self.response_memory {
+            Some(memory) => memory.reserve(length).map_err(|_| HttpError::OutOfMemory),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the permit of the response that was read, if its memory is bounded, and begins to count for the next one.
+    pub fn end_response(&mut self) -> Option<MemoryPermit> {
+        self.response_memory.as_mut().map(ResponseMemory::end_response)
+    }
+
     /// Receives up to `limit` bytes into a body, or into the buffer if there is none, and returns their number, 0 at the end.
     pub(super) async fn receive(
         &mut self,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,7 @@
 pub mod platform;
 pub mod receive_bounds;
 pub mod request_ids;
+pub mod response_memory;
 pub mod route_stats;
 pub mod runtime;
 pub mod storage;
--- a/src/net/receive_bounds.rs
+++ b/src/net/receive_bounds.rs
@@ -86,10 +86,9 @@
 
     /// Returns the permit of the present request, and begins to count for the next one.
     pub fn end_request(&mut self) -> MemoryPermit {
-        let permit = self.memory.budget.empty_permit(MemoryUser::Requests);
         self.held.set(0);
         (self.reads, self.pause) = (0, Duration::ZERO);
-        std::mem::replace(&mut self.permit, permit)
+        self.permit.take()
     }
 
     /// Waits until the connection may hold more than the `held` bytes in its buffer; returns how many more.
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -221,7 +221,7 @@
     run_at(
         LEAST_MEMORY,
         "e2=2",
-        "e2 answers-all-without-end
+        "e2 answers-all-with endless-body
          honest-load 40 notice
          crowd stops-before-last-byte 900
          u1 sends 12 m dest=2 class=once
@@ -231,6 +231,41 @@
     );
 }
 
+/// Guards against responses that are kept without a bound: an endpoint that answered a given-up call with one after another took
+/// all memory within half a second.
+#[test]
+fn endpoints_whose_responses_do_not_end_take_no_memory_and_delay_no_honest_client() {
+    for spoilt in ["late-responses", "endless-head", "stopping-body"] {
+        run_at(
+            LEAST_MEMORY,
+            "e2=2",
+            &format!(
+                "e2 answers-all-with {spoilt}
+                 honest-load 40 notice
+                 u1 sends 12 m dest=2 class=notice deadline=4000m
+                 all-reported m*12
+                 honest-load-answered"
+            ),
+        );
+    }
+}
+
+/// Guards against time without end for copies of a response: each was compared with all before it.
+#[test]
+fn an_endpoint_that_repeats_its_response_without_end_delays_no_honest_client() {
+    run_at(
+        LEAST_MEMORY,
+        "e2=2",
+        "e2 answers-all-with copies
+         honest-load 40 notice
+         u1 sends 4 m dest=2 class=notice deadline=4000m
+         sleep 2000
+         u1 sends 4 n dest=2 class=notice deadline=4000m
+         sleep 3000
+         honest-load-answered",
+    );
+}
+
 /// Guards against freed memory that a process keeps.
 #[test]
 fn memory_that_a_crowd_took_is_given_back_after_it_has_gone() {
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -8,13 +8,7 @@
 const MEGABYTE: usize = 1_000_000;
 
 fn limits(memory_mb: usize, descriptors: usize, hands_over: bool) -> MemoryLimits {
-    MemoryLimits {
-        memory_bytes: memory_mb * MEGABYTE,
-        descriptors,
-        disk_bytes: 3_000_000,
-        concurrent_calls: 16,
-        hands_over,
-    }
+    MemoryLimits { memory_bytes: memory_mb * MEGABYTE, descriptors, disk_bytes: 3_000_000, hands_over }
 }
 
 /// What all users of a plan may hold together, besides the processes themselves.
--- a/tests/scenario/endpoint.rs
+++ b/tests/scenario/endpoint.rs
@@ -4,12 +4,12 @@
 use super::sockets::{
     bound_socket, listen, local_address, read_message, serve_connections, write, STEP_TIMEOUT,
 };
+use super::spoilt_response::SpoiltResponse;
 use super::trace::trace;
 use socket2::Socket;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -43,19 +43,21 @@
     automatic_responses: Arc<AutomaticResponses>,
 }
 
-/// The beginning of a response whose body does not end.
-const ENDLESS_RESPONSE: &[u8] = b"HTTP/1.1 500 No\r\n\r\n";
-/// What is written of such a body at a time, in bytes.
-const ENDLESS_RESPONSE_PART: usize = 16 * 1024;
+/// What an endpoint responds to each call without a line of the script.
+#[derive(Clone, Copy)]
+enum AutomaticResponse {
+    /// Responds with a 200.
+    Delivered,
+    /// Responds in this way, until the forwarder has closed the connection.
+    Spoilt(SpoiltResponse),
+}
 
-/// Whether an endpoint responds to each call without a line of the script, and what calls got such a response.
+/// The automatic response of an endpoint, and what calls got a 200 of it.
 #[derive(Default)]
 struct AutomaticResponses {
-    /// Each call gets a 200.
-    enabled: AtomicBool,
-    /// Each call gets a response that does not end.
-    endless: AtomicBool,
-    /// How many of these calls had a message, by its request id.
+    /// The response to each call; `None` if the script says it.
+    response: Mutex<Option<AutomaticResponse>>,
+    /// How many calls that got a 200 had a message, by its request id.
     calls: Mutex<BTreeMap<String, usize>>,
 }
 
@@ -116,19 +118,19 @@
                 };
                 trace(format_args!("call at {address} with {ids:?}"));
                 let mut stream = stream.try_clone().expect("a handle");
-                if automatic_responses.endless.load(Ordering::SeqCst) {
-                    return write_without_end(&mut stream);
-                }
-                if automatic_responses.enabled.load(Ordering::SeqCst) {
-                    let mut calls = automatic_responses.calls.lock().expect("unpoisoned");
-                    ids.into_iter().for_each(|id| *calls.entry(id).or_default() += 1);
-                    drop(calls);
-                    // The write fails if the forwarder has closed the connection; it then retries the call.
-                    let _ = write(&mut stream, DELIVERED_RESPONSE);
-                    continue;
+                let automatic_response = *automatic_responses.response.lock().expect("unpoisoned");
+                match automatic_response {
+                    Some(AutomaticResponse::Spoilt(spoilt)) => return spoilt.write_until_closed(&mut stream),
+                    Some(AutomaticResponse::Delivered) => {
+                        let mut calls = automatic_responses.calls.lock().expect("unpoisoned");
+                        ids.into_iter().for_each(|id| *calls.entry(id).or_default() += 1);
+                        drop(calls);
+                        // The write fails if the forwarder has closed the connection; it then retries the call.
+                        let _ = write(&mut stream, DELIVERED_RESPONSE);
+                    }
+                    // Sending fails if the scenario has ended.
+                    None => drop(call_sender.lock().expect("unpoisoned").send(Call { ids, stream })),
                 }
-                // Sending fails if the scenario has ended.
-                let _ = call_sender.lock().expect("unpoisoned").send(Call { ids, stream });
             }
         });
     }
@@ -163,8 +165,11 @@
                 let text = unescape(text_after(rest, id));
                 self.call_connection(id).write_all(text.as_bytes()).expect("written");
             }
-            ["answers-all"] => self.automatic_responses.enabled.store(true, Ordering::SeqCst),
-            ["answers-all-without-end"] => self.automatic_responses.endless.store(true, Ordering::SeqCst),
+            ["answers-all"] => self.answer_all(AutomaticResponse::Delivered),
+            ["answers-all-with", name] => {
+                let spoilt = SpoiltResponse::named(name).expect("a kind of spoilt response");
+                self.answer_all(AutomaticResponse::Spoilt(spoilt));
+            }
             ["close", id] => {
                 let stream = self.call_connections.remove(*id).expect("the call was expected before");
                 stream.shutdown(Shutdown::Both).expect("open");
@@ -177,6 +182,10 @@
         }
     }
 
+    fn answer_all(&self, response: AutomaticResponse) {
+        *self.automatic_responses.response.lock().expect("unpoisoned") = Some(response);
+    }
+
     /// Whether the endpoint has responded to a call of this message automatically.
     pub fn has_responded_automatically(&self, id: &str) -> bool {
         self.automatic_calls(id) > 0
@@ -224,14 +233,6 @@
     }
 }
 
-/// Writes a response that does not end, until the forwarder has closed the connection.
-fn write_without_end(stream: &mut TcpStream) {
-    let mut written = stream.write_all(ENDLESS_RESPONSE);
-    while written.is_ok() {
-        written = stream.write_all(&[b'x'; ENDLESS_RESPONSE_PART]);
-    }
-}
-
 /// Returns the request ids in the body of a call with several messages.
 fn batch_ids(mut body: &[u8]) -> Vec<String> {
     let mut ids = Vec::new();
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -95,7 +95,7 @@
 //! | `e1 send-raw m1 TEXT`, `e1 close m1` | writes the text to the connection of that call; closes the connection |
 //! | `e1 open` | lets a closed or stalled endpoint accept connections |
 //! | `e1 answers-all` | from here on the endpoint itself responds to each call with a 200 |
-//! | `e1 answers-all-without-end` | it responds to each call with a 500 whose body does not end |
+//! | `e1 answers-all-with copies` | it responds to each call with a kind of `scenario/spoilt_response.rs` |
 //! | `all-delivered` | waits until such endpoints have received all messages of `sends-until-accepted` |
 //!
 //! # Platform
@@ -225,6 +225,7 @@
 mod script;
 mod settings;
 mod sockets;
+mod spoilt_response;
 mod trace;
 
 use environment::TestEnvironment;
