Share the names of listed endpoints and keep their admission state beside the tree

A long endpoint list took 2.9 KB for each endpoint: its id eight times as a text of its own, and two admission states in half-filled tree nodes. The texts are shared now and the states boxed.

--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -3,6 +3,7 @@
 use crate::{DestinationId, EndpointId, KindId, Lifecycle, Micros, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// The state of an entry according to its source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -35,9 +36,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EntryKey {
     /// The application in the registry; empty for a source without groups.
-    pub group: String,
+    pub group: Arc<str>,
     /// The id within the group.
-    pub id: String,
+    pub id: Arc<str>,
 }
 
 /// An entry as its source lists it.
--- a/src/membership/merged_list.rs
+++ b/src/membership/merged_list.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Identifies an endpoint across updates: as long as the identity is the same, the endpoint keeps its number.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -16,7 +17,7 @@
     ByKey(SourceId, EntryKey),
     /// The id and the address of an entry.
     #[serde(rename = "Placed")]
-    ByAddress(SocketAddr, String),
+    ByAddress(SocketAddr, Arc<str>),
 }
 
 /// The part of the hand-over state with the endpoint list: the numbers of the endpoints and the view of each source.
@@ -101,17 +102,17 @@
     }
 
     fn lists_id(&self, id: &str) -> bool {
-        self.published.values().any(|change| change.listing.key.id == id)
+        self.published.values().any(|change| *change.listing.key.id == *id)
     }
 
     fn changes_of_id(&self, id: &str, reason: &'static str) -> Vec<MembershipChange> {
-        let entries = self.published.values().filter(|change| change.listing.key.id == id);
+        let entries = self.published.values().filter(|change| *change.listing.key.id == *id);
         entries.map(|change| MembershipChange { reason, ..self.with_cordon(change) }).collect()
     }
 
     /// Applies the cordons to a change: a listed endpoint whose id is cordoned drains.
     pub(super) fn with_cordon(&self, change: &MembershipChange) -> MembershipChange {
-        match self.cordons.get(&change.listing.key.id) {
+        match self.cordons.get(&*change.listing.key.id) {
             Some(since) if change.lifecycle == Lifecycle::Listed => MembershipChange {
                 lifecycle: Lifecycle::Draining,
                 observed_at: *since,
--- a/src/net/platform/endpoint_list/decode.rs
+++ b/src/net/platform/endpoint_list/decode.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Why a version of the list, or one of its entries, cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -196,7 +197,7 @@
         let zone = required_text(self.zone, "zone")?;
         let zone = index_of(&names.zones, &zone, "zone")?;
         Ok(Listing {
-            key: EntryKey { group: String::new(), id },
+            key: EntryKey { group: Arc::default(), id: id.into() },
             address,
             destination: DestinationId(required_integer(self.cell, "cell")?),
             zone: ZoneId(zone),
--- a/src/net/platform/endpoint_list/drain_log.rs
+++ b/src/net/platform/endpoint_list/drain_log.rs
@@ -67,7 +67,7 @@
         self.endpoint_table.record_drain(&state);
         let ms_after = |at: Option<Micros>| at.map(|at| (at as f64 - received_at as f64) / 1e3);
         info!(self.log, "endpoint left"; "endpoint" => change.endpoint.0,
-            "id" => &change.listing.key.id, "lifecycle" => ?change.lifecycle, "received_at" => received_at,
+            "id" => &*change.listing.key.id, "lifecycle" => ?change.lifecycle, "received_at" => received_at,
             "observed_ms" => ms_after(state.drain_observed_at),
             "last_byte_ms" => ms_after(state.last_first_byte_at));
     }
--- a/src/net/platform/endpoint_list/publish.rs
+++ b/src/net/platform/endpoint_list/publish.rs
@@ -103,7 +103,7 @@
         for change in changes.iter().filter(|change| !is_large || change.lifecycle != Lifecycle::Listed) {
             let source = self.membership.source_name(change.source);
             info!(self.context.log, "endpoint list changed"; "endpoint" => change.endpoint.0,
-                "id" => &change.listing.key.id, "address" => %change.listing.address,
+                "id" => &*change.listing.key.id, "address" => %change.listing.address,
                 "lifecycle" => ?change.lifecycle, "why" => change.reason, "source" => source,
                 "received_at" => change.observed_at);
             if change.lifecycle != Lifecycle::Listed {
--- a/src/net/platform/eureka/cache.rs
+++ b/src/net/platform/eureka/cache.rs
@@ -130,7 +130,7 @@
 }
 
 fn entry_key(instance: &Instance) -> EntryKey {
-    EntryKey { group: instance.app.clone(), id: instance.id.clone() }
+    EntryKey { group: instance.app.as_str().into(), id: instance.id.as_str().into() }
 }
 
 fn entry_state(instance: &Instance) -> EntryState {
--- a/src/net/platform/eureka/mod.rs
+++ b/src/net/platform/eureka/mod.rs
@@ -143,7 +143,7 @@
     increment(if kind == PollKind::Delta { &counts.deltas } else { &counts.complete });
     counts.address.set(address);
     for entry in &answer.unusable_entries {
-        info!(context.log, "registry entry ignored"; "app" => &entry.key.group, "id" => &entry.key.id,
+        info!(context.log, "registry entry ignored"; "app" => &*entry.key.group, "id" => &*entry.key.id,
             "reason" => %entry.reason);
     }
     counts.unusable_entries.set(registry.unusable_entry_count());
--- a/src/net/platform/eureka/snapshot.rs
+++ b/src/net/platform/eureka/snapshot.rs
@@ -146,7 +146,7 @@
 impl From<StoredEntry> for Listing {
     fn from(entry: StoredEntry) -> Self {
         Listing {
-            key: EntryKey { group: entry.app, id: entry.id },
+            key: EntryKey { group: entry.app.into(), id: entry.id.into() },
             address: entry.address,
             destination: DestinationId(entry.destination),
             zone: ZoneId(entry.zone),
@@ -161,8 +161,8 @@
 impl From<&Listing> for StoredEntry {
     fn from(listing: &Listing) -> Self {
         StoredEntry {
-            app: listing.key.group.clone(),
-            id: listing.key.id.clone(),
+            app: listing.key.group.to_string(),
+            id: listing.key.id.to_string(),
             address: listing.address,
             destination: listing.destination.0,
             zone: listing.zone.0,
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -52,7 +52,7 @@
             lifecycle_of(&entry.endpoint) == Lifecycle::Draining && entry.lifecycle == Lifecycle::Listed;
         let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
             entry: entry.clone(),
-            admission: AdmissionControl::new(now),
+            admission: Box::new(AdmissionControl::new(now)),
             last_used_at: 0,
             has_idle_connection: false,
         });
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -19,7 +19,8 @@
     let destination_id = endpoint.as_ref().map(|e| e.entry.destination);
     let destination = destination_id.and_then(|d| destinations.get_mut(&d));
     let with_shared_breaker = destination.filter(|d| !d.per_endpoint_breaker);
-    endpoint.map(|e| &mut e.admission).into_iter().chain(with_shared_breaker.map(|d| &mut d.admission))
+    let of_endpoint = endpoint.map(|e| e.admission.as_mut());
+    of_endpoint.into_iter().chain(with_shared_breaker.map(|d| d.admission.as_mut()))
 }
 
 impl DeliveryPolicy {
--- a/src/policy/records.rs
+++ b/src/policy/records.rs
@@ -30,7 +30,7 @@
 pub(super) struct Endpoint {
     pub(super) entry: EndpointEntry,
     #[serde(rename = "breaker")]
-    pub(super) admission: AdmissionControl,
+    pub(super) admission: Box<AdmissionControl>,
     /// When a call was last sent to it; 0 if none was.
     #[serde(rename = "last_used")]
     pub(super) last_used_at: Micros,
@@ -51,7 +51,7 @@
     pub(super) messages_per_call: usize,
     pub(super) endpoints: Vec<EndpointId>,
     #[serde(rename = "breaker")]
-    pub(super) admission: AdmissionControl,
+    pub(super) admission: Box<AdmissionControl>,
     /// The messages that wait to be sent to it.
     pub(super) waiting: Vec<MessageId>,
     /// The number of its last dispatch. The destination with the lowest number is served first.
@@ -218,7 +218,7 @@
 ) -> &mut Destination {
     let fresh = || Destination {
         messages_per_call: 1,
-        admission: AdmissionControl::new(now),
+        admission: Box::new(AdmissionControl::new(now)),
         ..Destination::default()
     };
     destinations.entry(id).or_insert_with(fresh)
--- a/tests/endpoint_list_decoding.rs
+++ b/tests/endpoint_list_decoding.rs
@@ -27,7 +27,7 @@
     let patch = decode(&format!(r#"{{"generation":5,"instances":[{ACTIVE}]}}"#)).expect("a list");
     assert_eq!((patch.generation, patch.complete, patch.unusable_entries.len()), (5, false, 0));
     let listing = &patch.listings[0];
-    assert_eq!((listing.key.id.as_str(), listing.address.to_string()), ("a:1", "10.0.0.1:80".into()));
+    assert_eq!((&*listing.key.id, listing.address.to_string()), ("a:1", "10.0.0.1:80".into()));
     assert_eq!((listing.destination.0, listing.zone.0, listing.kind.0), (7, 1, 0));
     assert_eq!((listing.weight, listing.state), (2.5, EntryState::Up));
     let complete = decode(r#"{"generation":6,"reset":true,"instances":[]}"#).expect("a list");
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -55,7 +55,7 @@
 /// The ids of the listed endpoints, sorted.
 fn listed_ids(membership: &Membership) -> Vec<String> {
     let listed = membership.endpoints().filter(|change| change.lifecycle == Lifecycle::Listed);
-    let mut ids: Vec<String> = listed.map(|change| change.listing.key.id.clone()).collect();
+    let mut ids: Vec<String> = listed.map(|change| change.listing.key.id.to_string()).collect();
     ids.sort();
     ids
 }
@@ -386,7 +386,7 @@
                 5 | 6 => {
                     let replica = history[history.len().saturating_sub(1 + lag)].clone();
                     for listing in replica.values() {
-                        let newest = received.entry(listing.key.id.clone()).or_insert((0, EntryState::Up));
+                        let newest = received.entry(listing.key.id.to_string()).or_insert((0, EntryState::Up));
                         if listing.stamp > newest.0 { *newest = (listing.stamp, listing.state); }
                     }
                     membership.apply(now, REGISTRY, complete(replica.into_values().collect()));
@@ -400,11 +400,11 @@
                         match listing {
                             _ if lost && instance % 2 == 0 => {}
                             Some(listing) => {
-                                let newest = received.entry(listing.key.id.clone()).or_insert((0, EntryState::Up));
+                                let newest = received.entry(listing.key.id.to_string()).or_insert((0, EntryState::Up));
                                 if listing.stamp > newest.0 { *newest = (listing.stamp, listing.state); }
                                 listings.push(listing.clone());
                             }
-                            None => removed.push((EntryKey { group: "A".into(), id: format!("i{instance}") }, *stamp)),
+                            None => removed.push((EntryKey { group: "A".into(), id: format!("i{instance}").into() }, *stamp)),
                         }
                     }
                     membership.apply(now, REGISTRY, SourceUpdate::Patch { listings, removed });
@@ -412,7 +412,7 @@
                 _ => {}
             }
             for change in membership.endpoints().filter(|change| change.lifecycle == Lifecycle::Listed) {
-                let (stamp, state) = received[&change.listing.key.id];
+                let (stamp, state) = received[&*change.listing.key.id];
                 prop_assert!(
                     state == EntryState::Up || stamp < change.listing.stamp,
                     "{} drained and is listed",
@@ -429,7 +429,7 @@
         let mut expected: Vec<String> = registry
             .values()
             .filter(|listing| listing.state == EntryState::Up)
-            .map(|listing| listing.key.id.clone())
+            .map(|listing| listing.key.id.to_string())
             .collect();
         expected.sort();
         prop_assert_eq!(listed_ids(&membership), expected);
--- a/tests/registry_snapshot.rs
+++ b/tests/registry_snapshot.rs
@@ -13,7 +13,7 @@
     let snapshot = RegistrySnapshot::new(&folder);
     assert!(snapshot.read().expect("nothing yet").is_none());
     let listing = |port: u16, state| Listing {
-        key: EntryKey { group: "APP".into(), id: format!("i{port}") },
+        key: EntryKey { group: "APP".into(), id: format!("i{port}").into() },
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         destination: DestinationId(u64::from(port)),
         zone: ZoneId(0),
--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -150,7 +150,7 @@
 fn the_stored_registry_snapshot_is_read() {
     let snapshot = RegistrySnapshot::new(&data_path("")).read().expect("sound").expect("there");
     let listing = |n: u16, state| Listing {
-        key: EntryKey { group: "PARTNER".into(), id: format!("partner-{n}") },
+        key: EntryKey { group: "PARTNER".into(), id: format!("partner-{n}").into() },
         address: ([127, 0, 0, 1], n).into(),
         destination: DestinationId(u64::from(n)),
         zone: ZoneId(1),
