--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -22,15 +22,20 @@
 const DEADLINE: Duration = Duration::from_secs(28);
 /// A message is lost if it has no end 300 ms after its time, and every time limit is 50 ms longer.
 const SLACK: Duration = Duration::from_millis(350);
-/// The clump for the partner that hangs.
+/// The calls a second that the partner with the clump takes, and the clump: as many as it takes in 1.9 s.
+const RATE: u64 = 15;
 const CLUMP: u64 = 28;
 const CLUMP_BODY: usize = 60_000;
 /// The other messages, handed in one after the other.
-const OTHERS: u64 = 120;
+const OTHERS: u64 = 160;
 const OTHER_BODY: usize = 30_000;
 
 type Times = Arc<Mutex<BTreeMap<String, Instant>>>;
 
+fn rate_of(name: &str) -> u64 {
+    if name == "endpoint-1" { RATE } else { 60 }
+}
+
 fn endpoint(record: &Record, name: &'static str, hangs: Switch, delivered: Times) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("its address");
@@ -49,7 +54,7 @@
             thread::sleep(Duration::from_millis(40));
             // The share of the limit that is left, as it is just now.
             let share = (record.seconds() * 1e6) as u64 % 999_983;
-            let load = format!("X-Load: x0=0.{share:06},x1=60");
+            let load = format!("X-Load: x0=0.{share:06},x1={}", rate_of(name));
             if stream.write_all(format!("HTTP/1.1 200 OK\r\n{load}\r\nContent-Length: 0\r\n\r\n").as_bytes()).is_err() {
                 return;
             }
@@ -88,7 +93,7 @@
         .into_iter()
         .map(|(name, cell, hangs)| {
             let address = endpoint(&record, name, hangs, delivered.clone());
-            instance(name, address, "small-partner", cell)
+            instance(name, address, "small-partner", cell).replace("60.0", &format!("{}.0", rate_of(name)))
         })
         .collect();
     let platform = Platform::start(&record, instances.join(","));
@@ -114,7 +119,7 @@
     let mut forwarder = Forwarder::start(&config, listen, &temporary.0, "forwarder.log");
     if !forwarder.until_ready(Duration::from_secs(30)) {
         record.say("could not run: the forwarder is not ready");
-        std::process::exit(2);
+        finish(2);
     }
     let accepted: Arc<Mutex<BTreeMap<String, Instant>>> = Arc::default();
     let hand_in_one = |id: String, destination: u64, length: usize, seed: u64| {
@@ -141,7 +146,7 @@
         forwarder = Forwarder::start(&config, listen, &temporary.0, "forwarder.log");
         if !forwarder.until_ready(Duration::from_secs(30)) {
             record.say("could not run: the forwarder is not ready again");
-            std::process::exit(2);
+            finish(2);
         }
     }
     for number in 0..CLUMP {
@@ -166,7 +171,7 @@
     }
     stop.set(true);
     let _ = observer.join();
-    let has_crashed = !matches!(forwarder.child.try_wait(), Ok(None));
+    let has_crashed = forwarder.has_ended();
     forwarder.kill();
     let accepted = accepted.lock().unwrap();
     let without_end = accepted.keys().filter(|id| !has_end(id)).count();
@@ -186,7 +191,7 @@
     record.say(if is_broken { "BROKEN: the folder held more than disk_mb" } else { "held" });
     drop(forwarder);
     drop(temporary);
-    std::process::exit(i32::from(is_broken));
+    finish(i32::from(is_broken));
 }
 
 fn config_json(listen: SocketAddr, platform: SocketAddr, state: &Path, instances: &str) -> String {
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -99,7 +99,7 @@
 
 fn could_not_run(record: &Record, reason: &str) -> ! {
     record.say(format!("could not run: {reason}"));
-    std::process::exit(2);
+    finish(2);
 }
 
 fn main() {
@@ -165,10 +165,10 @@
         }
         record.line("it is ready");
     }
-    while terminated_at.elapsed() < Duration::from_millis(3_700) && matches!(old.child.try_wait(), Ok(None)) {
+    while terminated_at.elapsed() < Duration::from_millis(3_700) && !old.has_ended() {
         thread::sleep(Duration::from_millis(10));
     }
-    record.line(format!("the old process has ended by itself: {}", !matches!(old.child.try_wait(), Ok(None))));
+    record.line(format!("the old process has ended by itself: {}", old.has_ended()));
     old.kill();
     let has_end = |id: &String| {
         seen.lock().unwrap().delivered.contains_key(id) || platform.reports.lock().unwrap().contains_key(id)
@@ -185,7 +185,7 @@
     let is_broken = !copies.is_empty();
     record.say(if is_broken { "BROKEN: two attempts of a message were out together" } else { "held" });
     drop((old, new, temporary));
-    std::process::exit(i32::from(is_broken));
+    finish(i32::from(is_broken));
 }
 
 fn config_json(listen: SocketAddr, operator: SocketAddr, platform: SocketAddr, state: &Path, instances: &str) -> String {
--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -22,6 +22,27 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// How long a case may run at most. After that it ends what it started and could not run.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// The processes that were started and not waited for yet.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The temporary folder of the case.
+static TEMPORARY: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Ends all processes that the case started, removes its temporary folder and exits.
+pub fn finish(code: i32) -> ! {
+    for id in STARTED.lock().unwrap().drain(..) {
+        // SAFETY: the call has no memory effects; the process is a child that was not waited for yet.
+        unsafe { kill(id as i32, SIGKILL) };
+    }
+    if let Some(folder) = TEMPORARY.lock().unwrap().take() {
+        thread::sleep(Duration::from_millis(50));
+        let _ = fs::remove_dir_all(folder);
+    }
+    std::process::exit(code)
+}
+
 /// The record of a case: each line has the seconds since the start in front.
 #[derive(Clone)]
 pub struct Record {
@@ -32,6 +53,15 @@
 impl Record {
     pub fn create(folder: &Path) -> Self {
         let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
+        std::panic::set_hook(Box::new(|info| {
+            eprintln!("could not run: {info}");
+            finish(2);
+        }));
+        thread::spawn(|| {
+            thread::sleep(TIME_LIMIT);
+            println!("could not run: it took too long");
+            finish(2);
+        });
         Record { started_at: Instant::now(), file: Arc::new(Mutex::new(file)) }
     }
 
@@ -242,6 +272,7 @@
             .stderr(Stdio::from(log))
             .spawn()
             .expect("the forwarder starts");
+        STARTED.lock().unwrap().push(child.id());
         Forwarder { child, listen }
     }
 
@@ -262,10 +293,27 @@
         false
     }
 
-    /// Kills the process and waits for its end.
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            self.forget();
+        }
+        has_ended
+    }
+
+    /// Kills the process, unless it has ended, and waits for its end.
     pub fn kill(&mut self) {
-        self.signal(SIGKILL);
-        let _ = self.child.wait();
+        if !self.has_ended() {
+            self.signal(SIGKILL);
+            self.forget();
+            let _ = self.child.wait();
+        }
+    }
+
+    fn forget(&self) {
+        let id = self.child.id();
+        STARTED.lock().unwrap().retain(|started| *started != id);
     }
 
     /// Ends the process as a planned restart does: SIGTERM, and SIGKILL after 3.7 s.
@@ -273,7 +321,7 @@
         self.signal(SIGTERM);
         let started = Instant::now();
         while started.elapsed() < Duration::from_millis(3700) {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
+            if self.has_ended() {
                 return;
             }
             thread::sleep(Duration::from_millis(10));
@@ -284,8 +332,7 @@
 
 impl Drop for Forwarder {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -349,6 +396,7 @@
         let path = std::env::temp_dir().join(format!("cedarbridge-review-{name}-{}", std::process::id()));
         let _ = fs::remove_dir_all(&path);
         fs::create_dir_all(path.join("state")).expect("a temporary folder");
+        *TEMPORARY.lock().unwrap() = Some(path.clone());
         TemporaryFolder(path)
     }
 
