Hand-over: fence the calls of a process that has lost its successor

No message was lost.

Cause: hand_over releases the lock `owner` for good, and the calls in flight stay with the old process for up to 3.2 s. Once the successor is gone, nothing says that somebody still calls: the next start reads the free lock as "nobody acts here", and takes a journaled attempt for one whose process has ended.

Change: before a process sends its state to a successor, it writes its attempts in flight into a fence, a file of the state folder that it keeps locked until it ends; the kernel releases the lock at a kill. A process that restores such an attempt keeps its message outside the policy until the result is known, the fence is released, or the deadline is over (then it is reported as failed). Nothing else waits. The process that lost its successor keeps the results and gives them to the next one that asks (POST /admin/calls with the fence's token). For a predecessor of a release without fences its successor writes a substitute; there the operator address shows whether it still runs.

Related paths: kills at any moment of the successor's start, several in a row, before and after SIGTERM; a frozen process; a middle process of a chain that dies (its end was taken for the end of the first one's calls); a process that waits and hands over itself; waits, rejections and copies in the results. Writes and reports of a process that has handed over were read through: there are none.

--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -128,6 +128,11 @@
         self.shrink_to_limit();
     }
 
+    /// Whether a further file of this size in bytes fits into the folder.
+    pub fn has_space_for_file(&self, bytes: u64) -> bool {
+        self.log.fits_without_compaction(bytes)
+    }
+
     /// Compacts the journal if the folder holds more than its limit, as after a start with a lower one. Does nothing while the
     /// journal is paused or failing.
     pub fn shrink_to_limit(&mut self) {
--- a/src/net/call.rs
+++ b/src/net/call.rs
@@ -176,7 +176,7 @@
 
 /// The completion of a call. A predecessor sends it to its successor as well: the monotonic clock shows the same time in
 /// all processes of a machine.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub struct CallCompletion {
     /// The endpoint that was called.
     pub endpoint: EndpointId,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,6 +4,7 @@
 use crate::journal::FolderLimit;
 use crate::membership::RegistrySettings;
 use crate::memory::{MemoryLimits, MemoryPlan, TooLittleMemory};
+use crate::net::handover::fence;
 use crate::net::platform::eureka::snapshot::RegistrySnapshot;
 use crate::settings_json::{
     bytes_from_mb, decode_settings, forwarder_index, micros_from_ms, optional_field, required,
@@ -23,10 +24,10 @@
 pub const MAX_OPERATOR_CONNECTIONS: usize = 16;
 /// The memory limit of a configuration without one, in bytes.
 pub const DEFAULT_MEMORY_BYTES: usize = 192_000_000;
-/// Bytes of the state folder that are reserved for the files of the cordons and of the owner's address. Each update
-/// writes a new file beside the old one.
+/// Bytes of the state folder that are reserved for the files of the cordons, of the owner's address and of the fences. Each
+/// update of the cordons writes a new file beside the old one.
 pub const OPERATOR_FILES_RESERVE_BYTES: u64 = 32 * 1024;
-/// The files that use [`OPERATOR_FILES_RESERVE_BYTES`].
+/// The files that use [`OPERATOR_FILES_RESERVE_BYTES`], besides the fences.
 const OPERATOR_FILE_NAMES: [&str; 4] = ["owner", "next", "cordons", "cordons.new"];
 
 /// The configuration of a process, decoded and checked.
@@ -338,6 +339,7 @@
         if self.operator_address.is_some() {
             limit.reserved_bytes += OPERATOR_FILES_RESERVE_BYTES;
             limit.reserved_files.extend(OPERATOR_FILE_NAMES);
+            limit.reserved_files.extend(fence::file_names());
         }
         limit
     }
--- a/src/net/delivery/actor.rs
+++ b/src/net/delivery/actor.rs
@@ -1,13 +1,12 @@
 //! The state of the delivery actor and the loop that reads its mailbox.
 
 use super::endpoints::Endpoints;
+use super::fenced::{FencedAttempts, FencedMessage};
 use super::unconfirmed_ends::UnconfirmedEnd;
 use crate::net::call::AttemptId;
 use crate::net::handover::{self, frames::PolicyTimer};
 use crate::net::in_flight::InFlightMessage;
-use crate::net::messages::{
-    DeliveryMessage, DeliveryReport, EndSettlement, EndpointListMessage, SubmitReply, Successor,
-};
+use crate::net::messages::{DeliveryMessage, DeliveryReport, EndpointListMessage, SubmitReply, Successor};
 use crate::net::{operator, Context};
 use crate::settings_json::Names;
 use crate::{DeliveryPolicy, EndpointId, Event, MessageId, Micros};
@@ -76,6 +75,12 @@
     /// The attempts in flight at the predecessor and their endpoints. They include attempts of ended messages, because
     /// the policy expects an [`Event::AttemptEnded`] for each.
     pub(super) predecessor_attempts: BTreeMap<AttemptId, EndpointId>,
+    /// Whether the predecessor still forwards the completions of its calls.
+    pub(super) predecessor_connected: bool,
+    /// The attempts that may be in flight at earlier processes that still run.
+    pub(super) fenced_attempts: FencedAttempts,
+    /// The messages that wait for such an attempt. The policy does not know them yet.
+    pub(super) fenced: BTreeMap<MessageId, FencedMessage>,
     /// Messages received from each tenant, including rejected ones; a hand-over passes the counts on.
     pub(super) received_by_tenant: Vec<u64>,
 }
@@ -108,6 +113,9 @@
             stopped: false,
             successor: None,
             predecessor_attempts: BTreeMap::new(),
+            predecessor_connected: false,
+            fenced_attempts: FencedAttempts::default(),
+            fenced: BTreeMap::new(),
         }
     }
 
@@ -203,15 +211,15 @@
                 };
                 self.context.executor.spawn(perform_command).detach();
             }
-            // The calls in flight at the predecessor have no result any more. They are completed with an outcome that
-            // says that they may have run.
             DeliveryMessage::PredecessorGone => {
-                for completion in self.take_lost_calls() {
-                    let unsettled = completion.unconfirmed_messages();
-                    self.call_completed(completion);
-                    self.settle_ends(unsettled, EndSettlement::Unsettled).await;
-                }
+                self.predecessor_connected = false;
+                self.complete_lost_calls().await;
             }
+            DeliveryMessage::FencedCalls { fence, frame } => self.handle_fenced_calls(&fence, frame).await,
+            DeliveryMessage::FenceReleased { fence } => self.fence_released(&fence).await,
+            DeliveryMessage::FencedExpired { id } => self.fenced_expired(id).await,
+            // This process decides, so nobody else needs its calls: dropping the connection says so.
+            DeliveryMessage::WatchCalls(_) => {}
             // The line is for a successor, and there is none: this process was not replaced.
             DeliveryMessage::ListLine(_) => {}
             // This only wakes the actor; the next step reads the journal's status.
--- a/src/net/delivery/attempts.rs
+++ b/src/net/delivery/attempts.rs
@@ -239,7 +239,7 @@
 }
 
 /// Whether the outcome proves that the endpoint did not run the attempt.
-fn never_ran(outcome: Outcome) -> bool {
+pub(super) fn never_ran(outcome: Outcome) -> bool {
     matches!(
         outcome,
         Outcome::Rejected(_) | Outcome::ConnectFailed | Outcome::NotSent | Outcome::NotJournaled
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -8,9 +8,10 @@
 use crate::net::handover::frames::{HandOverAttempt, HandOverMessage, HandOverState};
 use crate::net::handover::FrameSender;
 use crate::net::in_flight::InFlightMessage;
+use crate::net::messages::EndSettlement;
 use crate::{DeliveryPolicy, EndpointId, Event, Outcome, Settings};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl DeliveryActor {
     /// The state that is sent to a successor. Must be called just after a step, when no events wait for the policy.
@@ -45,6 +46,14 @@
         }
     }
 
+    /// The attempts in flight at this process and at its predecessors.
+    pub fn attempts_in_flight(&self) -> BTreeSet<AttemptId> {
+        let own = self.messages.iter().filter_map(|(id, open)| {
+            open.attempt.as_ref().map(|attempt| AttemptId { message: *id, number: attempt.number })
+        });
+        own.chain(self.predecessor_attempts.keys().copied()).collect()
+    }
+
     /// Resumes the predecessor's work from its state and the journal. Messages that only the journal has are restored
     /// as after a restart. Returns the endpoint list of the state.
     pub async fn resume_from(
@@ -54,6 +63,7 @@
         predecessor: &FrameSender,
         settings: Settings,
     ) -> MembershipSnapshot {
+        self.predecessor_connected = true;
         self.last_id = self.last_id.max(state.last_id);
         self.timers = state.timers.iter().copied().map(Reverse).collect();
         if state.received_by_tenant.len() == self.received_by_tenant.len() {
@@ -110,13 +120,30 @@
         self.context.counters.inherited.increment();
     }
 
+    /// Completes the calls of predecessors that are gone, as they have no result any more.
+    pub(super) async fn complete_lost_calls(&mut self) {
+        for completion in self.take_lost_calls() {
+            self.complete_at_predecessor(completion).await;
+        }
+    }
+
+    /// Completes a call of a predecessor that is gone. Nothing confirms the ends of its messages any more.
+    pub(super) async fn complete_at_predecessor(&mut self, completion: CallCompletion) {
+        let unsettled = completion.unconfirmed_messages();
+        self.call_completed(completion);
+        self.settle_ends(unsettled, EndSettlement::Unsettled).await;
+    }
+
     /// Returns a completion for each attempt that was in flight at a predecessor that is gone, and forgets these
-    /// attempts. If the predecessor had read an end of the message, the message ends unconfirmed. Otherwise the outcome says
+    /// attempts. Those that a fence names are kept, as their process still runs. If the predecessor had read an end of the message, the message ends unconfirmed. Otherwise the outcome says
     /// that the attempt may have run. It blames the connection instead of the endpoint, because the failure must not
     /// contribute to an ejection.
     pub fn take_lost_calls(&mut self) -> Vec<CallCompletion> {
         let decided_at = self.context.clock.now();
-        let lost = std::mem::take(&mut self.predecessor_attempts);
+        let attempts = std::mem::take(&mut self.predecessor_attempts);
+        let (fenced, lost): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            attempts.into_iter().partition(|(attempt, _)| self.fenced_attempts.contains(*attempt));
+        self.predecessor_attempts = fenced;
         let completion = |(attempt, endpoint): (AttemptId, EndpointId)| {
             let open = self.messages.get(&attempt.message);
             let result = match open.is_some_and(|open| open.message.is_end_read()) {
@@ -132,6 +159,8 @@
     /// process.
     pub fn step_down(&mut self) {
         self.stopped = true;
+        self.fenced_attempts.clear();
+        self.fenced.clear();
         self.context.gauges.open_messages.set(0);
         self.context.gauges.reports_pending.set(0);
         self.endpoints.close_all_idle();
--- a/src/net/delivery/mod.rs
+++ b/src/net/delivery/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod attempts;
 mod endpoints;
+mod fenced;
 mod hand_over;
 mod message_end;
 mod restore;
--- a/src/net/delivery/restore.rs
+++ b/src/net/delivery/restore.rs
@@ -14,6 +14,10 @@
     pub async fn restore(&mut self, journaled: Vec<(u64, JournaledMessage)>) {
         for (id, journaled) in journaled {
             let id = MessageId(id);
+            if self.is_fenced(id, &journaled) {
+                self.hold_fenced(id, journaled);
+                continue;
+            }
             if has_unconfirmed_end(&journaled.progress) {
                 self.report_unconfirmed_end(id, &UnconfirmedEnd::from(&journaled)).await;
                 continue;
--- a/src/net/endpoint/table.rs
+++ b/src/net/endpoint/table.rs
@@ -182,6 +182,13 @@
         self.endpoints.borrow().get(&endpoint).cloned()
     }
 
+    /// The endpoint that listens on an address; `None` if the table has none.
+    pub fn find(&self, address: SocketAddr) -> Option<EndpointId> {
+        let endpoints = self.endpoints.borrow();
+        let mut with_address = endpoints.iter().filter(|(_, state)| state.address == address);
+        with_address.next_back().map(|(endpoint, _)| *endpoint)
+    }
+
     /// Whether the table has an endpoint of this destination.
     pub fn has_destination(&self, destination: DestinationId) -> bool {
         self.endpoints.borrow().values().any(|state| state.destination == destination)
--- a/src/net/gauges.rs
+++ b/src/net/gauges.rs
@@ -57,6 +57,9 @@
 /// The gauges of a process. The comment of each also names the component that writes it.
 #[derive(Debug, Default)]
 pub struct Gauges {
+    /// Results of calls that a lost successor may not have handled and no other process has asked for yet; written by the
+    /// delivery actor after a hand-over.
+    pub unsent_results: Gauge,
     /// Messages that are accepted and have not ended; written by the delivery actor.
     pub open_messages: Gauge,
     /// Of these, the messages whose attempt in flight was answered by a response that is not yet confirmed; written by the
--- a/src/net/handover/frames.rs
+++ b/src/net/handover/frames.rs
@@ -3,13 +3,14 @@
 //! `serde` attribute.
 
 use crate::membership::MembershipSnapshot;
-use crate::net::call::CallCompletion;
+use crate::net::call::{AttemptId, CallCompletion};
 use crate::net::in_flight::Request;
 use crate::net::messages::{AdminCommand, AdminError, SubmitReply};
 use crate::net::request_ids::EndedId;
 use crate::{DeliveryPolicy, EndpointId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// The version of the frames. A successor that uses another version than its predecessor waits until the predecessor has
@@ -127,6 +128,16 @@
     pub ended_ids: Vec<EndedId>,
 }
 
+impl HandOverState {
+    /// The attempts in flight at the predecessor.
+    pub fn attempts_in_flight(&self) -> BTreeSet<AttemptId> {
+        let attempt = |message: &HandOverMessage| {
+            message.in_flight.map(|attempt| AttemptId { message: message.id, number: attempt.number })
+        };
+        self.messages.iter().filter_map(attempt).collect()
+    }
+}
+
 /// [`PredecessorFrame::State`] as the predecessor sends it.
 #[derive(Serialize)]
 pub enum StateFrame<'a> {
@@ -217,3 +228,32 @@
         result: Result<(), AdminError>,
     },
 }
+
+/// A frame from a process that has lost its successor to the process that watches its calls. The calls that have ended come
+/// first, then [`CallsFrame::InFlight`], then what becomes of the others.
+#[derive(Clone, Serialize, Deserialize)]
+pub enum CallsFrame {
+    /// A call is complete.
+    Completed(EndedCall),
+    /// A response says that messages of a call have ended, but it may be a copy of an earlier one. The call is not complete.
+    EndRead(CallCompletion),
+    /// A response came after its call was complete, and says that messages of the call have ended.
+    LateEnd(CallCompletion),
+    /// The attempts that are still in flight.
+    InFlight(Vec<AttemptId>),
+}
+
+/// A complete call of a process that has lost its successor.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct EndedCall {
+    /// The address of the endpoint, as the two processes may number endpoints differently; `None` if it is not listed any more.
+    pub address: Option<SocketAddr>,
+    /// When the call ended, in microseconds of the monotonic clock.
+    pub ended_at: Micros,
+    /// The call's attempts and results.
+    pub completion: CallCompletion,
+}
+
+/// A frame from the process that watches calls. There is none in this release: the end of the connection ends the watch.
+#[derive(Serialize, Deserialize)]
+pub enum CallsRequestFrame {}
--- a/src/net/handover/link.rs
+++ b/src/net/handover/link.rs
@@ -38,6 +38,9 @@
     /// The predecessor uses another version of the frames.
     #[error("the predecessor uses another version of the frames")]
     FormatDiffers,
+    /// The fence of the calls in flight could not be written, so the next process could not tell that they are in flight.
+    #[error("cannot write the fence of the calls in flight: {0}")]
+    FenceNotWritten(#[source] std::io::Error),
     /// The first frame of the predecessor was not its state.
     #[error("the predecessor's first frame is not its state")]
     StateNotFirst,
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -2,6 +2,10 @@
 //! successor, and from then on only forwards what it still receives. This module makes no delivery decisions.
 //! `docs/operator.md` describes the steps.
 
+mod call_log;
+mod calls_server;
+pub mod fence;
+pub mod fence_watch;
 pub mod frames;
 mod link;
 pub mod lock;
--- a/src/net/handover/predecessor.rs
+++ b/src/net/handover/predecessor.rs
@@ -1,19 +1,21 @@
 //! The predecessor's side of a hand-over.
 
+use super::call_log::CallLog;
+use super::calls_server::CallsServer;
+use super::fence::OwnFence;
 use super::frames::{PredecessorFrame, StateFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use super::relay::Relay;
 use crate::net::delivery::DeliveryActor;
 use crate::net::http::HttpError;
-use crate::net::messages::{
-    AdminError, DeliveryMessage, EndpointListMessage, SubmitReply, Successor, DEFAULT_RETRY_AFTER,
-};
+use crate::net::messages::{DeliveryMessage, EndpointListMessage, Successor};
 use crate::net::runtime::lifecycle::HandOverPhase;
 use crate::net::{within, Context};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 use slog::{info, warn};
+use std::io;
 use std::time::{Duration, Instant};
 
 /// The time limit for sending the state and receiving [`SuccessorFrame::ReadyToOwn`]. Clients wait meanwhile.
@@ -30,8 +32,8 @@
     let started_at = Instant::now();
     let accepted_frames = successor.accepted_frames;
     let send_result = within(OWNERSHIP_TIMEOUT, send_state(actor, &context, successor)).await;
-    let link = match send_result.unwrap_or(Err(HttpError::TimedOut.into())) {
-        Ok(link) => link,
+    let (link, fence) = match send_result.unwrap_or(Err(HttpError::TimedOut.into())) {
+        Ok(confirmed) => confirmed,
         Err(error) => {
             warn!(context.log, "hand-over failed, continuing to serve"; "reason" => error.code(), "error" => %error);
             context.journal.resume();
@@ -44,6 +46,10 @@
     };
     // From here on the successor makes all decisions. It listens already, so the listener of this process may close.
     context.lifecycle.enter_hand_over(HandOverPhase::HandedOver);
+    let call_log = CallLog::new(context.clone(), actor.attempts_in_flight());
+    if let Some(fence) = fence {
+        fence.keep_until_exit();
+    }
     context.folder_ownership.release();
     // Sending fails only if the successor is gone; the relay below then ends at once.
     let _ = link.frames.send(&PredecessorFrame::LockReleased).await;
@@ -51,10 +57,11 @@
         "open" => context.gauges.open_messages.get(), "in_flight" => context.gauges.calls_in_flight.get());
     actor.step_down();
     announce_hand_over(&context, actor.endpoint_list().clone());
-    let _unanswered = Relay::new(actor, link, accepted_frames).run(mailbox).await;
+    let (_unanswered, call_log) = Relay::new(actor, link, accepted_frames, call_log).run(mailbox).await;
     warn!(context.log, "the successor is gone");
+    let calls_server = CallsServer::new(actor, call_log);
     context.lifecycle.enter_hand_over(HandOverPhase::SuccessorLost);
-    reject_all(mailbox).await;
+    calls_server.run(mailbox).await;
 }
 
 /// Has the endpoint list actor send the successor the lines that its watches received during the hand-over. This runs in a
@@ -67,39 +74,36 @@
     context.executor.spawn(announce).detach();
 }
 
-/// Pauses the journal, sends the state, and waits until the successor confirms that it is ready to own the state folder.
+/// Pauses the journal, fences the attempts in flight, sends the state, and waits until the successor confirms that it is ready
+/// to own the state folder. Returns the fence with the link; `None` if no attempt is in flight.
 async fn send_state(
     actor: &DeliveryActor,
     context: &Context,
     successor: Successor,
-) -> Result<Link, HandOverError> {
+) -> Result<(Link, Option<OwnFence>), HandOverError> {
     // A record that could not be written would be missing in the state folder that the successor reads.
     context.journal.pause().map_err(|_| HandOverError::JournalNotWritable)?;
+    let fence = fence_attempts(actor, context).map_err(HandOverError::FenceNotWritten)?;
     let mut link = Link::new(successor.connection, &context.executor)?;
     let state = actor.hand_over_state(successor.list);
     link.frames.send(&StateFrame::State(&state)).await?;
     drop(state);
     match link.read().await?.head {
-        SuccessorFrame::ReadyToOwn => Ok(link),
+        SuccessorFrame::ReadyToOwn => Ok((link, fence)),
         _ => Err(HandOverError::OwnershipNotConfirmed),
     }
 }
 
-/// Rejects messages and commands that still arrive, until the process ends.
-async fn reject_all(mailbox: &Receiver<DeliveryMessage>) {
-    while let Ok(message) = mailbox.recv().await {
-        match message {
-            DeliveryMessage::Submit { reply, .. } => {
-                // Sending fails if the client has disconnected; nobody needs the reply then.
-                let _ = reply.try_send(SubmitReply::Unavailable(DEFAULT_RETRY_AFTER));
-            }
-            DeliveryMessage::Admin { reply, .. } => {
-                // Sending fails if the operator has disconnected; nobody needs the result then.
-                let _ = reply.try_send(Err(AdminError::ShuttingDown));
-            }
-            _ => {}
-        }
+/// Writes the fence of the attempts in flight; `None` if there are none. No further attempt starts while the journal is paused.
+fn fence_attempts(actor: &DeliveryActor, context: &Context) -> io::Result<Option<OwnFence>> {
+    let attempts = actor.attempts_in_flight();
+    if attempts.is_empty() {
+        return Ok(None);
     }
+    let owner = context.folder_ownership.owner();
+    let owner = owner.ok_or_else(|| io::Error::other("this process does not own the state folder"))?;
+    let has_space = |bytes| context.journal.has_space_for_file(bytes);
+    OwnFence::create(&context.config().state_folder, &owner, attempts, has_space).map(Some)
 }
 
 /// Returns once this process has handed over and has nothing left to do: it had no clients and no calls in flight for
--- a/src/net/handover/relay.rs
+++ b/src/net/handover/relay.rs
@@ -1,5 +1,6 @@
 //! Forwards what a predecessor still receives to its successor, and passes the successor's replies back.
 
+use super::call_log::CallLog;
 use super::frames::{AcceptedFrames, PredecessorFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use crate::net::delivery::DeliveryActor;
@@ -13,6 +14,8 @@
     actor: &'a mut DeliveryActor,
     link: Link,
     accepted_frames: AcceptedFrames,
+    /// What becomes of the calls in flight, in case that the successor is lost.
+    call_log: CallLog,
     /// The number of mailbox messages and frames received so far. A forwarded request gets this count as its number.
     last_number: u64,
     /// Where clients wait for replies, by the number of the forwarded message.
@@ -38,11 +41,17 @@
 
 impl<'a> Relay<'a> {
     /// Creates a relay to the successor at the other end of the link.
-    pub fn new(actor: &'a mut DeliveryActor, link: Link, accepted_frames: AcceptedFrames) -> Self {
+    pub fn new(
+        actor: &'a mut DeliveryActor,
+        link: Link,
+        accepted_frames: AcceptedFrames,
+        call_log: CallLog,
+    ) -> Self {
         Relay {
             actor,
             link,
             accepted_frames,
+            call_log,
             last_number: 0,
             replies: BTreeMap::new(),
             admin_replies: BTreeMap::new(),
@@ -50,8 +59,8 @@
     }
 
     /// Forwards until the connection to the successor ends. Returns the clients whose messages were forwarded and not
-    /// answered.
-    pub async fn run(mut self, mailbox: &Receiver<DeliveryMessage>) -> UnansweredClients {
+    /// answered, and what has become of the calls in flight.
+    pub async fn run(mut self, mailbox: &Receiver<DeliveryMessage>) -> (UnansweredClients, CallLog) {
         while let Some(received) = self.receive(mailbox).await {
             self.last_number += 1;
             let forwarded = match received {
@@ -62,7 +71,7 @@
                 break;
             }
         }
-        UnansweredClients { _replies: self.replies.into_values().collect() }
+        (UnansweredClients { _replies: self.replies.into_values().collect() }, self.call_log)
     }
 
     /// Waits for the next frame or message; `None` once the connection or the mailbox has ended.
@@ -74,6 +83,7 @@
 
     /// Forwards a message of the mailbox, if the successor needs it.
     async fn forward(&mut self, message: DeliveryMessage) -> Result<(), HandOverError> {
+        self.call_log.record(&message);
         let frames = &self.link.frames;
         let number = self.last_number;
         match message {
@@ -110,6 +120,7 @@
             DeliveryMessage::PredecessorGone => {
                 let mut sent = Ok(());
                 for completion in self.actor.take_lost_calls() {
+                    self.call_log.completed(&completion);
                     sent = frames.send(&PredecessorFrame::CallCompleted(completion)).await;
                 }
                 sent
@@ -129,6 +140,11 @@
             | DeliveryMessage::HandOver(_)
             | DeliveryMessage::JournalWritable
             | DeliveryMessage::DescribeStatus { .. }
+            // The successor watches the fences of earlier processes itself. While it lives, nobody else needs the calls.
+            | DeliveryMessage::FencedCalls { .. }
+            | DeliveryMessage::FencedExpired { .. }
+            | DeliveryMessage::FenceReleased { .. }
+            | DeliveryMessage::WatchCalls(_)
             | DeliveryMessage::Stop => Ok(()),
         }
     }
--- a/src/net/handover/served_frames.rs
+++ b/src/net/handover/served_frames.rs
@@ -1,5 +1,7 @@
 //! Serves, at the successor, the frames that a predecessor forwards, until the predecessor ends.
 
+use super::fence::Fence;
+use super::fence_watch;
 use super::frames::{PredecessorFrame, SuccessorFrame};
 use super::link::{HandOverError, Link};
 use crate::invariants::Rejection;
@@ -16,8 +18,14 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-/// Serves the frames of the predecessor until its connection ends, then notifies the delivery actor that it is gone.
-pub(super) async fn serve(context: Rc<Context>, link: Link, endpoint_list: Sender<EndpointListMessage>) {
+/// Serves the frames of the predecessor until its connection ends, then notifies the delivery actor that it is gone. The
+/// attempts that its fence names may be in flight until the fence is released.
+pub(super) async fn serve(
+    context: Rc<Context>,
+    link: Link,
+    endpoint_list: Sender<EndpointListMessage>,
+    fence: Option<Fence>,
+) {
     let mut server = PredecessorServer { context: context.clone(), link, endpoint_list };
     let Err(end) = server.serve_frames().await;
     info!(context.log, "connection ended"; "side" => "predecessor", "reason" => end.code());
@@ -25,6 +33,9 @@
     context.set_memory_shared(false);
     // Sending fails only if the delivery actor has ended, and it ends only with the process.
     let _ = context.delivery.send(DeliveryMessage::PredecessorGone).await;
+    if let Some(fence) = fence {
+        fence_watch::watch(context, fence).await;
+    }
 }
 
 /// Why the predecessor's frames are no longer served.
--- a/src/net/handover/successor.rs
+++ b/src/net/handover/successor.rs
@@ -1,5 +1,6 @@
 //! The successor's side of a hand-over: it claims the state folder, requests the predecessor's state, and takes over.
 
+use super::fence::{self, Fence};
 use super::frames::{HandOverState, PredecessorFrame, SuccessorFrame};
 use super::frames::{ACCEPTED_FRAMES_HEADER, FORMAT_VERSION, LIST_LINE_FRAME, READ_ENDS_FRAMES};
 use super::link::{FrameSender, HandOverError, Link, ReceivedFrame};
@@ -53,6 +54,8 @@
     owner_lock: Option<FolderLock>,
     /// The connection to the predecessor, if it hands over.
     link: Option<Link>,
+    /// The address and the token of the predecessor, if it hands over.
+    linked_owner: Option<Owner>,
     /// The state that the predecessor has sent, if it hands over.
     pub inherited: Option<InheritedState>,
 }
@@ -74,14 +77,27 @@
     loop {
         let owner_lock = FolderLock::try_owner(&config.state_folder)?;
         if owner_lock.is_some() {
-            return Ok(FolderClaim { _next_lock: next_lock, owner_lock, link: None, inherited: None });
+            return Ok(FolderClaim {
+                _next_lock: next_lock,
+                owner_lock,
+                link: None,
+                linked_owner: None,
+                inherited: None,
+            });
         }
         if let Some(predecessor) = lock::read_owner(&config.state_folder).filter(|_| requests_state) {
             let requested = within(PREDECESSOR_TIMEOUT, request_state(&predecessor, executor)).await;
             match requested.unwrap_or(Err(HttpError::TimedOut.into())) {
                 Ok((inherited, link)) => {
                     let (link, inherited) = (Some(link), Some(inherited));
-                    return Ok(FolderClaim { _next_lock: next_lock, owner_lock, link, inherited });
+                    let linked_owner = Some(predecessor);
+                    return Ok(FolderClaim {
+                        _next_lock: next_lock,
+                        owner_lock,
+                        link,
+                        linked_owner,
+                        inherited,
+                    });
                 }
                 Err(error) => {
                     info!(log, "hand-over from the predecessor failed"; "reason" => error.code(),
@@ -140,14 +156,27 @@
         self.link.as_ref().map(|link| link.frames.clone())
     }
 
+    /// Whether a fence is that of the predecessor that hands over.
+    pub fn is_of_predecessor(&self, fence: &Fence) -> bool {
+        self.linked_owner.as_ref().is_some_and(|owner| owner.token == fence.id())
+    }
+
     /// Acquires the owner's lock of the state folder. Call it after this process has read the folder and opened its
     /// listeners. Returns `false` if the predecessor did not release the lock and so continues to serve: the start must then
-    /// be begun again.
+    /// be begun again. `has_space` tells whether a file of a size in bytes fits into the folder.
     ///
     /// # Errors
     ///
-    /// Returns an error if the lock still cannot be used after 20 seconds.
-    pub async fn take_over(&mut self, config: &Config) -> io::Result<bool> {
+    /// Returns an error if the fence of the predecessor cannot be written, or the lock still cannot be used after 20 seconds.
+    pub async fn take_over(
+        &mut self,
+        config: &Config,
+        has_space: impl FnOnce(u64) -> bool,
+    ) -> io::Result<bool> {
+        if let Some((owner, inherited)) = self.linked_owner.as_ref().zip(self.inherited.as_ref()) {
+            let attempts = inherited.state.attempts_in_flight();
+            fence::write_substitute(&config.state_folder, owner, attempts, has_space)?;
+        }
         if let Some(link) = &mut self.link {
             let lock_released = async {
                 link.frames.send(&SuccessorFrame::ReadyToOwn).await?;
@@ -172,7 +201,7 @@
     }
 
     /// Starts to write this process's address into the state folder and to serve what the predecessor forwards. Another
-    /// process can become the next owner from here on.
+    /// process can become the next owner from here on. `fence` is that of the predecessor, if it has one.
     ///
     /// # Errors
     ///
@@ -182,16 +211,17 @@
         context: &Rc<Context>,
         this_process: Owner,
         endpoint_list: &Sender<EndpointListMessage>,
+        fence: Option<Fence>,
     ) -> io::Result<()> {
         let owner_lock =
             self.owner_lock.ok_or_else(|| io::Error::other("this process does not own the state folder"))?;
-        context.folder_ownership.acquire(owner_lock, &this_process.token);
+        context.folder_ownership.acquire(owner_lock, &this_process);
         context
             .executor
             .spawn(write_owner(context.folder_ownership.clone(), context.log.clone(), this_process))
             .detach();
         if let Some(link) = self.link {
-            let serving = served_frames::serve(context.clone(), link, endpoint_list.clone());
+            let serving = served_frames::serve(context.clone(), link, endpoint_list.clone(), fence);
             context.executor.spawn(serving).detach();
         }
         Ok(())
--- a/src/net/journal_handle.rs
+++ b/src/net/journal_handle.rs
@@ -121,6 +121,11 @@
         self.with_journal(Journal::measure_other_files);
     }
 
+    /// Whether another file fits into the state folder; see [`Journal::has_space_for_file`].
+    pub fn has_space_for_file(&self, bytes: u64) -> bool {
+        self.journal.borrow().has_space_for_file(bytes)
+    }
+
     /// Compacts the journal if the folder holds more than its limit; see [`Journal::shrink_to_limit`].
     pub fn shrink_to_limit(&self) {
         self.with_journal(Journal::shrink_to_limit);
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -2,7 +2,7 @@
 
 use super::call::{Call, CallCompletion};
 use super::endpoint::connection::EndpointConnection;
-use super::handover::frames::AcceptedFrames;
+use super::handover::frames::{AcceptedFrames, CallsFrame};
 use super::http::{HttpConnection, HttpError};
 use super::in_flight::Request;
 use crate::journal::ReportedEnd;
@@ -69,6 +69,25 @@
     JournalWritable,
     /// The connection to the predecessor has ended, so the calls in flight there will not be completed by it.
     PredecessorGone,
+    /// A process asks for the results of the calls of this one, which has lost its successor.
+    WatchCalls(HttpConnection),
+    /// An earlier process says what has become of calls that its fence names.
+    FencedCalls {
+        /// The id of the fence.
+        fence: String,
+        /// What has become of them.
+        frame: CallsFrame,
+    },
+    /// An earlier process has ended.
+    FenceReleased {
+        /// The id of its fence.
+        fence: String,
+    },
+    /// The deadline of a message is over that waited for an attempt at an earlier process.
+    FencedExpired {
+        /// The id of the message.
+        id: MessageId,
+    },
     /// A client asks for the status of destinations and tenants, by `GET /_counters?by=partner`.
     DescribeStatus {
         /// Receives the status, or that there is no memory for it.
--- a/src/net/operator/admin_request.rs
+++ b/src/net/operator/admin_request.rs
@@ -3,6 +3,7 @@
 use super::perform_command;
 use crate::net::client::{Response, LINGER_TIMEOUT};
 use crate::net::connection_registry::{ConnectionRegistry, EvictionPriority};
+use crate::net::handover::fence_watch::CALLS_TARGET;
 use crate::net::http::{HttpConnection, HttpError, RequestHead};
 use crate::net::messages::{AdminCommand, AdminError, DeliveryMessage, EndpointListMessage};
 use crate::net::{within, Context};
@@ -65,6 +66,9 @@
             Some(Ok((head, _))) if head.target == HAND_OVER_TARGET => {
                 return self.serve_hand_over(&head).await;
             }
+            Some(Ok((head, _))) if head.target == CALLS_TARGET => {
+                return self.serve_calls(&head).await;
+            }
             Some(Ok((head, body))) => {
                 let request = format!("{} {}", head.method, head.target);
                 let time_left = COMMAND_TIMEOUT.saturating_sub(accepted_at.elapsed());
--- a/src/net/operator/handover.rs
+++ b/src/net/operator/handover.rs
@@ -1,8 +1,9 @@
-//! The request by which a successor asks for the hand-over.
+//! The requests by which a successor asks for the hand-over, or for the calls of a process that has lost its successor.
 
 use super::admin_request::{AdminRequest, RequestSummary, ADMIN_REQUEST_TIMEOUT, HAND_OVER_TARGET};
 use crate::membership::MembershipSnapshot;
 use crate::net::client::Response;
+use crate::net::handover::fence_watch::CALLS_TARGET;
 use crate::net::handover::frames::{AcceptedFrames, ACCEPTED_FRAMES_HEADER, FORMAT_VERSION};
 use crate::net::http::RequestHead;
 use crate::net::messages::{DeliveryMessage, EndpointListMessage, Successor};
@@ -10,7 +11,36 @@
 use crate::net::within;
 use cedarbridge_allocator::release_free_memory;
 
+/// The response after which frames follow on the connection.
+const ACCEPTED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 impl AdminRequest {
+    /// Passes the connection of a process that asks for the calls of this one to the delivery actor, or answers why that is not
+    /// possible.
+    pub(super) async fn serve_calls(mut self, head: &RequestHead) -> RequestSummary {
+        let rejection = self.calls_rejection(head);
+        let response = match &rejection {
+            Some(response) => response.bytes(false),
+            None => ACCEPTED.to_owned(),
+        };
+        let written = within(ADMIN_REQUEST_TIMEOUT, self.connection.write(response.as_bytes())).await;
+        if rejection.is_none() && written.is_some_and(|written| written.is_ok()) {
+            // If the delivery actor has ended, the connection is dropped, and the process asks no more.
+            let _ = self.context.delivery.send(DeliveryMessage::WatchCalls(self.connection)).await;
+        }
+        RequestSummary { request: format!("POST {CALLS_TARGET}"), reason: "answered" }
+    }
+
+    /// Why a process that asks for the calls of this one does not get them; `None` if it does.
+    fn calls_rejection(&self, head: &RequestHead) -> Option<Response> {
+        let token = head.headers.get("X-Token").unwrap_or_default();
+        if head.method != "POST" || !self.context.folder_ownership.is_token(token) {
+            return Some(Response::text(404, "no such call\n"));
+        }
+        // As long as the successor lives, it decides on the messages of these calls.
+        (!self.context.lifecycle.is_successor_lost()).then(|| Response::text(409, "not now\n"))
+    }
+
     /// Hands over on the connection of the request, or answers why that is not possible.
     pub(super) async fn serve_hand_over(mut self, head: &RequestHead) -> RequestSummary {
         let reason = match self.begin_hand_over(head).await {
@@ -73,9 +103,9 @@
     /// code for the log.
     async fn hand_over(self, list: MembershipSnapshot, accepted_frames: AcceptedFrames) -> &'static str {
         let AdminRequest { context, endpoint_list, mut connection, .. } = self;
-        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        let is_written =
-            within(ADMIN_REQUEST_TIMEOUT, connection.write(response)).await.is_some_and(|w| w.is_ok());
+        let is_written = within(ADMIN_REQUEST_TIMEOUT, connection.write(ACCEPTED.as_bytes()))
+            .await
+            .is_some_and(|w| w.is_ok());
         if is_written {
             let successor = Successor { connection, list, accepted_frames };
             if context.delivery.send(DeliveryMessage::HandOver(successor)).await.is_ok() {
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -29,7 +29,9 @@
     context.lifecycle.enter_shutdown(ShutdownPhase::ListenerClosing);
     // Waits for the listener to be closed, but not for long: if accepting keeps failing, it never is.
     within(DECISION_PERIOD.saturating_sub(started_at.elapsed()), accepting).await;
-    let nothing_in_flight = || gauges.calls_in_flight.get() == 0 && gauges.reports_pending.get() == 0;
+    // The next process of the folder may still ask for results that a lost successor may not have handled.
+    let nothing_unsent = || gauges.reports_pending.get() == 0 && gauges.unsent_results.get() == 0;
+    let nothing_in_flight = || gauges.calls_in_flight.get() == 0 && nothing_unsent();
     // A successor accepts few clients while its predecessor still runs, so that does not wait for confirmations.
     let nothing_unconfirmed = || gauges.unconfirmed_calls.get() == 0 || context.lifecycle.is_handed_over();
     let nothing_open = || gauges.open_messages.get() == 0 && gauges.client_connections.get() == 0;
--- a/src/net/runtime/start.rs
+++ b/src/net/runtime/start.rs
@@ -13,7 +13,8 @@
 use crate::net::config::Config;
 use crate::net::context::{Context, ContextParts};
 use crate::net::delivery::DeliveryActor;
-use crate::net::handover::{self, frames::HandOverState, lock::Owner, FolderClaim, FrameSender};
+use crate::net::handover::{self, fence::Fence, fence_watch, frames::HandOverState, lock::Owner};
+use crate::net::handover::{FolderClaim, FrameSender};
 use crate::net::journal_handle::JournalHandle;
 use crate::net::messages::{DeliveryReport, EndpointListMessage};
 use crate::net::platform::endpoint_list::EndpointListActor;
@@ -41,6 +42,8 @@
 /// How long the start is retried if a journal segment cannot be read. After that the process starts without the segment and
 /// leaves it for a later start.
 const UNREADABLE_SEGMENT_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long the start is retried if a fence of an earlier process cannot be read.
+const UNREADABLE_FENCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a start is retried that fails with a transient error.
 const START_TIMEOUT: Duration = Duration::from_secs(25);
 /// The capacity of the delivery actor's mailbox, in items; senders wait while it is full.
@@ -208,6 +211,8 @@
         DeliveryActor::new(context.clone(), policy, reports, endpoint_list.clone(), restored.highest_id);
     delivery_actor.restore_ended_ids(restored.completed);
     let mut endpoint_list_actor = EndpointListActor::new(context.clone(), endpoint_list.clone());
+    let fences = find_fences(&context).await;
+    delivery_actor.set_fenced_attempts(&fences);
     let origin = match state.zip(predecessor) {
         Some((state, predecessor)) => Origin::Predecessor(state, predecessor, Box::new(settings)),
         None => Origin::Folder(initial_list),
@@ -216,8 +221,9 @@
     context.executor.spawn(delivery_actor.run(delivery_mailbox)).detach();
     context.executor.spawn(endpoint_list_actor.run(endpoint_list_mailbox)).detach();
     let registration = Registration::start(&context);
+    let predecessor_fence = watch_fences(&context, fences, claim.as_ref());
     if let Some((operators, claim)) = listeners.operators.zip(claim) {
-        serve_operators(&context, operators, claim, &endpoint_list)?;
+        serve_operators(&context, operators, claim, &endpoint_list, predecessor_fence)?;
     }
     let accepting =
         context.executor.spawn(client::serve(context.clone(), listeners.clients, listeners.listening_since));
@@ -226,6 +232,32 @@
     Ok(RunningProcess { context, endpoint_list, accepting, registration })
 }
 
+/// Finds the fences of earlier processes that still run. A fence that cannot be read is tried again for a while.
+async fn find_fences(context: &Context) -> Vec<Fence> {
+    let started_at = Instant::now();
+    loop {
+        match Fence::find_all(&context.config().state_folder) {
+            Ok(fences) => return fences,
+            Err(error) if started_at.elapsed() > UNREADABLE_FENCE_TIMEOUT => {
+                warn!(context.log, "the calls of earlier processes are not known"; "error" => %error);
+                return Vec::new();
+            }
+            Err(_) => drop(Timer::after(START_RETRY_PAUSE).await),
+        }
+    }
+}
+
+/// Watches the fences of earlier processes, except that of the predecessor that hands over, which is returned: as long as it
+/// is connected, it says itself what becomes of its calls.
+fn watch_fences(context: &Rc<Context>, fences: Vec<Fence>, claim: Option<&FolderClaim>) -> Option<Fence> {
+    let is_of_predecessor = |fence: &Fence| claim.is_some_and(|claim| claim.is_of_predecessor(fence));
+    let (of_predecessor, others): (Vec<_>, Vec<_>) = fences.into_iter().partition(is_of_predecessor);
+    for fence in others {
+        context.executor.spawn(fence_watch::watch(context.clone(), fence)).detach();
+    }
+    of_predecessor.into_iter().next()
+}
+
 /// Starts the tasks that run as long as the process; returns the queue for delivery reports.
 fn start_background(context: &Rc<Context>) -> Sender<DeliveryReport> {
     let (reports, reports_mailbox) = async_channel::bounded(REPORTS_MAILBOX_CAPACITY);
@@ -279,11 +311,12 @@
     operators: (SocketAddr, Async<TcpListener>),
     claim: FolderClaim,
     endpoint_list: &Sender<EndpointListMessage>,
+    predecessor_fence: Option<Fence>,
 ) -> Result<(), StartError> {
     let (address, listener) = operators;
     let token = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
     claim
-        .start_serving(context, Owner { operator: address, token }, endpoint_list)
+        .start_serving(context, Owner { operator: address, token }, endpoint_list, predecessor_fence)
         .map_err(|error| StartError::Folder(context.config().state_folder.clone(), error))?;
     info!(context.log, "listening for admin requests"; "operator" => %address);
     let serving = operator::serve(context.clone(), endpoint_list.clone(), listener);
@@ -350,7 +383,8 @@
     let (journal, restored) = opened.map_err(folder_error)?;
     let listeners = Listeners::open(config, clock)?;
     if let Some(claim) = &mut claim {
-        if !claim.take_over(config).await.map_err(folder_error)? {
+        let has_space = |bytes| journal.has_space_for_file(bytes);
+        if !claim.take_over(config, has_space).await.map_err(folder_error)? {
             return Ok(None);
         }
     }
