Soak: the next process starts while its predecessor's calls are in flight

Now the next process starts 0 to 0.6 s after the kill, up to two more are killed, and the predecessor gets SIGTERM before the first kill, after it or never. The further draws come from a copy of the generator, so the other faults of a seed stay the same.

--- a/crates/soak-test/src/forwarder.rs
+++ b/crates/soak-test/src/forwarder.rs
@@ -23,6 +23,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// A successor takes over within this time unless a fault prevents it.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most successors of one predecessor that are killed.
+const MAX_SUCCESSORS_LOST: usize = 3;
 /// Share of the successors that are killed shortly after they have taken over.
 const KILLED_SUCCESSOR_SHARE: f64 = 0.2;
 /// Prefix of the fault rules that stall writes.
@@ -225,23 +227,45 @@
             "hand-overs not possible"
         });
         if taken_over && environment.random_bool(KILLED_SUCCESSOR_SHARE) {
-            return self.kill_successor(environment).await;
+            return self.kill_successors(environment).await;
         }
         if !taken_over {
             environment.checker.borrow_mut().mark_unavailable(self.number);
             self.start_count.set(self.start_count.get() + 1);
         }
-        self.terminate_predecessor(environment).await;
+        self.terminate_predecessor();
+        self.wait_for_predecessor_exit(environment, Instant::now()).await;
         self.wait_until_ready(environment).await;
         if !taken_over {
             environment.checker.borrow_mut().mark_available(self.number);
         }
     }
 
-    /// Kills the successor shortly after it has taken over. The predecessor then exits by itself, and the forwarder is
-    /// started again.
-    async fn kill_successor(&self, environment: &Environment) {
+    /// Kills the successor shortly after it has taken over, and starts the next process while the predecessor's calls in flight
+    /// go on. In some cases the next process is killed, too, and the predecessor gets SIGTERM before or after the first kill.
+    async fn kill_successors(&self, environment: &Environment) {
+        // Drawn apart from the other faults, which stay the same for a seed.
+        let mut random = environment.random.borrow().clone();
         sleep(environment.random_duration(0, 300)).await;
+        let terminated_at_kill = random.usize(0..3);
+        if terminated_at_kill == 0 {
+            self.terminate_predecessor();
+        }
+        let lost_at = Instant::now();
+        self.kill_successor(environment).await;
+        self.restart(environment, environment.random_duration(0, 600)).await;
+        if terminated_at_kill == 1 {
+            self.terminate_predecessor();
+        }
+        for _ in 0..random.usize(0..MAX_SUCCESSORS_LOST) {
+            sleep(Duration::from_millis(random.u64(0..300))).await;
+            self.kill_successor(environment).await;
+            self.restart(environment, Duration::from_millis(random.u64(0..600))).await;
+        }
+        self.wait_for_predecessor_exit(environment, lost_at).await;
+    }
+
+    async fn kill_successor(&self, environment: &Environment) {
         environment.checker.borrow_mut().count("successors lost");
         environment.checker.borrow_mut().mark_unavailable(self.number);
         self.killed.set(true);
@@ -249,24 +273,20 @@
         while self.exit_status().is_none() {
             sleep(POLL_INTERVAL).await;
         }
-        self.wait_for_predecessor_exit(environment).await;
-        self.restart(environment, environment.random_duration(0, 600)).await;
     }
 
-    /// Sends SIGTERM to the predecessor and waits until it has exited.
-    async fn terminate_predecessor(&self, environment: &Environment) {
+    fn terminate_predecessor(&self) {
         if let Some(predecessor) = self.predecessor.borrow().as_ref() {
             send_signal(predecessor, Signal::TERM);
         }
-        self.wait_for_predecessor_exit(environment).await;
     }
 
-    /// Waits until the predecessor has exited. One that takes too long is a violation and is killed.
-    async fn wait_for_predecessor_exit(&self, environment: &Environment) {
+    /// Waits until the predecessor has exited, which got SIGTERM or lost its successor at `exiting_since`. One that takes too
+    /// long is a violation and is killed.
+    async fn wait_for_predecessor_exit(&self, environment: &Environment, exiting_since: Instant) {
         let Some(mut predecessor) = self.predecessor.borrow_mut().take() else { return };
-        let waiting_since = Instant::now();
         while let Ok(None) = predecessor.try_wait() {
-            if waiting_since.elapsed() > EXIT_TIMEOUT {
+            if exiting_since.elapsed() > EXIT_TIMEOUT {
                 let description = self.describe(
                     "the predecessor still ran 3.7 s after SIGTERM, or after its successor was killed",
                 );
