--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -6,6 +6,7 @@
 pub mod latch;
 pub mod lifecycle;
 pub mod load;
+pub mod opening;
 pub mod phase;
 pub mod process_memory;
 pub mod reload;
--- a/src/net/runtime/start.rs
+++ b/src/net/runtime/start.rs
@@ -1,15 +1,15 @@
-//! The start of a process: it claims and reads the state folder, opens the listeners and starts the actors.
+//! The start of a process: it starts the actors on what [`opening`](super::opening) has opened, and serves until it is terminated.
 
 use super::background;
 use super::clock::Clock;
 use super::deadline::within;
 use super::load::{ConfigLoader, LoadError, LoadOccasion};
+use super::opening::{open, OpenedResources, StartError, START_RETRY_PAUSE};
 use super::process_memory;
 use super::reload;
 use super::shutdown;
 use super::signals::{Signal, Signals};
-use crate::journal::{Journal, JournaledMessage, RestoredJournal, UnreadableSegmentPolicy};
-use crate::net::client::ListenOptions;
+use crate::journal::JournaledMessage;
 use crate::net::config::Config;
 use crate::net::context::{Context, ContextParts};
 use crate::net::delivery::DeliveryActor;
@@ -19,33 +19,23 @@
 use crate::net::messages::{DeliveryReport, EndpointListMessage};
 use crate::net::platform::endpoint_list::EndpointListActor;
 use crate::net::platform::{delivery_reports, eureka};
-use crate::net::storage::FolderStorage;
 use crate::net::{client, operator};
-use crate::{memory, DeliveryPolicy, Micros, Settings, SettingsError};
+use crate::{DeliveryPolicy, Settings, SettingsError};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use rustix::io::Errno;
 use serde_json::value::RawValue;
 use slog::{info, warn, Logger};
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The pause before a start that failed with a transient error is retried.
-const START_RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// How long the start is retried if a journal segment cannot be read. After that the process starts without the segment and
-/// leaves it for a later start.
-const UNREADABLE_SEGMENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long the start is retried if a fence of an earlier process cannot be read.
 const UNREADABLE_FENCE_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a start is retried that fails with a transient error.
-const START_TIMEOUT: Duration = Duration::from_secs(25);
 /// The capacity of the delivery actor's mailbox, in items; senders wait while it is full.
 const DELIVERY_MAILBOX_CAPACITY: usize = 1024;
 /// The capacity of the queue of delivery reports to be sent, in reports; the delivery actor waits while it is full.
@@ -53,9 +43,6 @@
 /// The capacity of the endpoint list actor's mailbox, in items; most senders wait while it is full.
 const ENDPOINT_LIST_MAILBOX_CAPACITY: usize = 16;
 
-/// The number of operators' connections that wait to be accepted.
-const OPERATOR_BACKLOG: usize = 64;
-
 /// Why the forwarder could not start, or ended with a failure.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -76,29 +63,6 @@
     SuccessorLost,
 }
 
-/// Why a process could not start.
-#[derive(Debug, thiserror::Error)]
-pub enum StartError {
-    /// The state folder cannot be used.
-    #[error("state folder `{}`: {}", .0.display(), .1)]
-    Folder(PathBuf, #[source] io::Error),
-    /// A listener cannot be opened. The fields are the users of the listener (`"for operators "`, or empty for clients), its
-    /// address, and the error.
-    #[error("cannot listen {0}on {1}: {2}")]
-    Listen(&'static str, SocketAddr, #[source] io::Error),
-}
-
-impl StartError {
-    /// Whether a retry may succeed: the system was short of a resource, a system call was interrupted, or the storage
-    /// failed.
-    fn is_transient(&self) -> bool {
-        let (StartError::Folder(_, error) | StartError::Listen(_, _, error)) = self;
-        let transient =
-            [Errno::IO, Errno::NOSPC, Errno::INTR, Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
-        error.raw_os_error().is_some_and(|number| transient.contains(&Errno::from_raw_os_error(number)))
-    }
-}
-
 /// Runs the forwarder until a signal terminates it or a hand-over to a successor is complete.
 ///
 /// # Errors
@@ -324,109 +288,6 @@
     Ok(())
 }
 
-/// What a process opens before its actors start.
-struct OpenedResources {
-    /// The claim to the state folder; `None` if the configuration has no operator address, as hand-overs need one.
-    claim: Option<FolderClaim>,
-    listeners: Listeners,
-    journal: Journal,
-    restored: RestoredJournal,
-}
-
-/// Claims the state folder, reads it and opens the listeners. A transient failure is retried, because the accepted messages
-/// in the journal must still be delivered.
-async fn open(
-    config: &Config,
-    clock: Clock,
-    log: &Logger,
-    executor: &LocalExecutor<'static>,
-) -> Result<OpenedResources, StartError> {
-    let started_at = Instant::now();
-    loop {
-        let unreadable = match started_at.elapsed() < UNREADABLE_SEGMENT_TIMEOUT {
-            true => UnreadableSegmentPolicy::Fail,
-            false => UnreadableSegmentPolicy::KeepForLaterStart,
-        };
-        let error = match open_once(config, clock, unreadable, log, executor).await {
-            Ok(Some(opened)) => return Ok(opened),
-            Ok(None) => {
-                warn!(log, "the predecessor continues to serve, requesting the hand-over again");
-                continue;
-            }
-            Err(error) => error,
-        };
-        if !error.is_transient() || started_at.elapsed() > START_TIMEOUT {
-            return Err(error);
-        }
-        warn!(log, "cannot start yet, retrying"; "reason" => "system", "error" => %error);
-        Timer::after(START_RETRY_PAUSE).await;
-    }
-}
-
-/// Tries once to claim and read the state folder and to open the listeners. Returns `None` if the predecessor did not
-/// release the folder and continues to serve.
-async fn open_once(
-    config: &Config,
-    clock: Clock,
-    unreadable: UnreadableSegmentPolicy,
-    log: &Logger,
-    executor: &LocalExecutor<'static>,
-) -> Result<Option<OpenedResources>, StartError> {
-    let folder_error = |error: io::Error| StartError::Folder(config.state_folder.clone(), error);
-    let mut claim = match config.operator_address {
-        Some(_) => Some(handover::claim(config, log, executor).await.map_err(folder_error)?),
-        None => None,
-    };
-    let storage = FolderStorage::open(&config.state_folder).map_err(folder_error)?;
-    let (limit, salt) = (config.folder_limit(), fastrand::u32(..));
-    let opened = Journal::open(Box::new(storage), limit, move || clock.reading(), salt, unreadable);
-    let (journal, restored) = opened.map_err(folder_error)?;
-    let listeners = Listeners::open(config, clock)?;
-    if let Some(claim) = &mut claim {
-        let has_space = |bytes| journal.has_space_for_file(bytes);
-        if !claim.take_over(config, has_space).await.map_err(folder_error)? {
-            return Ok(None);
-        }
-    }
-    Ok(Some(OpenedResources { claim, listeners, journal, restored }))
-}
-
-/// The listeners of this process.
-struct Listeners {
-    /// The address on which clients connect, with the port that the system assigned.
-    client_address: SocketAddr,
-    clients: Async<TcpListener>,
-    /// The time from which clients could connect, in microseconds of [`Clock`].
-    listening_since: Micros,
-    /// The operators' address and listener; `None` if none is configured.
-    operators: Option<(SocketAddr, Async<TcpListener>)>,
-}
-
-impl Listeners {
-    fn open(config: &Config, clock: Clock) -> Result<Listeners, StartError> {
-        let open = |address: SocketAddr, options: ListenOptions, purpose: &'static str| {
-            let opened = client::listen(address, options)
-                .and_then(|listener| Ok((listener.get_ref().local_addr()?, listener)));
-            opened.map_err(|error| StartError::Listen(purpose, address, error))
-        };
-        let listening_since = clock.now();
-        let client_options = ListenOptions {
-            // A successor can listen on the clients' address before its predecessor stops listening there.
-            reuse_port: config.operator_address.is_some(),
-            backlog: memory::plan::BACKLOG,
-            socket_buffer_bytes: Some(config.memory_plan.socket_buffer_bytes),
-        };
-        let operator_options =
-            ListenOptions { reuse_port: false, backlog: OPERATOR_BACKLOG, socket_buffer_bytes: None };
-        let (client_address, clients) = open(config.listen_address, client_options, "")?;
-        let operators = config
-            .operator_address
-            .map(|address| open(address, operator_options, "for operators "))
-            .transpose()?;
-        Ok(Listeners { client_address, clients, listening_since, operators })
-    }
-}
-
 /// The registration of this forwarder at the registry, kept up by a background task.
 struct Registration {
     /// Dropping this sender makes the task cancel the registration.
