Hand-over: fence only attempts that are journaled

What callers would have seen: a message that may run once was called twice. The predecessor's attempt was decided on and not journaled (its endpoint did not accept the connection yet); the next process used the same number for an attempt that it sent, and was killed. The process after it took the predecessor's result "not sent" for the result of that attempt, and called again.

Cause: the fence named every attempt that was begun.

--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -128,6 +128,11 @@
         self.shrink_to_limit();
     }
 
+    /// Whether the attempt with this number is recorded for a message, and in flight.
+    pub fn is_in_flight(&self, id: u64, number: u32) -> bool {
+        self.log.progress(id).is_some_and(|progress| progress.is_in_flight(number))
+    }
+
     /// Whether a further file of this size in bytes fits into the folder.
     pub fn has_space_for_file(&self, bytes: u64) -> bool {
         self.log.fits_without_compaction(bytes)
@@ -197,7 +202,7 @@
     /// Records that an attempt never ran. Does nothing unless it is the last attempt that was recorded for the message,
     /// and in flight. The record is queued if it cannot be written now.
     pub fn record_never_ran(&mut self, id: u64, number: u32) {
-        if self.log.progress(id).is_some_and(|progress| progress.is_in_flight(number)) {
+        if self.is_in_flight(id, number) {
             self.record_event(id, JournalRecord::Progressed(ProgressStep::AttemptNeverRan));
         }
     }
--- a/src/net/delivery/hand_over.rs
+++ b/src/net/delivery/hand_over.rs
@@ -46,12 +46,14 @@
         }
     }
 
-    /// The attempts in flight at this process and at its predecessors.
+    /// The journaled attempts in flight at this process and at its predecessors. An attempt that is not journaled is not sent any
+    /// more once the journal is paused, and the next process may use its number for another one.
     pub fn attempts_in_flight(&self) -> BTreeSet<AttemptId> {
         let own = self.messages.iter().filter_map(|(id, open)| {
             open.attempt.as_ref().map(|attempt| AttemptId { message: *id, number: attempt.number })
         });
-        own.chain(self.predecessor_attempts.keys().copied()).collect()
+        let all = own.chain(self.predecessor_attempts.keys().copied());
+        all.filter(|attempt| self.context.journal.is_in_flight(*attempt)).collect()
     }
 
     /// Resumes the predecessor's work from its state and the journal. Messages that only the journal has are restored
--- a/src/net/handover/successor.rs
+++ b/src/net/handover/successor.rs
@@ -7,6 +7,8 @@
 use super::lock::{self, FolderLock, Owner};
 use super::ownership::FolderOwnership;
 use super::served_frames;
+use crate::journal::Journal;
+use crate::net::call::AttemptId;
 use crate::net::config::Config;
 use crate::net::dial::connect;
 use crate::net::http::{HttpConnection, HttpError};
@@ -163,18 +165,16 @@
 
     /// Acquires the owner's lock of the state folder. Call it after this process has read the folder and opened its
     /// listeners. Returns `false` if the predecessor did not release the lock and so continues to serve: the start must then
-    /// be begun again. `has_space` tells whether a file of a size in bytes fits into the folder.
+    /// be begun again. The journal is that of the folder.
     ///
     /// # Errors
     ///
     /// Returns an error if the fence of the predecessor cannot be written, or the lock still cannot be used after 20 seconds.
-    pub async fn take_over(
-        &mut self,
-        config: &Config,
-        has_space: impl FnOnce(u64) -> bool,
-    ) -> io::Result<bool> {
+    pub async fn take_over(&mut self, config: &Config, journal: &Journal) -> io::Result<bool> {
         if let Some((owner, inherited)) = self.linked_owner.as_ref().zip(self.inherited.as_ref()) {
-            let attempts = inherited.state.attempts_in_flight();
+            let is_journaled = |attempt: &AttemptId| journal.is_in_flight(attempt.message.0, attempt.number);
+            let attempts = inherited.state.attempts_in_flight().into_iter().filter(is_journaled).collect();
+            let has_space = |bytes| journal.has_space_for_file(bytes);
             fence::write_substitute(&config.state_folder, owner, attempts, has_space)?;
         }
         if let Some(link) = &mut self.link {
--- a/src/net/journal_handle.rs
+++ b/src/net/journal_handle.rs
@@ -4,6 +4,7 @@
 //! happened are queued, and written first once the journal can be written again.
 
 use crate::journal::{AttemptStart, FolderLimit, Journal, JournalError, JournaledMessage, ReportedEnd};
+use crate::net::call::AttemptId;
 use crate::net::runtime::latch::Latch;
 use crate::MessageId;
 use std::cell::RefCell;
@@ -121,6 +122,11 @@
         self.with_journal(Journal::measure_other_files);
     }
 
+    /// Whether an attempt is recorded and in flight; see [`Journal::is_in_flight`].
+    pub fn is_in_flight(&self, attempt: AttemptId) -> bool {
+        self.journal.borrow().is_in_flight(attempt.message.0, attempt.number)
+    }
+
     /// Whether another file fits into the state folder; see [`Journal::has_space_for_file`].
     pub fn has_space_for_file(&self, bytes: u64) -> bool {
         self.journal.borrow().has_space_for_file(bytes)
--- a/src/net/runtime/opening.rs
+++ b/src/net/runtime/opening.rs
@@ -109,8 +109,7 @@
     let (journal, restored) = opened.map_err(folder_error)?;
     let listeners = Listeners::open(config, clock)?;
     if let Some(claim) = &mut claim {
-        let has_space = |bytes| journal.has_space_for_file(bytes);
-        if !claim.take_over(config, has_space).await.map_err(folder_error)? {
+        if !claim.take_over(config, &journal).await.map_err(folder_error)? {
             return Ok(None);
         }
     }
--- a/tests/lost_successor.rs
+++ b/tests/lost_successor.rs
@@ -227,3 +227,26 @@
         ));
     }
 }
+
+/// Guards against an attempt that was decided on and never sent, whose number is used again by the next process: the first one's
+/// result says nothing of the second one, which may have run.
+#[test]
+fn the_result_of_an_attempt_that_was_never_sent_is_not_taken_for_that_of_a_later_one() {
+    run_scenario(
+        "with e1=1:one:stalled operator=on
+         start
+
+         u1 send m1 class=once
+         u1 expect 202
+         upgrade
+         kill
+         e1 open
+         start
+         e1 expect m1
+         kill
+         start
+         platform expect m1 failed
+
+         e1 expect-no-call 300",
+    );
+}
